--- /dev/null
+++ b/autotests/unit/revisionholdertest.cpp
@@ -0,0 +1,43 @@
+#include "core/revisionholder.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+std::shared_ptr<const ConfigRevision> revision(std::uint64_t number, const std::string &writer = "ana")
+{
+    ConfigBundle bundle;
+    bundle.manifest.revision = Revision(number);
+    bundle.manifest.record({ApplyId(writer), Revision(number), FileName("f.ini"), writer, 0, true});
+    return *ConfigRevision::fromBundle(bundle);
+}
+
+}
+
+// Updates cross in flight: revision 4 arrives after 5. Taking it would move
+// the node back to a configuration that operators have replaced.
+BOOST_AUTO_TEST_CASE(NeverTakesAnOlderRevision)
+{
+    RevisionHolder holder;
+    BOOST_TEST((holder.offer(revision(5)) == RevisionHolder::Verdict::Taken));
+    BOOST_TEST((holder.offer(revision(4)) == RevisionHolder::Verdict::Older));
+    BOOST_TEST((holder.offer(revision(5)) == RevisionHolder::Verdict::Known));
+    BOOST_TEST((holder.offer(revision(5, "ben")) == RevisionHolder::Verdict::Forked));
+    BOOST_TEST(holder.revision().value() == 5U);
+    BOOST_TEST((holder.offer(revision(6)) == RevisionHolder::Verdict::Taken));
+}
+
+BOOST_AUTO_TEST_CASE(HoldsFormerRevisionsAsBases)
+{
+    RevisionHolder holder;
+    const auto first = revision(1);
+    holder.offer(first);
+    holder.offer(revision(2));
+    BOOST_TEST(holder.find(first->digest) == first);
+    for (std::uint64_t number = 3; number < 8; ++number) {
+        holder.offer(revision(number));
+    }
+    BOOST_TEST(holder.find(first->digest) == nullptr);
+}
--- /dev/null
+++ b/bench/loadgenerator.cpp
@@ -0,0 +1,96 @@
+#include "loadgenerator.h"
+
+#include "adapters/http/httpclient.h"
+#include "core/callheaders.h"
+
+#include <fmt/format.h>
+#include <random>
+
+namespace Galenahill {
+
+namespace {
+
+struct Plan
+{
+    Endpoint ingress;
+    const LoadGenerator::CallKind *kind = nullptr;
+    TimePoint scheduled;
+};
+
+CallOutcome outcomeOf(const Result<HttpResponse> &response, const std::string &id)
+{
+    if (!response) {
+        return response.error().kind == ErrorKind::Unavailable ? CallOutcome::NotRun : CallOutcome::Unknown;
+    }
+    const auto outcome = (*response)[CallHeaders::Outcome];
+    if (outcome == CallHeaders::NotRun) {
+        return CallOutcome::NotRun;
+    }
+    if (response->result() != http::status::ok) {
+        return CallOutcome::Unknown;
+    }
+    const bool own = (*response)["Request-Id"] == id && response->body() == "done " + id;
+    return own ? CallOutcome::Answered : CallOutcome::Crossed;
+}
+
+asio::awaitable<void> sendCall(HttpClient &client, Plan plan, TimePoint deadline, CallRecord &record)
+{
+    const auto verb = http::string_to_verb(plan.kind->method);
+    HttpRequest request(verb, plan.kind->path, 11);
+    request.set(http::field::host, toString(plan.ingress));
+    request.set("Request-Id", record.id);
+    if (verb == http::verb::post) {
+        request.body() = "order " + record.id;
+    }
+    const auto response = co_await client.exchange(plan.ingress, std::move(request), deadline);
+    record.latency = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - plan.scheduled);
+    record.outcome = outcomeOf(response, record.id);
+    record.status = response ? static_cast<int>(response->result_int()) : 0;
+}
+
+asio::awaitable<void> sendAll(asio::io_context &context, HttpClient &client, const LoadGenerator::Options &options, std::vector<CallRecord> &records)
+{
+    std::mt19937_64 random(options.seed);
+    std::vector<double> weights;
+    for (const auto &kind : options.kinds) {
+        weights.push_back(kind.weight);
+    }
+    std::discrete_distribution<std::size_t> chooseKind(weights.begin(), weights.end());
+    std::uniform_int_distribution<std::size_t> chooseIngress(0, options.ingresses.size() - 1);
+    asio::steady_timer timer(context);
+    const auto begin = Clock::now();
+    for (std::size_t i = 0; i < options.calls; ++i) {
+        const auto offset = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(static_cast<double>(i) / options.rate));
+        if (begin + offset > Clock::now()) {
+            ErrorCode ignored;
+            timer.expires_at(begin + offset);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        const auto &kind = options.kinds[chooseKind(random)];
+        auto &record = records[i];
+        record.id = fmt::format("{}-{}", options.idPrefix, i);
+        record.idempotent = kind.idempotent;
+        record.scheduled = offset;
+        Plan plan{options.ingresses[chooseIngress(random)], &kind, begin + offset};
+        asio::co_spawn(context, sendCall(client, std::move(plan), Clock::now() + options.timeout, record), asio::detached);
+    }
+}
+
+}
+
+LoadGenerator::LoadGenerator(Options options)
+    : m_options(std::move(options))
+{
+}
+
+std::vector<CallRecord> LoadGenerator::run()
+{
+    asio::io_context context(1);
+    HttpClient client(context, {.maxIdlePerEndpoint = 256});
+    std::vector<CallRecord> records(m_options.calls);
+    asio::co_spawn(context, sendAll(context, client, m_options, records), asio::detached);
+    context.run();
+    return records;
+}
+
+}
--- /dev/null
+++ b/src/adapters/codec/binarycodec.cpp
@@ -0,0 +1,73 @@
+#include "adapters/codec/binarycodec.h"
+
+#include <caf/binary_deserializer.hpp>
+#include <caf/binary_serializer.hpp>
+#include <caf/execution_unit.hpp>
+
+namespace Galenahill {
+
+namespace {
+
+template <typename Value>
+std::string encodeValue(const Value &value)
+{
+    std::vector<char> buffer;
+    caf::binary_serializer sink(static_cast<caf::execution_unit *>(nullptr), buffer);
+    // Writing to memory can't fail; the serializer takes its argument by
+    // mutable reference though it only reads.
+    const auto ignored = sink(const_cast<Value &>(value));
+    (void)ignored;
+    return {buffer.begin(), buffer.end()};
+}
+
+template <typename Value>
+Result<Value> decodeValue(const std::string &bytes, const char *what)
+{
+    Value value;
+    caf::binary_deserializer source(nullptr, bytes.data(), bytes.size());
+    if (source(value)) {
+        return failure(ErrorKind::Corrupt, std::string(what) + " doesn't decode; check that all nodes run the same version");
+    }
+    if (source.remaining() != 0) {
+        return failure(ErrorKind::Corrupt, std::string(what) + " has bytes left over; check that all nodes run the same version");
+    }
+    return value;
+}
+
+}
+
+std::string encode(const GossipMessage &message)
+{
+    return encodeValue(message);
+}
+
+Result<GossipMessage> decodeGossip(const std::string &bytes)
+{
+    auto message = decodeValue<GossipMessage>(bytes, "datagram");
+    if (message && message->kind > GossipKind::News) {
+        return failure(ErrorKind::Corrupt, "datagram of unknown kind; check that all nodes run the same version");
+    }
+    return message;
+}
+
+std::string encode(const std::vector<MemberRecord> &records)
+{
+    return encodeValue(records);
+}
+
+Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes)
+{
+    return decodeValue<std::vector<MemberRecord>>(bytes, "member list");
+}
+
+std::string encode(const ConfigBundle &bundle)
+{
+    return encodeValue(bundle);
+}
+
+Result<ConfigBundle> decodeBundle(const std::string &bytes)
+{
+    return decodeValue<ConfigBundle>(bytes, "configuration bundle");
+}
+
+}
--- /dev/null
+++ b/src/adapters/codec/binarycodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "common/error.h"
+#include "core/configbundle.h"
+#include "core/gossipmessage.h"
+
+#include <string>
+#include <vector>
+
+namespace Galenahill {
+
+// CAF's binary serialization of the messages between nodes. Decoding refuses
+// input that is short, over-long or has bytes left over, with Corrupt.
+std::string encode(const GossipMessage &message);
+Result<GossipMessage> decodeGossip(const std::string &bytes);
+
+std::string encode(const std::vector<MemberRecord> &records);
+Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes);
+
+std::string encode(const ConfigBundle &bundle);
+Result<ConfigBundle> decodeBundle(const std::string &bytes);
+
+}
--- /dev/null
+++ b/src/adapters/http/httpserver.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "adapters/http/asio.h"
+#include "adapters/http/httpmessage.h"
+#include "common/endpoint.h"
+#include "common/error.h"
+#include "common/identifiers.h"
+
+#include <functional>
+#include <memory>
+
+namespace Galenahill {
+
+// What a handler may ask of the connection that a request came on.
+class ServerConnection
+{
+public:
+    virtual ~ServerConnection() = default;
+
+    // Whether the peer has closed its side. A request of a peer that is gone
+    // needs no answer.
+    virtual bool peerClosed() = 0;
+};
+
+// An HTTP/1.1 server on one I/O context. One request is in flight per
+// connection, so answers can't cross.
+class HttpServer
+{
+public:
+    using Handler = std::function<asio::awaitable<HttpResponse>(HttpRequest request, ServerConnection &connection)>;
+
+    struct Options
+    {
+        Endpoint endpoint;
+        Handler handler;
+        std::uint32_t maxHeaderBytes = 16 * 1024;
+        std::uint64_t maxBodyBytes = 1024 * 1024;
+        // Time for a whole request to arrive once its first byte has.
+        Milliseconds readTimeout{10000};
+        // Time that a connection may be without a request.
+        Milliseconds idleTimeout{60000};
+        std::size_t maxConnections = 4096;
+    };
+
+    HttpServer(asio::io_context &context, Options options);
+    ~HttpServer();
+
+    // Binds and starts to accept. Invalid if the address is taken.
+    Result<void> listen();
+
+    // Accepts no further connections and closes each one after its next
+    // answer; connections without a request stay open until closeIdle.
+    void drain();
+
+    // Closes the connections that have no request in flight.
+    void closeIdle();
+
+    // Requests being handled.
+    std::size_t requestsInFlight() const;
+
+    // Bytes received and sent.
+    std::uint64_t bytes() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/adapters/udp/datagramsocket.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "adapters/http/asio.h"
+#include "common/endpoint.h"
+#include "common/error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Galenahill {
+
+// A UDP socket on one I/O context. `send` may be called from any thread.
+class DatagramSocket
+{
+public:
+    struct Options
+    {
+        Endpoint endpoint;
+        std::function<void(const Endpoint &from, std::string bytes)> received;
+    };
+
+    DatagramSocket(asio::io_context &context, Options options);
+    ~DatagramSocket();
+
+    // Binds and starts to receive. Invalid if the address is taken.
+    Result<void> open();
+
+    // Sends one datagram; a failure counts as a lost datagram.
+    void send(const Endpoint &to, std::string bytes);
+
+    void close();
+
+    // Bytes received and sent, without IP and UDP headers.
+    std::uint64_t bytes() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,245 @@
+#include "cli/commands.h"
+
+#include "cli/nodeconnection.h"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <chrono>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+namespace Galenahill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds WaitInterval{200};
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return failure(ErrorKind::Invalid, path + ": can't be read; give the path of a configuration file");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string fileNameOf(const CommandOptions &options)
+{
+    const auto &path = options.arguments.front();
+    return options.name.empty() ? path.substr(path.rfind('/') + 1) : options.name;
+}
+
+// Prints JSON on request, else the text.
+Result<void> print(const CommandOptions &options, const json &result, const std::string &text)
+{
+    fmt::print("{}\n", options.json ? result.dump() : text);
+    return {};
+}
+
+struct FleetProgress
+{
+    std::size_t inForce = 0;
+    std::size_t live = 0;
+};
+
+FleetProgress progress(const json &status, std::uint64_t revision)
+{
+    FleetProgress result;
+    for (const auto &node : status.at("nodes")) {
+        if (node.at("state") == "gone") {
+            continue;
+        }
+        ++result.live;
+        if (node.at("answered").get<bool>() && node.at("revision").get<std::uint64_t>() >= revision) {
+            ++result.inForce;
+        }
+    }
+    return result;
+}
+
+Result<void> waitInForce(const CommandOptions &options, std::uint64_t revision)
+{
+    NodeConnection node(options.node);
+    const auto until = Clock::now() + options.waitTime;
+    FleetProgress last;
+    while (Clock::now() < until) {
+        const auto status = node.call("status", json::object());
+        if (!status) {
+            return tl::unexpected(status.error());
+        }
+        last = progress(*status, revision);
+        fmt::print(stderr, "revision {} in force on {} of {} nodes\n", revision, last.inForce, last.live);
+        if (last.inForce == last.live) {
+            return {};
+        }
+        std::this_thread::sleep_for(WaitInterval);
+    }
+    return failure(
+        ErrorKind::Unavailable, fmt::format("accepted, but in force on {} of {} nodes only; look with 'galenahillctl status'", last.inForce, last.live));
+}
+
+Result<void> changeFile(const CommandOptions &options, json params)
+{
+    const auto id = options.applyId.empty() ? to_string(boost::uuids::random_generator()()) : options.applyId;
+    params["apply"] = id;
+    params["operator"] = options.operatorName;
+    params["based_on"] = options.basedOn;
+    NodeConnection node(options.node);
+    auto result = node.call("apply", params);
+    if (!result) {
+        const bool unknown = result.error().kind == ErrorKind::OutcomeUnknown;
+        return failure(result.error().kind,
+            unknown ? fmt::format(
+                "{}\napply id {}: settle it with 'galenahillctl outcome {}', or repeat the command with --apply-id={}", result.error().message, id, id, id)
+                    : result.error().message);
+    }
+    (*result)["apply"] = id;
+    const auto revision = result->at("revision").get<std::uint64_t>();
+    if (options.wait) {
+        if (const auto waited = waitInForce(options, revision); !waited) {
+            return waited;
+        }
+    }
+    const bool changed = result->at("changed").get<bool>();
+    return print(options, *result, fmt::format("{}: revision {} (apply {})", changed ? "accepted" : "unchanged", revision, id));
+}
+
+Result<void> apply(const CommandOptions &options)
+{
+    const auto text = readFile(options.arguments.front());
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return changeFile(options, {{"file", fileNameOf(options)}, {"text", *text}});
+}
+
+Result<void> removeFile(const CommandOptions &options)
+{
+    return changeFile(options, {{"file", options.arguments.front()}, {"remove", true}});
+}
+
+Result<void> check(const CommandOptions &options)
+{
+    const auto text = readFile(options.arguments.front());
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    const auto result = NodeConnection(options.node).call("check", {{"file", fileNameOf(options)}, {"text", *text}});
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    return print(options,
+        *result,
+        fmt::format(
+            "valid with the files in force: {} services, {} routes", result->at("services").get<std::size_t>(), result->at("routes").get<std::size_t>()));
+}
+
+Result<void> show(const CommandOptions &options)
+{
+    const auto result = NodeConnection(options.node).call("show", json::object());
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    std::string text = fmt::format("; revision {}", result->at("revision").get<std::uint64_t>());
+    for (const auto &file : result->at("files")) {
+        text += fmt::format("\n; file {} ({})\n{}", file.at("name").get<std::string>(), file.at("hash").get<std::string>(), file.at("text").get<std::string>());
+    }
+    return print(options, *result, text);
+}
+
+Result<void> status(const CommandOptions &options)
+{
+    const auto result = NodeConnection(options.node).call("status", json::object());
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    std::string text = fmt::format("{:<24} {:<14} {:<16} {:<10} {}", "NODE", "DATA CENTRE", "SERVICE", "STATE", "REVISION");
+    for (const auto &node : result->at("nodes")) {
+        const auto revision = node.at("answered").get<bool>() ? std::to_string(node.at("revision").get<std::uint64_t>()) : std::string("no answer");
+        text += fmt::format("\n{:<24} {:<14} {:<16} {:<10} {}",
+            node.at("node").get<std::string>(),
+            node.at("data_centre").get<std::string>(),
+            node.at("service").get<std::string>(),
+            node.at("state").get<std::string>(),
+            revision);
+    }
+    return print(options, *result, text);
+}
+
+std::string changeLine(const json &change)
+{
+    return fmt::format("revision {}  {:%Y-%m-%d %H:%M:%S}Z  {}{}  by {}  (apply {})",
+        change.at("revision").get<std::uint64_t>(),
+        fmt::gmtime(static_cast<std::time_t>(change.at("time").get<std::int64_t>())),
+        change.at("removed").get<bool>() ? "removed " : "",
+        change.at("file").get<std::string>(),
+        change.at("operator").get<std::string>(),
+        change.at("apply").get<std::string>());
+}
+
+Result<void> outcome(const CommandOptions &options)
+{
+    const auto result = NodeConnection(options.node).call("outcome", {{"apply", options.arguments.front()}});
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    return print(options, *result, "accepted: " + changeLine(*result));
+}
+
+Result<void> history(const CommandOptions &options)
+{
+    const auto result = NodeConnection(options.node).call("history", json::object());
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    std::string text;
+    for (const auto &change : result->at("changes")) {
+        text += (text.empty() ? "" : "\n") + changeLine(change);
+    }
+    return print(options, *result, text.empty() ? "no changes yet" : text);
+}
+
+}
+
+const std::map<std::string, Command> &commands()
+{
+    static const std::map<std::string, Command> all = {
+        {"apply", {"apply FILE", "Applies one whole file", 1, apply}},
+        {"check", {"check FILE", "Says whether a file would be accepted now, and changes nothing", 1, check}},
+        {"history", {"history", "Lists the last accepted changes", 0, history}},
+        {"outcome", {"outcome ID", "Says whether the apply of that id was accepted", 1, outcome}},
+        {"remove", {"remove NAME", "Withdraws one file that nothing refers to", 1, removeFile}},
+        {"show", {"show", "Prints the files in force on the node", 0, show}},
+        {"status", {"status", "Lists the nodes with state and revision in force", 0, status}},
+    };
+    return all;
+}
+
+int exitCode(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::Invalid:
+        return 1;
+    case ErrorKind::Conflict:
+        return 3;
+    case ErrorKind::Unavailable:
+        return 4;
+    case ErrorKind::OutcomeUnknown:
+        return 5;
+    case ErrorKind::NotFound:
+        return 6;
+    case ErrorKind::Corrupt:
+        return 7;
+    }
+    return 7;
+}
+
+}
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "common/error.h"
+#include "common/identifiers.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Galenahill {
+
+// What the command line says apart from the command's name.
+struct CommandOptions
+{
+    Endpoint node;
+    std::vector<std::string> arguments;
+    std::string name;
+    std::string applyId;
+    std::string operatorName;
+    std::string basedOn;
+    bool json = false;
+    bool wait = false;
+    Milliseconds waitTime{30000};
+};
+
+// One command of galenahillctl.
+struct Command
+{
+    std::string synopsis;
+    std::string description;
+    std::size_t arguments = 0;
+    std::function<Result<void>(const CommandOptions &)> run;
+};
+
+// All commands by name.
+const std::map<std::string, Command> &commands();
+
+// The process's exit code for a failure.
+int exitCode(ErrorKind kind);
+
+}
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,135 @@
+#include "cli/commands.h"
+#include "core/nearestname.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <optional>
+#include <popt.h>
+
+namespace {
+
+using namespace Galenahill;
+
+constexpr int ExitUsage = 2;
+constexpr const char *Version = "0.1.0";
+constexpr const char *DefaultNode = "127.0.0.1:8082";
+
+std::optional<Endpoint> parseEndpoint(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    return Endpoint{text.substr(0, colon), port};
+}
+
+int usageError(const std::string &message)
+{
+    fmt::print(stderr, "galenahillctl: {}; see galenahillctl --help\n", message);
+    return ExitUsage;
+}
+
+std::string commandList()
+{
+    std::string list = "COMMAND [OPTIONS]\n\nCommands:\n";
+    for (const auto &[name, command] : commands()) {
+        list += fmt::format("  {:<14} {}\n", command.synopsis, command.description);
+    }
+    return list + "\nOptions:";
+}
+
+// Text of an option that popt owns, with a fallback.
+std::string textOr(const char *value, const std::string &fallback)
+{
+    return value == nullptr ? fallback : value;
+}
+
+int run(const std::string &name, const CommandOptions &options)
+{
+    const auto command = commands().find(name);
+    if (command == commands().end()) {
+        std::vector<std::string> names;
+        for (const auto &[known, ignored] : commands()) {
+            names.push_back(known);
+        }
+        return usageError(fmt::format("{}: no such command{}", name, suggestion(name, names)));
+    }
+    if (options.arguments.size() != command->second.arguments) {
+        return usageError(fmt::format("usage: galenahillctl {}", command->second.synopsis));
+    }
+    const auto result = command->second.run(options);
+    if (result) {
+        return 0;
+    }
+    fmt::print(stderr, "{}\n", result.error().message);
+    return exitCode(result.error().kind);
+}
+
+}
+
+int main(int argc, const char **argv)
+{
+    char *node = nullptr;
+    char *name = nullptr;
+    char *applyId = nullptr;
+    char *basedOn = nullptr;
+    char *operatorName = nullptr;
+    int json = 0;
+    int wait = 0;
+    int waitSeconds = 30;
+    int showVersion = 0;
+    const poptOption table[] = {
+        {"node", 'n', POPT_ARG_STRING, &node, 0, "Control address of a node (default: $GALENAHILL_NODE, else 127.0.0.1:8082)", "IP:PORT"},
+        {"json", 'j', POPT_ARG_NONE, &json, 0, "Print JSON", nullptr},
+        {"name", 0, POPT_ARG_STRING, &name, 0, "Name under which the file is applied (default: its base name)", "NAME"},
+        {"apply-id", 0, POPT_ARG_STRING, &applyId, 0, "Id of this apply; repeat it to repeat an apply safely", "ID"},
+        {"based-on", 0, POPT_ARG_STRING, &basedOn, 0, "Hash of the content that was edited; refused if another is in force", "HASH"},
+        {"operator", 0, POPT_ARG_STRING, &operatorName, 0, "Who applies (default: $USER)", "NAME"},
+        {"wait", 'w', POPT_ARG_NONE, &wait, 0, "Wait until the revision is in force on every node", nullptr},
+        {"wait-seconds", 0, POPT_ARG_INT, &waitSeconds, 0, "Longest wait (default: 30)", "SECONDS"},
+        {"version", 'V', POPT_ARG_NONE, &showVersion, 0, "Print the version and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("galenahillctl", argc, argv, table, 0);
+    const auto help = commandList();
+    poptSetOtherOptionHelp(context, help.c_str());
+    const int parsed = poptGetNextOpt(context);
+    if (parsed < -1) {
+        return usageError(fmt::format("{}: {}", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(parsed)));
+    }
+    if (showVersion != 0) {
+        fmt::print("galenahillctl {}\n", Version);
+        return 0;
+    }
+    const char *commandName = poptGetArg(context);
+    if (commandName == nullptr) {
+        return usageError("give a command");
+    }
+    const std::string command = commandName;
+    CommandOptions options;
+    while (const char *argument = poptGetArg(context)) {
+        options.arguments.emplace_back(argument);
+    }
+    const auto address = textOr(node, textOr(std::getenv("GALENAHILL_NODE"), DefaultNode));
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return usageError(fmt::format("--node={}: give IP:PORT of a node's control address", address));
+    }
+    options.node = *endpoint;
+    options.name = textOr(name, "");
+    options.applyId = textOr(applyId, "");
+    options.basedOn = textOr(basedOn, "");
+    options.operatorName = textOr(operatorName, textOr(std::getenv("USER"), "unknown"));
+    options.json = json != 0;
+    options.wait = wait != 0;
+    options.waitTime = std::chrono::seconds(waitSeconds);
+    poptFreeContext(context);
+    return run(command, options);
+}
--- /dev/null
+++ b/src/core/configlimits.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "common/identifiers.h"
+
+#include <cstddef>
+#include <cstdint>
+
+// Bounds that no configuration file lifts. Validation refuses what lies
+// outside; the running code doesn't rely on that and applies them again.
+namespace Galenahill::ConfigLimits {
+
+inline constexpr std::size_t MaxFileBytes = 900 * 1024;
+inline constexpr std::size_t MaxFileNameLength = 100;
+inline constexpr std::uint32_t MaxSlots = 1024;
+inline constexpr std::uint32_t MaxConnections = 65536;
+inline constexpr Milliseconds MinTimeout{10};
+inline constexpr Milliseconds MaxTimeout{60000};
+inline constexpr std::uint32_t MaxRetries = 3;
+
+}
--- /dev/null
+++ b/src/core/configvalidator.cpp
@@ -0,0 +1,251 @@
+#include "core/configvalidator.h"
+
+#include "core/configlimits.h"
+#include "core/nearestname.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <map>
+
+namespace Galenahill {
+
+namespace {
+
+const std::vector<std::string> ServiceKeys = {"data-centres", "slots", "connections"};
+const std::vector<std::string> RouteKeys = {"path", "methods", "service", "idempotent", "timeout-ms", "retries", "slo-availability", "slo-latency-ms"};
+const std::vector<std::string> KnownMethods = {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"};
+
+// A comma-separated list without surrounding blanks; an empty item stays, so
+// that a stray comma is found.
+std::vector<std::string> listItems(const std::string &value)
+{
+    std::vector<std::string> items;
+    boost::split(items, value, boost::is_any_of(","));
+    for (auto &item : items) {
+        boost::trim(item);
+    }
+    return items;
+}
+
+bool isName(const std::string &text)
+{
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; };
+    return !text.empty() && text.size() <= ConfigLimits::MaxFileNameLength && std::all_of(text.begin(), text.end(), allowed);
+}
+
+}
+
+void ConfigValidator::fault(const FileName &file, const std::string &section, const std::string &text)
+{
+    m_faults.push_back(fmt::format("{} [{}] {}", file.value(), section, text));
+}
+
+void ConfigValidator::add(const ConfigFile &file)
+{
+    if (!isName(file.name.value())) {
+        m_faults.push_back(fmt::format("\"{}\": not a file name; use letters, digits, '-', '_' and '.'", file.name.value()));
+        return;
+    }
+    const auto document = ConfigDocument::parse(file);
+    if (!document) {
+        m_faults.push_back(document.error().message);
+        return;
+    }
+    for (const auto &section : document->sections()) {
+        const auto space = section.name.find(' ');
+        const auto type = section.name.substr(0, space);
+        const auto name = space == std::string::npos ? std::string() : boost::trim_copy(section.name.substr(space));
+        if (type != "service" && type != "route") {
+            fault(file.name, section.name, "no such kind of section; use [service NAME] or [route NAME]" + suggestion(type, {"service", "route"}));
+            continue;
+        }
+        if (!isName(name)) {
+            fault(file.name, section.name, fmt::format("needs a name of letters, digits, '-', '_' and '.': write [{} NAME]", type));
+            continue;
+        }
+        if (type == "service") {
+            addService(file.name, section);
+        } else {
+            addRoute(file.name, section);
+        }
+    }
+}
+
+void ConfigValidator::checkKeys(const FileName &file, const ConfigSection &section, const std::vector<std::string> &known)
+{
+    for (const auto &[key, value] : section.entries) {
+        if (std::find(known.begin(), known.end(), key) == known.end()) {
+            fault(file, section.name, fmt::format("{}: no such key{}; the keys are {}", key, suggestion(key, known), fmt::join(known, ", ")));
+        }
+    }
+}
+
+std::uint64_t ConfigValidator::number(
+    const FileName &file, const ConfigSection &section, const std::string &key, std::uint64_t least, std::uint64_t most, std::uint64_t fallback)
+{
+    const auto *value = section.find(key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    std::uint64_t result = 0;
+    const auto *end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, result);
+    if (parsed.ec != std::errc() || parsed.ptr != end || result < least || result > most) {
+        fault(file, section.name, fmt::format("{} = {}: give a whole number from {} to {}, alone on the line", key, *value, least, most));
+        return fallback;
+    }
+    return result;
+}
+
+double ConfigValidator::percentage(const FileName &file, const ConfigSection &section, const std::string &key)
+{
+    const auto *value = section.find(key);
+    if (value == nullptr) {
+        return 0;
+    }
+    double result = 0;
+    const auto *end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, result);
+    if (parsed.ec != std::errc() || parsed.ptr != end || !(result >= 1 && result < 100)) {
+        fault(file, section.name, fmt::format("{} = {}: give a percentage from 1 to below 100, such as 99.9", key, *value));
+        return 0;
+    }
+    return result;
+}
+
+void ConfigValidator::addService(const FileName &file, const ConfigSection &section)
+{
+    checkKeys(file, section, ServiceKeys);
+    ServiceDefinition service;
+    service.name = ServiceName(boost::trim_copy(section.name.substr(section.name.find(' '))));
+    service.file = file;
+    const auto *dataCentres = section.find("data-centres");
+    if (dataCentres == nullptr) {
+        fault(file, section.name, "data-centres is missing; list the data centres that have targets, such as 'data-centres = rosario-a, rosario-b'");
+    } else {
+        for (const auto &item : listItems(*dataCentres)) {
+            if (!isName(item)) {
+                fault(
+                    file, section.name, fmt::format("data-centres = {}: \"{}\" is no data centre's name; separate names by single commas", *dataCentres, item));
+            }
+            service.dataCentres.emplace_back(item);
+        }
+    }
+    if (section.find("slots") == nullptr) {
+        fault(file, section.name, "slots is missing; give the number of calls that one target runs at a time");
+    }
+    service.slots = static_cast<std::uint32_t>(number(file, section, "slots", 1, ConfigLimits::MaxSlots, 1));
+    service.connections = static_cast<std::uint32_t>(number(file, section, "connections", 1, ConfigLimits::MaxConnections, service.slots));
+    if (service.connections < service.slots) {
+        fault(file, section.name, fmt::format("connections = {}: fewer than slots = {}; each slot needs a connection", service.connections, service.slots));
+    }
+    m_definitions.services.push_back(std::move(service));
+}
+
+void ConfigValidator::addRoute(const FileName &file, const ConfigSection &section)
+{
+    checkKeys(file, section, RouteKeys);
+    for (const std::string key : {"path", "methods", "service", "idempotent", "timeout-ms"}) {
+        if (section.find(key) == nullptr) {
+            fault(file, section.name, fmt::format("{} is missing; each route gives path, methods, service, idempotent and timeout-ms", key));
+            return;
+        }
+    }
+    RouteDefinition route;
+    route.name = RouteName(boost::trim_copy(section.name.substr(section.name.find(' '))));
+    route.file = file;
+    route.path = *section.find("path");
+    route.service = ServiceName(*section.find("service"));
+    const auto forbidden = [](unsigned char c) { return c <= ' ' || c == '?' || c == '#' || c > 126; };
+    if (route.path.empty() || route.path.front() != '/' || std::any_of(route.path.begin(), route.path.end(), forbidden)
+        || route.path.find("//") != std::string::npos) {
+        fault(file, section.name, fmt::format("path = {}: give a path that begins with '/', without blanks, '?', '#' or '//'", route.path));
+    }
+    route.methods = listItems(*section.find("methods"));
+    for (const auto &method : route.methods) {
+        if (std::find(KnownMethods.begin(), KnownMethods.end(), method) == KnownMethods.end()) {
+            fault(file, section.name, fmt::format("methods: \"{}\" is no method; the methods are {}", method, fmt::join(KnownMethods, ", ")));
+        }
+    }
+    const auto &idempotent = *section.find("idempotent");
+    if (idempotent != "yes" && idempotent != "no") {
+        fault(file, section.name, fmt::format("idempotent = {}: write yes if a repeated call does no harm, else no", idempotent));
+    }
+    route.idempotent = idempotent == "yes";
+    route.timeout = Milliseconds(number(file, section, "timeout-ms", ConfigLimits::MinTimeout.count(), ConfigLimits::MaxTimeout.count(), 1000));
+    route.retries = static_cast<std::uint32_t>(number(file, section, "retries", 0, ConfigLimits::MaxRetries, 0));
+    if (!route.idempotent && route.retries > 0) {
+        fault(file,
+            section.name,
+            fmt::format("retries = {}: a route that isn't idempotent is never run again; remove retries, or write 'idempotent = yes' if repeating does no harm",
+                route.retries));
+    }
+    route.sloAvailability = percentage(file, section, "slo-availability");
+    route.sloLatency = Milliseconds(number(file, section, "slo-latency-ms", 1, ConfigLimits::MaxTimeout.count(), 0));
+    m_definitions.routes.push_back(std::move(route));
+}
+
+void ConfigValidator::checkDuplicates()
+{
+    std::map<ServiceName, FileName> services;
+    for (const auto &service : m_definitions.services) {
+        const auto [first, added] = services.emplace(service.name, service.file);
+        if (!added) {
+            fault(service.file, "service " + service.name.value(), fmt::format("also defined in {}; remove one of the two", first->second.value()));
+        }
+    }
+    std::map<RouteName, FileName> names;
+    std::map<std::pair<std::string, std::string>, const RouteDefinition *> taken;
+    for (const auto &route : m_definitions.routes) {
+        const auto section = "route " + route.name.value();
+        const auto [first, added] = names.emplace(route.name, route.file);
+        if (!added) {
+            fault(route.file, section, fmt::format("also defined in {}; remove or rename one of the two", first->second.value()));
+            continue;
+        }
+        for (const auto &method : route.methods) {
+            const auto [other, free] = taken.emplace(std::pair(method, route.path), &route);
+            if (!free) {
+                fault(route.file,
+                    section,
+                    fmt::format("path = {}: {} is already taken by [route {}] in {}; change the path or the methods",
+                        route.path,
+                        method,
+                        other->second->name.value(),
+                        other->second->file.value()));
+            }
+        }
+    }
+}
+
+void ConfigValidator::checkReferences()
+{
+    std::vector<std::string> names;
+    for (const auto &service : m_definitions.services) {
+        names.push_back(service.name.value());
+    }
+    for (const auto &route : m_definitions.routes) {
+        if (std::find(names.begin(), names.end(), route.service.value()) == names.end()) {
+            fault(route.file,
+                "route " + route.name.value(),
+                fmt::format("service = {}: no such service{}; define [service {}] or name an existing one",
+                    route.service.value(),
+                    suggestion(route.service.value(), names),
+                    route.service.value()));
+        }
+    }
+}
+
+Result<ConfigDefinitions> ConfigValidator::finish()
+{
+    checkDuplicates();
+    checkReferences();
+    if (!m_faults.empty()) {
+        return failure(ErrorKind::Invalid, fmt::format("{}", fmt::join(m_faults, "\n")));
+    }
+    return std::move(m_definitions);
+}
+
+}
--- /dev/null
+++ b/src/core/configvalidator.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "common/error.h"
+#include "core/configdocument.h"
+#include "core/routedefinition.h"
+#include "core/servicedefinition.h"
+
+#include <string>
+#include <vector>
+
+namespace Galenahill {
+
+// What a set of valid files defines.
+struct ConfigDefinitions
+{
+    std::vector<ServiceDefinition> services;
+    std::vector<RouteDefinition> routes;
+};
+
+// Checks files one by one, then what they say about each other. All faults
+// are collected, so that an operator mends a file in one go.
+class ConfigValidator
+{
+public:
+    void add(const ConfigFile &file);
+
+    // The definitions, or Invalid with one line per fault.
+    Result<ConfigDefinitions> finish();
+
+private:
+    void addService(const FileName &file, const ConfigSection &section);
+    void addRoute(const FileName &file, const ConfigSection &section);
+    void checkReferences();
+    void checkDuplicates();
+    void checkKeys(const FileName &file, const ConfigSection &section, const std::vector<std::string> &known);
+    std::uint64_t number(
+        const FileName &file, const ConfigSection &section, const std::string &key, std::uint64_t least, std::uint64_t most, std::uint64_t fallback);
+    double percentage(const FileName &file, const ConfigSection &section, const std::string &key);
+    void fault(const FileName &file, const std::string &section, const std::string &text);
+
+    ConfigDefinitions m_definitions;
+    std::vector<std::string> m_faults;
+};
+
+}
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/gossipmessage.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace Galenahill {
+
+// The fleet as one member sees it: a SWIM-like protocol with incarnations,
+// suspicion, indirect probes and piggybacked updates. Single-threaded; time
+// comes in through arguments and datagrams leave through a hook.
+class Membership
+{
+public:
+    struct Options
+    {
+        MemberRecord self;
+        std::uint64_t seed = 1;
+        Milliseconds probeInterval{1000};
+        // Time for a direct answer before other members are asked to probe.
+        Milliseconds probeTimeout{300};
+        // Time that a suspect has to refute before it counts as gone.
+        Milliseconds suspicionTimeout{4000};
+        // Time between two rounds of sending fresh updates.
+        Milliseconds gossipInterval{100};
+        // Time that a gone member is remembered, so that an old record of it
+        // that is still under way doesn't bring it back.
+        Milliseconds goneRetention{120000};
+        // Members that fresh updates go to per round.
+        std::uint32_t fanOut = 3;
+        // Members asked for an indirect probe.
+        std::uint32_t indirectProbes = 3;
+        // Bytes of updates in one datagram, counted by record size.
+        std::uint32_t maxUpdates = 8;
+
+        std::function<void(const Endpoint &, const GossipMessage &)> send;
+        // The set of members or the state of one changed.
+        std::function<void()> changed;
+        // A member was heard to have this revision in force.
+        std::function<void(const MemberRecord &, Revision)> revisionHeard;
+        // The revision that this node has in force.
+        std::function<Revision()> revision;
+    };
+
+    explicit Membership(Options options);
+    ~Membership();
+
+    // Takes one datagram that was received.
+    void receive(const Endpoint &from, const GossipMessage &message, TimePoint now);
+
+    // Does what is due; call it about every 50 ms.
+    void tick(TimePoint now);
+
+    // Takes the list of members that a contact gave.
+    void merge(const std::vector<MemberRecord> &records, TimePoint now);
+
+    // Changes what this member says of itself and its target.
+    void setState(MemberState state, TimePoint now);
+
+    // Tells random members now that this node has a new revision, and goes on
+    // for some rounds.
+    void announceRevision(TimePoint now);
+
+    const MemberRecord &self() const;
+
+    // All known members with this one, gone ones too.
+    std::vector<MemberRecord> records() const;
+
+    // The members that aren't gone, with this one.
+    std::vector<MemberRecord> live() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/core/nearestname.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace Galenahill {
+
+// The candidate that a misspelt word most likely meant, or an empty string if
+// none is close.
+std::string nearestName(const std::string &word, const std::vector<std::string> &candidates);
+
+// The text "; did you mean "x"?" for the nearest candidate, or nothing.
+std::string suggestion(const std::string &word, const std::vector<std::string> &candidates);
+
+}
--- /dev/null
+++ b/src/core/rendezvous.cpp
@@ -0,0 +1,28 @@
+#include "core/rendezvous.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace Galenahill {
+
+namespace {
+
+std::uint64_t weight(const std::string &role, const MemberRecord &record)
+{
+    const auto text = role + "/" + record.name.value();
+    return XXH3_64bits(text.data(), text.size());
+}
+
+}
+
+bool holdsRole(const std::string &role, std::size_t count, const MemberRecord &self, const std::vector<MemberRecord> &live)
+{
+    const auto own = weight(role, self);
+    const auto before = std::count_if(live.begin(), live.end(), [&](const MemberRecord &record) {
+        const bool candidate = record.dataCentre == self.dataCentre && record.name != self.name && record.state <= MemberState::Draining;
+        return candidate && weight(role, record) > own;
+    });
+    return static_cast<std::size_t>(before) < count;
+}
+
+}
--- /dev/null
+++ b/src/core/retrybudget.cpp
@@ -0,0 +1,27 @@
+#include "core/retrybudget.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+RetryBudget::RetryBudget(Options options)
+    : m_options(options)
+    , m_left(options.most)
+{
+}
+
+void RetryBudget::callMade()
+{
+    m_left = std::min(m_options.most, m_left + m_options.perCall);
+}
+
+bool RetryBudget::tryTake()
+{
+    if (m_left < 1) {
+        return false;
+    }
+    m_left -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/core/retrybudget.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Galenahill {
+
+// Bounds retries to a share of the calls, so that retries can't multiply the
+// load on a service that is already failing.
+class RetryBudget
+{
+public:
+    struct Options
+    {
+        // Retries earned by one call.
+        double perCall = 0.1;
+        // Retries saved up at the most; also the number at start.
+        double most = 20;
+    };
+
+    explicit RetryBudget(Options options);
+
+    // A first attempt was made.
+    void callMade();
+
+    // Takes one retry; false if none is left.
+    bool tryTake();
+
+private:
+    Options m_options;
+    double m_left = 0;
+};
+
+}
--- /dev/null
+++ b/src/core/routingview.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/configbundle.h"
+#include "core/memberrecord.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Galenahill {
+
+// What one call is routed by from its beginning to its end: a revision and
+// the targets of its services. Immutable; a call that began on one view
+// finishes on it, so it never sees half of a change.
+struct RoutingView
+{
+    std::shared_ptr<const ConfigRevision> config;
+    std::unordered_map<ServiceName, std::vector<MemberRecord>> targets;
+
+    // The targets of a service that may take calls.
+    const std::vector<MemberRecord> &targetsOf(const ServiceName &service) const;
+
+    // Sorts the members by the services that the revision defines; members
+    // of other services, and those that take no calls, are left out.
+    static std::shared_ptr<const RoutingView> build(std::shared_ptr<const ConfigRevision> config, const std::vector<MemberRecord> &members);
+};
+
+}
--- /dev/null
+++ b/src/core/servicedefinition.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "common/identifiers.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Galenahill {
+
+// A [service] section after validation.
+struct ServiceDefinition
+{
+    ServiceName name;
+    FileName file;
+    std::vector<DataCentre> dataCentres;
+    // Calls that one target runs at a time.
+    std::uint32_t slots = 1;
+    // Connections that one target accepts.
+    std::uint32_t connections = 1;
+};
+
+}
--- /dev/null
+++ b/src/daemon/callmessages.cpp
@@ -0,0 +1,76 @@
+#include "daemon/callmessages.h"
+
+#include "core/callheaders.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+#include <vector>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr const char *RetryAfterSeconds = "1";
+constexpr const char *InternalPrefix = "Galenahill-";
+
+}
+
+void stripFields(http::fields &fields)
+{
+    for (const auto field : {http::field::connection,
+             http::field::keep_alive,
+             http::field::te,
+             http::field::trailer,
+             http::field::transfer_encoding,
+             http::field::upgrade,
+             http::field::proxy_connection}) {
+        fields.erase(field);
+    }
+    std::vector<std::string> internal;
+    for (const auto &field : fields) {
+        if (boost::algorithm::istarts_with(field.name_string(), InternalPrefix)) {
+            internal.emplace_back(field.name_string());
+        }
+    }
+    for (const auto &name : internal) {
+        fields.erase(name);
+    }
+}
+
+HttpResponse notRunResponse(http::status status, const std::string &kind, const std::string &message)
+{
+    auto response = makeErrorResponse(status, kind, message);
+    response.set(CallHeaders::Outcome, CallHeaders::NotRun);
+    response.set(http::field::retry_after, RetryAfterSeconds);
+    return response;
+}
+
+HttpResponse outcomeUnknownResponse(const std::string &message)
+{
+    auto response = makeErrorResponse(http::status::gateway_timeout, "outcome-unknown", message);
+    response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
+    response.set(http::field::retry_after, RetryAfterSeconds);
+    return response;
+}
+
+std::optional<std::int64_t> timeoutHeader(const HttpRequest &request)
+{
+    const auto text = request[CallHeaders::TimeoutMs];
+    std::int64_t value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    const bool whole = !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+bool saysNotRun(const HttpResponse &response)
+{
+    return response[CallHeaders::Outcome] == CallHeaders::NotRun;
+}
+
+bool saysOutcomeUnknown(const HttpResponse &response)
+{
+    return response[CallHeaders::Outcome] == CallHeaders::OutcomeUnknown;
+}
+
+}
--- /dev/null
+++ b/src/daemon/controlactor.cpp
@@ -0,0 +1,131 @@
+#include "daemon/controlactor.h"
+
+#include "adapters/codec/binarycodec.h"
+#include "core/membership.h"
+#include "core/rendezvous.h"
+#include "daemon/controlmessages.h"
+
+namespace Galenahill {
+
+namespace {
+
+constexpr Milliseconds TickInterval{50};
+
+// Members of one data centre that watch the store's head.
+constexpr std::size_t WatchersPerDataCentre = 2;
+
+}
+
+class ControlState::Private
+{
+public:
+    explicit Private(ControlOptions given)
+        : options(std::move(given))
+        , membership(membershipOptions())
+    {
+    }
+
+    ControlOptions options;
+    Membership membership;
+    bool pulling = false;
+    bool viewOutdated = true;
+
+    Membership::Options membershipOptions();
+    void revisionHeard(const MemberRecord &member, Revision revision);
+    void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision);
+    void tick();
+    void publish();
+};
+
+ControlState::ControlState() = default;
+ControlState::~ControlState() = default;
+
+Membership::Options ControlState::Private::membershipOptions()
+{
+    Membership::Options membershipOptions;
+    membershipOptions.self = options.self;
+    membershipOptions.seed = options.seed;
+    membershipOptions.send = options.send;
+    membershipOptions.changed = [this] { viewOutdated = true; };
+    membershipOptions.revision = [this] { return options.state->revisions.revision(); };
+    membershipOptions.revisionHeard = [this](const MemberRecord &member, Revision revision) { revisionHeard(member, revision); };
+    return membershipOptions;
+}
+
+void ControlState::Private::revisionHeard(const MemberRecord &member, Revision revision)
+{
+    auto &highest = options.state->highestKnown;
+    highest = std::max(highest.load(), revision.value());
+    if (revision > options.state->revisions.revision() && !pulling) {
+        pulling = true;
+        options.pull(member.control());
+    }
+}
+
+void ControlState::Private::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision)
+{
+    const auto number = revision->revision().value();
+    switch (options.state->revisions.offer(revision)) {
+    case RevisionHolder::Verdict::Taken:
+        options.state->highestKnown = std::max(options.state->highestKnown.load(), number);
+        options.log(LogLevel::Info, "revision-in-force", {{"revision", number}, {"digest", revision->digest.value()}});
+        // The new view goes first: when a peer hears of the revision, this
+        // node already serves it.
+        publish();
+        membership.announceRevision(Clock::now());
+        break;
+    case RevisionHolder::Verdict::Older:
+        options.log(LogLevel::Warning, "older-revision-refused", {{"offered", number}, {"in_force", options.state->revisions.revision().value()}});
+        break;
+    case RevisionHolder::Verdict::Forked:
+        options.log(LogLevel::Error, "revision-forked", {{"revision", number}, {"digest", revision->digest.value()}});
+        break;
+    case RevisionHolder::Verdict::Known:
+        break;
+    }
+}
+
+void ControlState::Private::publish()
+{
+    viewOutdated = false;
+    const auto live = membership.live();
+    options.state->setMembers(membership.records());
+    options.state->watchesStore = holdsRole("watch", WatchersPerDataCentre, membership.self(), live);
+    options.state->keepsContacts = holdsRole("contacts", 1, membership.self(), live);
+    options.publishView(RoutingView::build(options.state->revisions.current(), live));
+}
+
+void ControlState::Private::tick()
+{
+    membership.tick(Clock::now());
+    if (viewOutdated) {
+        publish();
+    }
+}
+
+caf::behavior controlActor(caf::stateful_actor<ControlState> *self, ControlOptions options)
+{
+    self->state.d = std::make_unique<ControlState::Private>(std::move(options));
+    auto *d = self->state.d.get();
+    self->delayed_send(self, TickInterval, ControlTick{});
+    return {
+        [=](const ControlTick &tick) {
+            d->tick();
+            self->delayed_send(self, TickInterval, tick);
+        },
+        [=](const DatagramReceived &datagram) {
+            if (const auto message = decodeGossip(datagram.bytes)) {
+                d->membership.receive(datagram.from, *message, Clock::now());
+            } else {
+                d->options.log(LogLevel::Warning, "datagram-refused", {{"from", toString(datagram.from)}, {"reason", message.error().message}});
+            }
+        },
+        [=](const TargetStateChanged &change) { d->membership.setState(change.state, Clock::now()); },
+        [=](const MembersReceived &received) { d->membership.merge(received.members, Clock::now()); },
+        [=](const RevisionReceived &received) { d->revisionReceived(received.revision); },
+        [=](const PullEnded &) { d->pulling = false; },
+        [=](const LeaveFleet &) { d->membership.setState(MemberState::Gone, Clock::now()); },
+    };
+}
+
+}
--- /dev/null
+++ b/src/daemon/controlmessages.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "core/configbundle.h"
+#include "core/memberrecord.h"
+
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+// What the control actor is told. The messages stay inside the process, so
+// none of them is ever serialized.
+namespace Galenahill {
+
+struct DatagramReceived
+{
+    Endpoint from;
+    std::string bytes;
+};
+
+struct TargetStateChanged
+{
+    MemberState state = MemberState::Starting;
+};
+
+struct MembersReceived
+{
+    std::vector<MemberRecord> members;
+};
+
+// A revision from the store, from another member, or accepted here.
+struct RevisionReceived
+{
+    std::shared_ptr<const ConfigRevision> revision;
+};
+
+struct PullEnded
+{
+    bool succeeded = false;
+};
+
+struct ControlTick
+{
+};
+
+// The node begins its planned stop.
+struct LeaveFleet
+{
+};
+
+}
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::DatagramReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::TargetStateChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::MembersReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::RevisionReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::PullEnded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::ControlTick)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::LeaveFleet)
--- /dev/null
+++ b/src/daemon/controlservice.cpp
@@ -0,0 +1,86 @@
+#include "daemon/controlservice.h"
+
+#include "adapters/codec/binarycodec.h"
+#include "daemon/operatormethods.h"
+
+#include <boost/asio/thread_pool.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Galenahill {
+
+class ControlService::Private
+{
+public:
+    explicit Private(Options given)
+        : options(std::move(given))
+        , methods({.state = options.state, .repository = options.repository, .accepted = options.accepted})
+    {
+    }
+
+    Options options;
+    OperatorMethods methods;
+    // Operators' requests wait for the store, so they run apart from the
+    // thread that answers other nodes.
+    asio::thread_pool workers{1};
+
+    std::string status() const;
+    asio::awaitable<std::string> runRpc(std::string request);
+};
+
+ControlService::ControlService(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+}
+
+ControlService::~ControlService() = default;
+
+std::string ControlService::Private::status() const
+{
+    const auto members = options.state->members();
+    nlohmann::json json;
+    if (!members.empty()) {
+        const auto &self = members.front();
+        json["node"] = self.name.value();
+        json["data_centre"] = self.dataCentre.value();
+        json["service"] = self.service.value();
+        json["state"] = toString(self.state);
+    }
+    const auto current = options.state->revisions.current();
+    json["revision"] = current ? current->revision().value() : 0;
+    json["digest"] = current ? current->digest.value() : "";
+    json["members"] = members.size();
+    json["counters"] = nlohmann::json::parse(options.counters());
+    return json.dump();
+}
+
+asio::awaitable<std::string> ControlService::Private::runRpc(std::string request)
+{
+    co_return methods.handle(request);
+}
+
+asio::awaitable<HttpResponse> ControlService::handle(HttpRequest request)
+{
+    const std::string target(request.target());
+    const std::string configPrefix = "/config?base=";
+    if (request.method() == http::verb::post && target == "/rpc") {
+        auto answer = co_await asio::co_spawn(d->workers, d->runRpc(std::move(request.body())), asio::use_awaitable);
+        co_return makeResponse(http::status::ok, "application/json", std::move(answer));
+    }
+    if (request.method() == http::verb::get && target.rfind(configPrefix, 0) == 0) {
+        co_return d->options.exchange.serve(target.substr(configPrefix.size()));
+    }
+    if (request.method() == http::verb::get && target == "/members") {
+        co_return makeResponse(http::status::ok, "application/octet-stream", encode(d->options.state->members()));
+    }
+    if (request.method() == http::verb::get && target == "/status") {
+        co_return makeResponse(http::status::ok, "application/json", d->status());
+    }
+    co_return makeErrorResponse(http::status::not_found, "not-found", "the control port has /rpc, /config, /members and /status");
+}
+
+void ControlService::stop()
+{
+    d->workers.join();
+}
+
+}
--- /dev/null
+++ b/src/daemon/controlservice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+#include "core/configrepository.h"
+#include "daemon/nodestate.h"
+#include "daemon/revisionexchange.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Galenahill {
+
+// Answers on the control port: other nodes' requests for members and
+// revisions, and operators' JSON-RPC.
+class ControlService
+{
+public:
+    struct Options
+    {
+        asio::io_context &context;
+        std::shared_ptr<NodeState> state;
+        ConfigRepository &repository;
+        RevisionExchange &exchange;
+        // Counters for the status, as JSON text of one object.
+        std::function<std::string()> counters;
+        // A revision was accepted through this node.
+        std::function<void(std::shared_ptr<const ConfigRevision>)> accepted;
+    };
+
+    explicit ControlService(Options options);
+    ~ControlService();
+
+    asio::awaitable<HttpResponse> handle(HttpRequest request);
+
+    // Waits for running operator requests.
+    void stop();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/daemon/ingress.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+#include "core/retrybudget.h"
+#include "core/routingview.h"
+#include "core/targetpicker.h"
+#include "ports/logger.h"
+
+#include <memory>
+
+namespace Galenahill {
+
+// Takes calls from callers, finds the route and the target, and passes each
+// call to the sidecar beside that target. Used on the data thread only.
+class Ingress
+{
+public:
+    struct Options
+    {
+        HttpClient &client;
+        NodeName node;
+        DataCentre dataCentre;
+        std::uint64_t seed = 1;
+    };
+
+    explicit Ingress(Options options);
+    ~Ingress();
+
+    // Calls that begin from now on use this view.
+    void setView(std::shared_ptr<const RoutingView> view);
+
+    // Handles one call from its request to its final answer.
+    asio::awaitable<HttpResponse> handle(HttpRequest request);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,330 @@
+#include "daemon/node.h"
+
+#include "adapters/codec/binarycodec.h"
+#include "adapters/http/blockinghttpclient.h"
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+#include "adapters/platform/httpobjectstore.h"
+#include "adapters/udp/datagramsocket.h"
+#include "daemon/controlactor.h"
+#include "daemon/controlmessages.h"
+#include "daemon/controlservice.h"
+#include "daemon/ingress.h"
+#include "daemon/revisionexchange.h"
+#include "daemon/sidecar.h"
+#include "daemon/storekeeper.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/blocking_actor.hpp>
+#include <caf/send.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr Milliseconds JoinTimeout{1000};
+
+// Time between announcing the stop and refusing calls, so that most ingress
+// nodes have stopped sending before the first refusal.
+constexpr Milliseconds AnnounceTime{300};
+
+// Time for idle callers' connections to send a last request, which is
+// answered with "close", before they are closed.
+constexpr Milliseconds LingerTime{500};
+
+constexpr Milliseconds DrainCheckInterval{10};
+
+std::uint64_t wallClockIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
+class QuietSystemConfig : public caf::actor_system_config
+{
+public:
+    QuietSystemConfig()
+    {
+        // The default scheduler wakes hundreds of times a second when idle;
+        // the control budget is 2% of a core.
+        set("scheduler.policy", caf::atom("sharing"));
+        set("scheduler.max-threads", 2);
+        set("logger.verbosity", caf::atom("quiet"));
+    }
+};
+
+}
+
+class Node::Private
+{
+public:
+    explicit Private(Options options)
+        : settings(std::move(options.settings))
+        , log(std::move(options.log))
+        , state(std::make_shared<NodeState>())
+        , self(selfRecord())
+        , store({.endpoint = settings.store, .callTimeout = settings.storeTimeout})
+        , repository({.store = store,
+              .inForce = [this] { return state->revisions.current(); },
+              .highestKnown = [this] { return Revision(state->highestKnown); },
+              .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
+        , controlClient(controlContext, {})
+        , exchange({.state = state, .client = controlClient, .log = log})
+        , datagrams(controlContext,
+              {.endpoint = self.control(),
+                  .received =
+                      [this](const Endpoint &from, std::string bytes) {
+                          tell(DatagramReceived{from, std::move(bytes)});
+                      }})
+        , controlService({.context = controlContext,
+              .state = state,
+              .repository = repository,
+              .exchange = exchange,
+              .counters = [this] { return counters(); },
+              .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
+        , controlServer(controlContext,
+              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
+        , dataClient(dataContext, {})
+        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
+        , sidecar({.context = dataContext,
+              .client = dataClient,
+              .service = settings.service,
+              .target = settings.target,
+              .healthPath = settings.healthPath,
+              .log = log,
+              .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
+        , ingressServer(dataContext,
+              {.endpoint = {settings.address, settings.ingressPort},
+                  .handler = [this](HttpRequest request, ServerConnection &) { return ingress.handle(std::move(request)); }})
+        , sidecarServer(dataContext, {.endpoint = self.sidecar(), .handler = [this](HttpRequest request, ServerConnection &connection) {
+                                          return sidecar.handle(std::move(request), connection);
+                                      }})
+    {
+    }
+
+    NodeSettings settings;
+    Logger log;
+    std::shared_ptr<NodeState> state;
+    MemberRecord self;
+
+    asio::io_context controlContext{1};
+    asio::io_context dataContext{1};
+    HttpObjectStore store;
+    ConfigRepository repository;
+    HttpClient controlClient;
+    RevisionExchange exchange;
+    DatagramSocket datagrams;
+    ControlService controlService;
+    HttpServer controlServer;
+    HttpClient dataClient;
+    Ingress ingress;
+    Sidecar sidecar;
+    HttpServer ingressServer;
+    HttpServer sidecarServer;
+
+    QuietSystemConfig systemConfig;
+    std::unique_ptr<caf::actor_system> system;
+    caf::actor control;
+    std::thread controlThread;
+    std::thread dataThread;
+
+    MemberRecord selfRecord() const;
+    std::string counters() const;
+    Result<void> listen();
+    void startActors();
+    ControlOptions controlOptions();
+    StoreKeeper::Options keeperOptions();
+    bool joinThrough(const Endpoint &contact);
+    asio::awaitable<void> pull(Endpoint peer);
+    void waitForCalls();
+
+    template <typename Message>
+    void tell(Message message)
+    {
+        caf::anon_send(control, std::move(message));
+    }
+
+    // Runs the work on the data thread and waits for it.
+    template <typename Work>
+    auto onDataThread(Work work)
+    {
+        std::packaged_task<decltype(work())()> task(std::move(work));
+        auto done = task.get_future();
+        asio::post(dataContext, [&task] { task(); });
+        return done.get();
+    }
+};
+
+MemberRecord Node::Private::selfRecord() const
+{
+    MemberRecord record;
+    record.name = settings.name;
+    record.dataCentre = settings.dataCentre;
+    record.service = settings.service;
+    record.address = settings.address;
+    record.ingressPort = settings.ingressPort;
+    record.sidecarPort = settings.sidecarPort;
+    record.controlPort = settings.controlPort;
+    record.incarnation = wallClockIncarnation();
+    return record;
+}
+
+std::string Node::Private::counters() const
+{
+    const nlohmann::json json
+        = {{"datagram_bytes", datagrams.bytes()}, {"control_http_bytes", controlServer.bytes() + controlClient.bytes()}, {"store_calls", store.calls()}};
+    return json.dump();
+}
+
+Result<void> Node::Private::listen()
+{
+    for (auto *server : {&ingressServer, &sidecarServer, &controlServer}) {
+        if (const auto listening = server->listen(); !listening) {
+            return listening;
+        }
+    }
+    return datagrams.open();
+}
+
+ControlOptions Node::Private::controlOptions()
+{
+    ControlOptions options;
+    options.self = self;
+    options.seed = self.incarnation ^ std::hash<NodeName>{}(self.name);
+    options.state = state;
+    options.log = log;
+    options.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
+    options.publishView = [this](std::shared_ptr<const RoutingView> view) {
+        asio::post(dataContext, [this, view = std::move(view)] {
+            ingress.setView(view);
+            sidecar.setView(view);
+        });
+    };
+    options.pull = [this](const Endpoint &peer) { asio::co_spawn(controlContext, pull(peer), asio::detached); };
+    return options;
+}
+
+StoreKeeper::Options Node::Private::keeperOptions()
+{
+    return {.store = store,
+        .repository = repository,
+        .state = state,
+        .self = self,
+        .seeds = settings.seeds,
+        .log = log,
+        .seed = self.incarnation ^ std::hash<std::string>{}(self.address),
+        .joinThrough = [this](const Endpoint &contact) { return joinThrough(contact); },
+        .revisionFound = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }};
+}
+
+bool Node::Private::joinThrough(const Endpoint &contact)
+{
+    HttpRequest request(http::verb::get, "/members", 11);
+    request.set(http::field::host, toString(contact));
+    const auto answer = blockingExchange(contact, std::move(request), JoinTimeout, &state->stopping);
+    if (!answer || answer->result() != http::status::ok) {
+        return false;
+    }
+    auto members = decodeMembers(answer->body());
+    if (!members) {
+        log(LogLevel::Warning, "members-refused", {{"from", toString(contact)}, {"reason", members.error().message}});
+        return false;
+    }
+    tell(MembersReceived{std::move(*members)});
+    return true;
+}
+
+asio::awaitable<void> Node::Private::pull(Endpoint peer)
+{
+    auto revision = co_await exchange.pull(peer);
+    const bool succeeded = revision.has_value();
+    if (succeeded) {
+        tell(RevisionReceived{std::move(*revision)});
+    } else {
+        log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
+    }
+    tell(PullEnded{succeeded});
+}
+
+void Node::Private::startActors()
+{
+    system = std::make_unique<caf::actor_system>(systemConfig);
+    control = system->spawn(controlActor, controlOptions());
+    system->spawn<caf::detached>([this](caf::blocking_actor *) { StoreKeeper(keeperOptions()).run(); });
+}
+
+Node::Node(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+}
+
+Node::~Node() = default;
+
+Result<void> Node::start()
+{
+    if (const auto listening = d->listen(); !listening) {
+        return listening;
+    }
+    d->startActors();
+    d->sidecar.start();
+    d->controlThread = std::thread([this] {
+        const auto guard = asio::make_work_guard(d->controlContext);
+        d->controlContext.run();
+    });
+    d->dataThread = std::thread([this] {
+        const auto guard = asio::make_work_guard(d->dataContext);
+        d->dataContext.run();
+    });
+    d->log(LogLevel::Info, "started", {{"address", d->settings.address}, {"service", d->settings.service.value()}});
+    return {};
+}
+
+void Node::Private::waitForCalls()
+{
+    const auto until = Clock::now() + settings.drainTimeout;
+    const auto inFlight = [this] { return onDataThread([this] { return ingressServer.requestsInFlight() + sidecarServer.requestsInFlight(); }); };
+    while (inFlight() > 0 && Clock::now() < until) {
+        std::this_thread::sleep_for(DrainCheckInterval);
+    }
+    if (const auto left = inFlight(); left > 0) {
+        log(LogLevel::Error, "drain-timeout", {{"in_flight", left}});
+    }
+}
+
+void Node::stop()
+{
+    d->log(LogLevel::Info, "stopping", {});
+    d->tell(LeaveFleet{});
+    std::this_thread::sleep_for(AnnounceTime);
+    d->onDataThread([this] {
+        d->sidecar.drain();
+        d->ingressServer.drain();
+        return 0;
+    });
+    std::this_thread::sleep_for(LingerTime);
+    d->waitForCalls();
+    d->onDataThread([this] {
+        d->ingressServer.closeIdle();
+        return 0;
+    });
+    d->waitForCalls();
+    d->state->stopping = true;
+    d->store.stop();
+    d->controlService.stop();
+    caf::anon_send_exit(d->control, caf::exit_reason::user_shutdown);
+    d->control = nullptr;
+    d->system.reset();
+    d->controlContext.stop();
+    d->dataContext.stop();
+    d->controlThread.join();
+    d->dataThread.join();
+    d->log(LogLevel::Info, "stopped", {});
+}
+
+}
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "common/error.h"
+#include "core/nodesettings.h"
+#include "ports/logger.h"
+
+#include <memory>
+
+namespace Galenahill {
+
+// One node: ingress for callers, sidecar of its target, relay of the
+// configuration, and member of the fleet.
+class Node
+{
+public:
+    struct Options
+    {
+        NodeSettings settings;
+        Logger log;
+    };
+
+    explicit Node(Options options);
+    ~Node();
+
+    // Opens the ports and starts to work. Invalid if an address is taken.
+    Result<void> start();
+
+    // Stops gracefully: takes no new calls, lets those in flight finish for
+    // up to the drain timeout, then ends all threads. Blocks.
+    void stop();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/daemon/nodestate.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/memberrecord.h"
+#include "core/revisionholder.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace Galenahill {
+
+// What the node's threads share. The control actor writes all but the
+// revisions' holder; everybody reads.
+class NodeState
+{
+public:
+    RevisionHolder revisions;
+
+    // Highest revision that any member was heard to have in force.
+    std::atomic<std::uint64_t> highestKnown = 0;
+
+    // Whether this node is one of those that watch the store's head.
+    std::atomic<bool> watchesStore = false;
+
+    // Whether this node keeps the list of contacts of its data centre.
+    std::atomic<bool> keepsContacts = false;
+
+    std::atomic<bool> stopping = false;
+
+    // All known members with this one; the first is this node.
+    std::vector<MemberRecord> members() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_members;
+    }
+
+    void setMembers(std::vector<MemberRecord> members)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_members = std::move(members);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<MemberRecord> m_members;
+};
+
+}
--- /dev/null
+++ b/src/daemon/operatormethods.cpp
@@ -0,0 +1,179 @@
+#include "daemon/operatormethods.h"
+
+#include "adapters/http/blockinghttpclient.h"
+#include "adapters/rpc/rpcserver.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Galenahill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds StatusTimeout{2000};
+
+json toJson(const AppliedChange &change)
+{
+    return {{"apply", change.id.value()},
+        {"revision", change.revision.value()},
+        {"file", change.file.value()},
+        {"operator", change.operatorName},
+        {"time", change.time},
+        {"removed", change.removed}};
+}
+
+}
+
+class OperatorMethods::Private
+{
+public:
+    explicit Private(Options given)
+        : options(std::move(given))
+        , rpc(methods())
+    {
+    }
+
+    Options options;
+    RpcServer rpc;
+
+    std::map<std::string, RpcServer::Method> methods();
+    Result<json> apply(const json &params);
+    Result<json> check(const json &params);
+    Result<json> show(const json &params);
+    Result<json> status();
+    Result<json> outcome(const json &params);
+    Result<json> history();
+};
+
+OperatorMethods::OperatorMethods(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+}
+
+OperatorMethods::~OperatorMethods() = default;
+
+std::string OperatorMethods::handle(const std::string &request)
+{
+    return d->rpc.handle(request);
+}
+
+std::map<std::string, RpcServer::Method> OperatorMethods::Private::methods()
+{
+    // Params that lack a key or have it of another type become Invalid.
+    const auto wrap = [](auto method) -> RpcServer::Method {
+        return [method](const std::string &params) -> Result<std::string> {
+            try {
+                const auto result = method(json::parse(params));
+                if (!result) {
+                    return tl::unexpected(result.error());
+                }
+                return result->dump();
+            } catch (const json::exception &error) {
+                return failure(ErrorKind::Invalid, std::string("params: ") + error.what() + "; use a galenahillctl of the node's version");
+            }
+        };
+    };
+    return {
+        {"apply", wrap([this](const json &params) { return apply(params); })},
+        {"check", wrap([this](const json &params) { return check(params); })},
+        {"show", wrap([this](const json &params) { return show(params); })},
+        {"status", wrap([this](const json &) { return status(); })},
+        {"outcome", wrap([this](const json &params) { return outcome(params); })},
+        {"history", wrap([this](const json &) { return history(); })},
+    };
+}
+
+Result<json> OperatorMethods::Private::apply(const json &params)
+{
+    ApplyRequest request;
+    request.id = ApplyId(params.at("apply").get<std::string>());
+    request.file = FileName(params.at("file").get<std::string>());
+    request.remove = params.value("remove", false);
+    request.text = params.value("text", "");
+    request.operatorName = params.at("operator").get<std::string>();
+    request.basedOn = ContentHash(params.value("based_on", ""));
+    const auto outcome = options.repository.apply(request);
+    if (!outcome) {
+        return tl::unexpected(outcome.error());
+    }
+    if (outcome->accepted) {
+        options.accepted(outcome->accepted);
+    }
+    return json{{"revision", outcome->revision.value()}, {"changed", outcome->changed}};
+}
+
+Result<json> OperatorMethods::Private::check(const json &params)
+{
+    const FileName name(params.at("file").get<std::string>());
+    std::vector<ConfigFile> files;
+    if (const auto current = options.state->revisions.current()) {
+        files = current->bundle.files;
+    }
+    std::erase_if(files, [&](const ConfigFile &file) { return file.name == name; });
+    files.push_back({name, params.at("text").get<std::string>()});
+    const auto snapshot = ConfigSnapshot::validate(files);
+    if (!snapshot) {
+        return tl::unexpected(snapshot.error());
+    }
+    return json{{"services", (*snapshot)->services().size()}, {"routes", (*snapshot)->routes().size()}};
+}
+
+Result<json> OperatorMethods::Private::show(const json & /*params*/)
+{
+    const auto current = options.state->revisions.current();
+    if (!current) {
+        return failure(ErrorKind::NotFound, "no configuration is in force; apply a file first");
+    }
+    json result = {{"revision", current->revision().value()}, {"files", json::array()}};
+    for (const auto &file : current->bundle.files) {
+        result["files"].push_back({{"name", file.name.value()}, {"text", file.text}, {"hash", current->bundle.manifest.files.at(file.name).value()}});
+    }
+    return result;
+}
+
+Result<json> OperatorMethods::Private::status()
+{
+    json nodes = json::array();
+    for (const auto &member : options.state->members()) {
+        json node = {{"node", member.name.value()},
+            {"data_centre", member.dataCentre.value()},
+            {"service", member.service.value()},
+            {"state", toString(member.state)},
+            {"answered", false}};
+        if (member.state != MemberState::Gone) {
+            HttpRequest request(http::verb::get, "/status", 11);
+            request.set(http::field::host, toString(member.control()));
+            const auto answer = blockingExchange(member.control(), std::move(request), StatusTimeout);
+            if (answer && answer->result() == http::status::ok) {
+                node["answered"] = true;
+                node["revision"] = json::parse(answer->body()).at("revision");
+            }
+        }
+        nodes.push_back(std::move(node));
+    }
+    return json{{"revision", options.state->revisions.revision().value()}, {"nodes", nodes}};
+}
+
+Result<json> OperatorMethods::Private::outcome(const json &params)
+{
+    const auto change = options.repository.outcome(ApplyId(params.at("apply").get<std::string>()));
+    if (!change) {
+        return tl::unexpected(change.error());
+    }
+    return toJson(*change);
+}
+
+Result<json> OperatorMethods::Private::history()
+{
+    json changes = json::array();
+    if (const auto current = options.state->revisions.current()) {
+        for (const auto &change : current->bundle.manifest.changes) {
+            changes.push_back(toJson(change));
+        }
+    }
+    return json{{"changes", changes}};
+}
+
+}
--- /dev/null
+++ b/src/daemon/operatormethods.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/configrepository.h"
+#include "daemon/nodestate.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Galenahill {
+
+// The JSON-RPC methods that galenahillctl calls. They block; run them on a
+// thread that may wait for the store and for other nodes.
+class OperatorMethods
+{
+public:
+    struct Options
+    {
+        std::shared_ptr<NodeState> state;
+        ConfigRepository &repository;
+        std::function<void(std::shared_ptr<const ConfigRevision>)> accepted;
+    };
+
+    explicit OperatorMethods(Options options);
+    ~OperatorMethods();
+
+    // The answer to one JSON-RPC request.
+    std::string handle(const std::string &request);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/daemon/revisionexchange.cpp
@@ -0,0 +1,83 @@
+#include "daemon/revisionexchange.h"
+
+#include "adapters/codec/binarycodec.h"
+#include "adapters/codec/deltacodec.h"
+
+namespace Galenahill {
+
+namespace {
+
+constexpr const char *BaseHeader = "Galenahill-Base";
+
+}
+
+RevisionExchange::RevisionExchange(Options options)
+    : m_options(std::move(options))
+{
+}
+
+const std::string &RevisionExchange::encoded(const ConfigRevision &revision)
+{
+    if (m_encoded.size() > MaxCached) {
+        m_encoded.clear();
+    }
+    const auto [entry, added] = m_encoded.try_emplace(revision.digest);
+    if (added) {
+        entry->second = encode(revision.bundle);
+    }
+    return entry->second;
+}
+
+HttpResponse RevisionExchange::serve(const std::string &baseDigest)
+{
+    const auto current = m_options.state->revisions.current();
+    if (!current) {
+        return makeErrorResponse(http::status::not_found, "not-found", "this node has no revision yet; ask another one");
+    }
+    const auto base = m_options.state->revisions.find(ContentHash(baseDigest));
+    const std::pair key(current->digest, base ? base->digest : ContentHash());
+    if (m_deltas.size() > MaxCached) {
+        m_deltas.clear();
+    }
+    const auto [entry, added] = m_deltas.try_emplace(key);
+    if (added) {
+        entry->second = compressDelta(encoded(*current), base ? encoded(*base) : std::string());
+    }
+    auto response = makeResponse(http::status::ok, "application/octet-stream", entry->second);
+    response.set(BaseHeader, key.second.value().empty() ? "none" : key.second.value());
+    return response;
+}
+
+asio::awaitable<Result<std::shared_ptr<const ConfigRevision>>> RevisionExchange::pull(Endpoint peer)
+{
+    const auto held = m_options.state->revisions.current();
+    HttpRequest request(http::verb::get, "/config?base=" + (held ? held->digest.value() : std::string("none")), 11);
+    request.set(http::field::host, toString(peer));
+    auto response = co_await m_options.client.exchange(peer, std::move(request), Clock::now() + m_options.timeLimit);
+    if (!response) {
+        co_return tl::unexpected(response.error());
+    }
+    if (response->result() != http::status::ok) {
+        co_return failure(ErrorKind::Unavailable, toString(peer) + ": has no revision to give");
+    }
+    const auto base = (*response)[BaseHeader];
+    std::string baseText;
+    if (base != "none") {
+        const auto known = m_options.state->revisions.find(ContentHash(std::string(base)));
+        if (!known) {
+            co_return failure(ErrorKind::Corrupt, toString(peer) + ": answered against a base that isn't held");
+        }
+        baseText = encoded(*known);
+    }
+    const auto text = expandDelta(response->body(), baseText);
+    if (!text) {
+        co_return tl::unexpected(text.error());
+    }
+    auto bundle = decodeBundle(*text);
+    if (!bundle) {
+        co_return tl::unexpected(bundle.error());
+    }
+    co_return ConfigRevision::fromBundle(std::move(*bundle));
+}
+
+}
--- /dev/null
+++ b/src/daemon/revisionexchange.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "adapters/http/httpclient.h"
+#include "daemon/nodestate.h"
+#include "ports/logger.h"
+
+#include <map>
+#include <memory>
+
+namespace Galenahill {
+
+// Carries whole revisions between nodes as compressed deltas against what the
+// receiver holds. Used on the control thread only.
+class RevisionExchange
+{
+public:
+    struct Options
+    {
+        std::shared_ptr<NodeState> state;
+        HttpClient &client;
+        Logger log;
+        Milliseconds timeLimit{5000};
+    };
+
+    explicit RevisionExchange(Options options);
+
+    // Answers a peer that holds the base of that digest, or none.
+    HttpResponse serve(const std::string &baseDigest);
+
+    // Fetches the peer's revision, verified and validated.
+    asio::awaitable<Result<std::shared_ptr<const ConfigRevision>>> pull(Endpoint peer);
+
+private:
+    const std::string &encoded(const ConfigRevision &revision);
+
+    static constexpr std::size_t MaxCached = 8;
+
+    Options m_options;
+    std::map<ContentHash, std::string> m_encoded;
+    std::map<std::pair<ContentHash, ContentHash>, std::string> m_deltas;
+};
+
+}
