burn: Add service-level metrics, the burn report and a metrics endpoint

Found on the way: counts of an earlier round would stay in the ring's place (test ForgetsThePlaceOfAnEarlierRound). Ruled out: gnuplot for the report's plot, since no process may start another.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 
+#include "cli/burncommand.h"
 #include "cli/nodeconnection.h"
 
 #include <boost/uuid/random_generator.hpp>
@@ -213,6 +214,7 @@
 {
     static const std::map<std::string, Command> all = {
         {"apply", {"apply FILE", "Applies one whole file", 1, apply}},
+        {"burn", {"burn", "Shows how fast each route uses up its error budget", 0, burn}},
         {"check", {"check FILE", "Says whether a file would be accepted now, and changes nothing", 1, check}},
         {"history", {"history", "Lists the last accepted changes", 0, history}},
         {"outcome", {"outcome ID", "Says whether the apply of that id was accepted", 1, outcome}},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -20,6 +20,8 @@
     std::string applyId;
     std::string operatorName;
     std::string basedOn;
+    // File for the plot of the burn command; empty: no plot.
+    std::string plot;
     bool json = false;
     bool wait = false;
     Milliseconds waitTime{30000};
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -81,6 +81,7 @@
     char *applyId = nullptr;
     char *basedOn = nullptr;
     char *operatorName = nullptr;
+    char *plot = nullptr;
     int json = 0;
     int wait = 0;
     int waitSeconds = 30;
@@ -92,6 +93,7 @@
         {"apply-id", 0, POPT_ARG_STRING, &applyId, 0, "Id of this apply; repeat it to repeat an apply safely", "ID"},
         {"based-on", 0, POPT_ARG_STRING, &basedOn, 0, "Hash of the content that was edited; refused if another is in force", "HASH"},
         {"operator", 0, POPT_ARG_STRING, &operatorName, 0, "Who applies (default: $USER)", "NAME"},
+        {"plot", 0, POPT_ARG_STRING, &plot, 0, "burn: write a plot as an HTML page", "FILE"},
         {"wait", 'w', POPT_ARG_NONE, &wait, 0, "Wait until the revision is in force on every node", nullptr},
         {"wait-seconds", 0, POPT_ARG_INT, &waitSeconds, 0, "Longest wait (default: 30)", "SECONDS"},
         {"version", 'V', POPT_ARG_NONE, &showVersion, 0, "Print the version and exit", nullptr},
@@ -126,6 +128,7 @@
     options.name = textOr(name, "");
     options.applyId = textOr(applyId, "");
     options.basedOn = textOr(basedOn, "");
+    options.plot = textOr(plot, "");
     options.operatorName = textOr(operatorName, textOr(std::getenv("USER"), "unknown"));
     options.json = json != 0;
     options.wait = wait != 0;
--- /dev/null
+++ b/src/core/servicelevelmetrics.cpp
@@ -0,0 +1,104 @@
+#include "core/servicelevelmetrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <map>
+#include <mutex>
+
+namespace Galenahill {
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+
+// Constant memory whatever the number of calls.
+using Latency
+    = accumulators::accumulator_set<double, accumulators::stats<accumulators::tag::extended_p_square_quantile, accumulators::tag::max, accumulators::tag::sum>>;
+
+constexpr std::array<double, 5> Probabilities = {0.5, 0.9, 0.95, 0.99, 0.999};
+
+struct RouteMetrics
+{
+    RouteDefinition route;
+    std::array<std::uint64_t, CallEndKinds> ends{};
+    Latency latency{accumulators::extended_p_square_probabilities = Probabilities};
+    SlidingCounts counts;
+};
+
+}
+
+class ServiceLevelMetrics::Private
+{
+public:
+    mutable std::mutex mutex;
+    std::map<RouteName, RouteMetrics> routes;
+};
+
+const char *toString(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Answered:
+        return "answered";
+    case CallEnd::TargetFailed:
+        return "target-failed";
+    case CallEnd::NotRun:
+        return "not-run";
+    case CallEnd::OutcomeUnknown:
+        return "outcome-unknown";
+    }
+    return "outcome-unknown";
+}
+
+ServiceLevelMetrics::ServiceLevelMetrics()
+    : d(std::make_unique<Private>())
+{
+}
+
+ServiceLevelMetrics::~ServiceLevelMetrics() = default;
+
+void ServiceLevelMetrics::record(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency, TimePoint now)
+{
+    const std::lock_guard lock(d->mutex);
+    auto &metrics = d->routes[route.name];
+    metrics.route = route;
+    ++metrics.ends[static_cast<std::size_t>(end)];
+    metrics.latency(static_cast<double>(latency.count()) / 1000);
+    const bool slow = end == CallEnd::Answered && route.sloLatency.count() > 0 && latency > route.sloLatency;
+    metrics.counts.add(now, {.calls = 1, .failed = end == CallEnd::Answered ? 0U : 1U, .slow = slow ? 1U : 0U});
+}
+
+std::vector<RouteReport> ServiceLevelMetrics::report(TimePoint now) const
+{
+    const std::lock_guard lock(d->mutex);
+    std::vector<RouteReport> reports;
+    for (const auto &[name, metrics] : d->routes) {
+        RouteReport report;
+        report.route = name;
+        report.sloAvailability = metrics.route.sloAvailability;
+        report.sloLatency = metrics.route.sloLatency;
+        report.ends = metrics.ends;
+        report.latencyP50 = accumulators::quantile(metrics.latency, accumulators::quantile_probability = 0.5);
+        report.latencyP99 = accumulators::quantile(metrics.latency, accumulators::quantile_probability = 0.99);
+        report.latencyMax = accumulators::max(metrics.latency);
+        report.latencySum = accumulators::sum(metrics.latency);
+        for (const auto window : Windows) {
+            report.windows.push_back(metrics.counts.sum(now, window));
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+double burnRate(std::uint64_t bad, std::uint64_t calls, double objectivePercent)
+{
+    if (calls == 0 || objectivePercent <= 0 || objectivePercent >= 100) {
+        return 0;
+    }
+    const double budget = 1 - objectivePercent / 100;
+    return static_cast<double>(bad) / static_cast<double>(calls) / budget;
+}
+
+}
--- /dev/null
+++ b/src/core/slidingcounts.cpp
@@ -0,0 +1,47 @@
+#include "core/slidingcounts.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+namespace {
+
+std::int64_t stepOf(TimePoint time)
+{
+    return time.time_since_epoch() / SlidingCounts::Step;
+}
+
+}
+
+CallCounts &CallCounts::operator+=(const CallCounts &other)
+{
+    calls += other.calls;
+    failed += other.failed;
+    slow += other.slow;
+    return *this;
+}
+
+void SlidingCounts::add(TimePoint now, const CallCounts &counts)
+{
+    const auto step = stepOf(now);
+    auto &bucket = m_buckets[static_cast<std::size_t>(step) % Steps];
+    if (bucket.step != step) {
+        bucket = {step, {}};
+    }
+    bucket.counts += counts;
+}
+
+CallCounts SlidingCounts::sum(TimePoint now, Milliseconds window) const
+{
+    const auto last = stepOf(now);
+    const auto steps = std::clamp<std::int64_t>(window / Step, 1, static_cast<std::int64_t>(Steps));
+    CallCounts total;
+    for (const auto &bucket : m_buckets) {
+        if (bucket.step > last - steps && bucket.step <= last) {
+            total += bucket.counts;
+        }
+    }
+    return total;
+}
+
+}
--- /dev/null
+++ b/src/core/slidingcounts.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "common/identifiers.h"
+
+#include <array>
+#include <cstdint>
+
+namespace Galenahill {
+
+// Calls of one route, and how many of them missed the objectives.
+struct CallCounts
+{
+    std::uint64_t calls = 0;
+    // Failed, or refused by a node or a target.
+    std::uint64_t failed = 0;
+    // Answered, but later than the route's latency objective.
+    std::uint64_t slow = 0;
+
+    CallCounts &operator+=(const CallCounts &other);
+
+    friend bool operator==(const CallCounts &, const CallCounts &) = default;
+};
+
+// Call counts of the last six hours in steps of half a minute, in constant
+// memory.
+class SlidingCounts
+{
+public:
+    static constexpr std::chrono::seconds Step{30};
+    static constexpr std::chrono::hours Longest{6};
+
+    void add(TimePoint now, const CallCounts &counts);
+
+    // Counts of the window that ends now, to the step. Windows beyond the
+    // longest are cut to it.
+    CallCounts sum(TimePoint now, Milliseconds window) const;
+
+private:
+    static constexpr std::size_t Steps = Longest / Step;
+
+    struct Bucket
+    {
+        std::int64_t step = -1;
+        CallCounts counts;
+    };
+
+    std::array<Bucket, Steps> m_buckets;
+};
+
+}
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -1,8 +1,10 @@
 #include "daemon/controlservice.h"
 
 #include "adapters/codec/binarycodec.h"
+#include "daemon/metricstext.h"
 #include "daemon/operatormethods.h"
 
+#include <algorithm>
 #include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
@@ -24,6 +26,7 @@
     asio::thread_pool workers{1};
 
     std::string status() const;
+    NodeGauges gauges() const;
     asio::awaitable<std::string> runRpc(std::string request);
 };
 
@@ -53,6 +56,20 @@
     return json.dump();
 }
 
+NodeGauges ControlService::Private::gauges() const
+{
+    NodeGauges gauges;
+    const auto counters = nlohmann::json::parse(options.counters());
+    for (const auto &[name, value] : counters.items()) {
+        gauges[name] = value.get<double>();
+    }
+    const auto members = options.state->members();
+    gauges["revision_in_force"] = static_cast<double>(options.state->revisions.revision().value());
+    gauges["members_live"]
+        = static_cast<double>(std::count_if(members.begin(), members.end(), [](const MemberRecord &member) { return member.state != MemberState::Gone; }));
+    return gauges;
+}
+
 asio::awaitable<std::string> ControlService::Private::runRpc(std::string request)
 {
     co_return methods.handle(request);
@@ -75,7 +92,13 @@
     if (request.method() == http::verb::get && target == "/status") {
         co_return makeResponse(http::status::ok, "application/json", d->status());
     }
-    co_return makeErrorResponse(http::status::not_found, "not-found", "the control port has /rpc, /config, /members and /status");
+    if (request.method() == http::verb::get && target == "/burn") {
+        co_return makeResponse(http::status::ok, "application/json", reportsToJson(d->options.metrics.report(Clock::now())));
+    }
+    if (request.method() == http::verb::get && target == "/metrics") {
+        co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metricsText(d->gauges(), d->options.metrics.report(Clock::now())));
+    }
+    co_return makeErrorResponse(http::status::not_found, "not-found", "the control port has /rpc, /config, /members, /status, /burn and /metrics");
 }
 
 void ControlService::stop()
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -3,6 +3,7 @@
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
 #include "core/configrepository.h"
+#include "core/servicelevelmetrics.h"
 #include "daemon/nodestate.h"
 #include "daemon/revisionexchange.h"
 
@@ -25,6 +26,7 @@
         RevisionExchange &exchange;
         // Counters for the status, as JSON text of one object.
         std::function<std::string()> counters;
+        const ServiceLevelMetrics &metrics;
         // A revision was accepted through this node.
         std::function<void(std::shared_ptr<const ConfigRevision>)> accepted;
     };
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -38,6 +38,17 @@
     HttpResponse response;
 };
 
+CallEnd endOf(const HttpResponse &response)
+{
+    if (saysNotRun(response)) {
+        return CallEnd::NotRun;
+    }
+    if (saysOutcomeUnknown(response)) {
+        return CallEnd::OutcomeUnknown;
+    }
+    return response.result_int() >= 500 ? CallEnd::TargetFailed : CallEnd::Answered;
+}
+
 std::string_view pathOf(const HttpRequest &request)
 {
     const std::string_view target(request.target().data(), request.target().size());
@@ -98,12 +109,15 @@
     if (const auto wanted = timeoutHeader(request)) {
         timeout = std::min(timeout, Milliseconds(std::max<std::int64_t>(*wanted, 0)));
     }
-    call.deadline = Clock::now() + timeout;
+    const auto begin = Clock::now();
+    call.deadline = begin + timeout;
     call.id = CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++));
     stripFields(request);
     request.keep_alive(true);
     call.request = std::move(request);
-    co_return co_await d->route(call);
+    auto response = co_await d->route(call);
+    d->options.callEnded(*call.route, endOf(response), std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
+    co_return response;
 }
 
 bool Ingress::Private::mayRetry(Call &call, AttemptEnd end)
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -4,9 +4,11 @@
 #include "adapters/http/httpserver.h"
 #include "core/retrybudget.h"
 #include "core/routingview.h"
+#include "core/servicelevelmetrics.h"
 #include "core/targetpicker.h"
 #include "ports/logger.h"
 
+#include <functional>
 #include <memory>
 
 namespace Galenahill {
@@ -22,6 +24,8 @@
         NodeName node;
         DataCentre dataCentre;
         std::uint64_t seed = 1;
+        // A call of a route got its final answer.
+        std::function<void(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency)> callEnded;
     };
 
     explicit Ingress(Options options);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -87,11 +87,17 @@
               .repository = repository,
               .exchange = exchange,
               .counters = [this] { return counters(); },
+              .metrics = metrics,
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
         , dataClient(dataContext, {})
-        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
+        , ingress({.client = dataClient,
+              .node = settings.name,
+              .dataCentre = settings.dataCentre,
+              .seed = self.incarnation,
+              .callEnded
+              = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); }})
         , sidecar({.context = dataContext,
               .client = dataClient,
               .service = settings.service,
@@ -112,6 +118,7 @@
     Logger log;
     std::shared_ptr<NodeState> state;
     MemberRecord self;
+    ServiceLevelMetrics metrics;
 
     asio::io_context controlContext{1};
     asio::io_context dataContext{1};
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -2,6 +2,9 @@
 
 #include "adapters/http/blockinghttpclient.h"
 #include "adapters/rpc/rpcserver.h"
+#include "core/burnreport.h"
+#include "daemon/fleetquery.h"
+#include "daemon/metricstext.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -24,6 +27,31 @@
         {"removed", change.removed}};
 }
 
+json toJson(const BurnReport &report)
+{
+    json result = {{"nodes", report.nodes()}, {"missing", json::array()}, {"windows_minutes", json::array()}, {"routes", json::array()}};
+    for (const auto &node : report.missing()) {
+        result["missing"].push_back(node.value());
+    }
+    for (const auto window : ServiceLevelMetrics::Windows) {
+        result["windows_minutes"].push_back(window.count());
+    }
+    for (const auto &[name, burn] : report.routes()) {
+        auto windows = json::array();
+        for (std::size_t i = 0; i < burn.windows.size(); ++i) {
+            const auto &counts = burn.windows[i];
+            windows.push_back({{"calls", counts.calls},
+                {"failed", counts.failed},
+                {"slow", counts.slow},
+                {"availability_burn", burn.availabilityBurn(i)},
+                {"latency_burn", burn.latencyBurn(i)}});
+        }
+        result["routes"].push_back(
+            {{"route", name.value()}, {"slo_availability", burn.sloAvailability}, {"slo_latency_ms", burn.sloLatency.count()}, {"windows", windows}});
+    }
+    return result;
+}
+
 }
 
 class OperatorMethods::Private
@@ -45,6 +73,7 @@
     Result<json> status();
     Result<json> outcome(const json &params);
     Result<json> history();
+    Result<json> burn();
 };
 
 OperatorMethods::OperatorMethods(Options options)
@@ -82,6 +111,7 @@
         {"status", wrap([this](const json &) { return status(); })},
         {"outcome", wrap([this](const json &params) { return outcome(params); })},
         {"history", wrap([this](const json &) { return history(); })},
+        {"burn", wrap([this](const json &) { return burn(); })},
     };
 }
 
@@ -165,6 +195,19 @@
     return toJson(*change);
 }
 
+Result<json> OperatorMethods::Private::burn()
+{
+    BurnReport report;
+    for (const auto &answer : queryFleet(options.state->members(), "/burn", StatusTimeout)) {
+        if (answer.body) {
+            report.add(reportsFromJson(*answer.body));
+        } else if (answer.member.state != MemberState::Gone) {
+            report.addMissing(answer.member.name);
+        }
+    }
+    return toJson(report);
+}
+
 Result<json> OperatorMethods::Private::history()
 {
     json changes = json::array();
