bench: Measure memory, time and bytes of a node's parts against size

Cause: docs/CAPACITY.md needs measured slopes at and beyond the size designed for, and 1,100 processes don't fit on one machine. Change: galenahillbench slopes runs membership, routing view, configuration and metrics in one process at up to 2,200 members and 400 files.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -25,4 +25,8 @@
 // every invariant held.
 bool runDemo(const ExperimentOptions &options);
 
+// Memory, time and bytes of a node's parts against fleet and configuration
+// size, in this process; docs/CAPACITY.md is worked out from them.
+bool runSlopes(const ExperimentOptions &options);
+
 }
