bench: Measure distribution against the fleet's size

Nothing measured convergence, control bytes, store calls, processor time or memory by fleet size. scripts/bench distribution starts real processes without targets and prints the keys of the measuring commands; nodes count datagrams, pulls and joins apart. The harness's own status polls had counted as control bytes; pulls are now counted where they are asked for, so polls stay out. Settings of [fleet] (prefer, fan-out, watchers, drop-percent) make the variants.

The count was not yet checked against an outside one.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -19,10 +19,13 @@
     std::uint64_t seed = 1;
     std::vector<std::size_t> nodes;
     bool quick = false;
+    // Variants of the experiment to run; all if empty.
+    std::vector<std::string> variants;
 };
 
 // Each runs one experiment, prints one JSON object a line, and gives whether
 // every invariant held.
+bool runDistribution(const ExperimentOptions &options);
 bool runDemo(const ExperimentOptions &options);
 
 }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -12,12 +12,21 @@
 
 constexpr int ExitUsage = 2;
 
-std::vector<std::size_t> numbers(const std::string &list)
+std::vector<std::string> items(const std::string &list)
 {
-    std::vector<std::size_t> result;
+    std::vector<std::string> result;
     std::istringstream stream(list);
     std::string item;
     while (std::getline(stream, item, ',')) {
+        result.push_back(item);
+    }
+    return result;
+}
+
+std::vector<std::size_t> numbers(const std::string &list)
+{
+    std::vector<std::size_t> result;
+    for (const auto &item : items(list)) {
         result.push_back(std::strtoul(item.c_str(), nullptr, 10));
     }
     return result;
@@ -32,6 +41,7 @@
     char *folder = nullptr;
     char *commit = nullptr;
     char *nodes = nullptr;
+    char *variants = nullptr;
     long seed = 1;
     int quick = 0;
     const poptOption table[] = {
@@ -40,11 +50,12 @@
         {"folder", 0, POPT_ARG_STRING, &folder, 0, "Folder for settings and logs", "DIR"},
         {"commit", 0, POPT_ARG_STRING, &commit, 0, "Commit to put into the results", "HASH"},
         {"nodes", 0, POPT_ARG_STRING, &nodes, 0, "Fleet sizes", "N,N,..."},
+        {"variants", 0, POPT_ARG_STRING, &variants, 0, "Variants to run; all by default", "NAME,..."},
         {"seed", 0, POPT_ARG_LONG, &seed, 0, "Seed of all random choices", "N"},
         {"quick", 0, POPT_ARG_NONE, &quick, 0, "A shorter run", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}};
+    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}, {"distribution", runDistribution}};
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
     poptSetOtherOptionHelp(context, "EXPERIMENT [OPTIONS]");
     const int parsed = poptGetNextOpt(context);
@@ -63,5 +74,6 @@
     options.nodes = numbers(text(nodes, ""));
     options.seed = static_cast<std::uint64_t>(seed);
     options.quick = quick != 0;
+    options.variants = items(text(variants, ""));
     return experiment->second(options) ? 0 : 1;
 }
--- a/src/adapters/udp/datagramsocket.cpp
+++ b/src/adapters/udp/datagramsocket.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <random>
 
 namespace Galenahill {
 
@@ -22,6 +23,13 @@
     Options options;
     std::array<char, 65536> buffer{};
     std::atomic<std::uint64_t> bytes = 0;
+    std::atomic<std::uint64_t> datagrams = 0;
+    std::minstd_rand random{std::random_device()()};
+
+    bool dropped()
+    {
+        return options.dropPercent > 0 && std::uniform_int_distribution<std::uint32_t>(0, 99)(random) < options.dropPercent;
+    }
 
     asio::awaitable<void> receive()
     {
@@ -36,6 +44,7 @@
             // Other errors report that an earlier datagram found no receiver.
             if (!error) {
                 bytes += count;
+                ++datagrams;
                 options.received({sender.address().to_string(), sender.port()}, std::string(buffer.data(), count));
             }
         }
@@ -74,9 +83,10 @@
     asio::post(d->context, [d = d, to, bytes = std::move(bytes)] {
         ErrorCode error;
         const auto address = asio::ip::make_address(to.address, error);
-        if (error || !d->socket.is_open()) {
+        if (error || !d->socket.is_open() || d->dropped()) {
             return;
         }
+        ++d->datagrams;
         d->bytes += d->socket.send_to(asio::buffer(bytes), Udp::endpoint(address, to.port), 0, error);
     });
 }
@@ -92,4 +102,9 @@
     return d->bytes;
 }
 
+std::uint64_t DatagramSocket::datagrams() const
+{
+    return d->datagrams;
+}
+
 }
--- a/src/adapters/udp/datagramsocket.h
+++ b/src/adapters/udp/datagramsocket.h
@@ -18,6 +18,9 @@
     {
         Endpoint endpoint;
         std::function<void(const Endpoint &from, std::string bytes)> received;
+        // Share of datagrams that is dropped instead of sent, in percent; for
+        // experiments with a lossy network.
+        std::uint32_t dropPercent = 0;
     };
 
     DatagramSocket(asio::io_context &context, Options options);
@@ -34,6 +37,9 @@
     // Bytes received and sent, without IP and UDP headers.
     std::uint64_t bytes() const;
 
+    // Datagrams received and sent.
+    std::uint64_t datagrams() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/core/nodesettings.cpp
+++ b/src/core/nodesettings.cpp
@@ -75,6 +75,18 @@
     };
 }
 
+Reader count(std::function<std::uint32_t &(NodeSettings &)> field, std::uint64_t least, std::uint64_t most)
+{
+    return [field, least, most](NodeSettings &settings, const std::string &text) -> std::string {
+        const auto number = wholeNumber(text, least, most);
+        if (!number) {
+            return fmt::format("give a whole number from {} to {}", least, most);
+        }
+        field(settings) = static_cast<std::uint32_t>(*number);
+        return {};
+    };
+}
+
 Reader text(std::function<void(NodeSettings &, std::string)> store)
 {
     return [store](NodeSettings &settings, const std::string &value) -> std::string {
@@ -97,6 +109,15 @@
     return {};
 }
 
+std::string readPreference(NodeSettings &settings, const std::string &value)
+{
+    if (value != "time" && value != "bytes") {
+        return "give time or bytes";
+    }
+    settings.prefer = value == "time" ? GossipPreference::Time : GossipPreference::Bytes;
+    return {};
+}
+
 std::string readSeeds(NodeSettings &settings, const std::string &value)
 {
     std::vector<std::string> items;
@@ -141,7 +162,14 @@
                 {"port", {true, port([](S &s) -> std::uint16_t & { return s.store.port; })}},
                 {"timeout-ms", {false, duration([](S &s) -> Milliseconds & { return s.storeTimeout; }, 60000)}},
             }},
-        {"fleet", {{"seeds", {false, readSeeds}}}},
+        {"fleet",
+            {
+                {"seeds", {false, readSeeds}},
+                {"prefer", {false, readPreference}},
+                {"fan-out", {false, count([](S &s) -> std::uint32_t & { return s.fanOut; }, 1, 16)}},
+                {"watchers", {false, count([](S &s) -> std::uint32_t & { return s.watchers; }, 1, 16)}},
+                {"drop-percent", {false, count([](S &s) -> std::uint32_t & { return s.dropPercent; }, 0, 90)}},
+            }},
     };
     return keys;
 }
--- a/src/core/nodesettings.h
+++ b/src/core/nodesettings.h
@@ -9,6 +9,14 @@
 
 namespace Galenahill {
 
+// What the spreading of news weighs more.
+enum class GossipPreference {
+    // Convergence time.
+    Time,
+    // Control bytes.
+    Bytes,
+};
+
 // A node's settings, read once at start.
 struct NodeSettings
 {
@@ -32,6 +40,16 @@
     // Nodes to join through when the store is out or has no contacts.
     std::vector<Endpoint> seeds;
 
+    // Whether news of a revision go out fast or with few bytes.
+    GossipPreference prefer = GossipPreference::Time;
+    // Members that each round of news goes to; zero leaves it to `prefer`.
+    std::uint32_t fanOut = 0;
+    // Members of each data centre that watch the store's head.
+    std::uint32_t watchers = 2;
+    // Share of datagrams that the node drops before sending, in percent. For
+    // experiments with a lossy network only.
+    std::uint32_t dropPercent = 0;
+
     // Reads an INI text. Invalid with one line per fault, each naming
     // section, key and remedy.
     static Result<NodeSettings> parse(const std::string &fileName, const std::string &text);
--- a/src/daemon/controlactor.cpp
+++ b/src/daemon/controlactor.cpp
@@ -11,9 +11,6 @@
 
 constexpr Milliseconds TickInterval{50};
 
-// Members of one data centre that watch the store's head.
-constexpr std::size_t WatchersPerDataCentre = 2;
-
 }
 
 class ControlState::Private
@@ -45,6 +42,14 @@
     Membership::Options membershipOptions;
     membershipOptions.self = options.self;
     membershipOptions.seed = options.seed;
+    if (options.prefer == GossipPreference::Bytes) {
+        membershipOptions.fanOut = 1;
+        membershipOptions.gossipInterval = Milliseconds(200);
+        membershipOptions.probeInterval = Milliseconds(2000);
+    }
+    if (options.fanOut > 0) {
+        membershipOptions.fanOut = options.fanOut;
+    }
     membershipOptions.send = options.send;
     membershipOptions.changed = [this] { viewOutdated = true; };
     membershipOptions.revision = [this] { return options.state->revisions.revision(); };
@@ -90,7 +95,7 @@
     viewOutdated = false;
     const auto live = membership.live();
     options.state->setMembers(membership.records());
-    options.state->watchesStore = holdsRole("watch", WatchersPerDataCentre, membership.self(), live);
+    options.state->watchesStore = holdsRole("watch", options.watchers, membership.self(), live);
     options.state->keepsContacts = holdsRole("contacts", 1, membership.self(), live);
     options.publishView(RoutingView::build(options.state->revisions.current(), live));
 }
--- a/src/daemon/controlactor.h
+++ b/src/daemon/controlactor.h
@@ -2,6 +2,7 @@
 
 #include "core/gossipmessage.h"
 #include "core/memberrecord.h"
+#include "core/nodesettings.h"
 #include "core/routingview.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
@@ -21,6 +22,11 @@
     std::uint64_t seed = 1;
     std::shared_ptr<NodeState> state;
     Logger log;
+    GossipPreference prefer = GossipPreference::Time;
+    // Zero leaves it to `prefer`.
+    std::uint32_t fanOut = 0;
+    // Members of one data centre that watch the store's head.
+    std::uint32_t watchers = 2;
     std::function<void(const Endpoint &, const GossipMessage &)> send;
     std::function<void(std::shared_ptr<const RoutingView>)> publishView;
     // Fetches the peer's revision and answers with RevisionReceived, if it
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -16,12 +16,14 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/http/write.hpp>
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 #include <caf/blocking_actor.hpp>
 #include <caf/send.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <thread>
 
 namespace Galenahill {
@@ -46,6 +48,15 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
 }
 
+// Bytes of a message on its connection.
+template <typename Message>
+std::uint64_t wireBytes(const Message &message)
+{
+    std::ostringstream header;
+    header << message.base();
+    return static_cast<std::uint64_t>(header.tellp()) + message.body().size();
+}
+
 class QuietSystemConfig : public caf::actor_system_config
 {
 public:
@@ -81,7 +92,8 @@
                   .received =
                       [this](const Endpoint &from, std::string bytes) {
                           tell(DatagramReceived{from, std::move(bytes)});
-                      }})
+                      },
+                  .dropPercent = settings.dropPercent})
         , controlService({.context = controlContext,
               .state = state,
               .repository = repository,
@@ -131,6 +143,8 @@
     QuietSystemConfig systemConfig;
     std::unique_ptr<caf::actor_system> system;
     caf::actor control;
+    // Bytes of asking contacts for their members.
+    std::atomic<std::uint64_t> joinBytes = 0;
     std::thread controlThread;
     std::thread dataThread;
 
@@ -177,8 +191,12 @@
 
 std::string Node::Private::counters() const
 {
-    const nlohmann::json json
-        = {{"datagram_bytes", datagrams.bytes()}, {"control_http_bytes", controlServer.bytes() + controlClient.bytes()}, {"store_calls", store.calls()}};
+    const nlohmann::json json = {{"datagram_bytes", datagrams.bytes()},
+        {"datagrams", datagrams.datagrams()},
+        {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
+        {"pull_bytes", controlClient.bytes()},
+        {"join_bytes", joinBytes.load()},
+        {"store_calls", store.calls()}};
     return json.dump();
 }
 
@@ -199,6 +217,9 @@
     options.seed = self.incarnation ^ std::hash<NodeName>{}(self.name);
     options.state = state;
     options.log = log;
+    options.prefer = settings.prefer;
+    options.fanOut = settings.fanOut;
+    options.watchers = settings.watchers;
     options.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
@@ -227,10 +248,12 @@
 {
     HttpRequest request(http::verb::get, "/members", 11);
     request.set(http::field::host, toString(contact));
+    joinBytes += wireBytes(request);
     const auto answer = blockingExchange(contact, std::move(request), JoinTimeout, &state->stopping);
     if (!answer || answer->result() != http::status::ok) {
         return false;
     }
+    joinBytes += wireBytes(*answer);
     auto members = decodeMembers(answer->body());
     if (!members) {
         log(LogLevel::Warning, "members-refused", {{"from", toString(contact)}, {"reason", members.error().message}});
