bench: Measure calls at half load, overload and faults

Cause: nothing showed what the call path adds, how much work gets through under overload, or what each decision about calls is worth.

Change: `scripts/bench calls [--quick] [--variant=NAME]` runs nine cases on four nodes as real processes, and the same cases with single decisions off. They are switched by CallPolicy, which only the environment of a benchmark sets, so no settings file can. The target stand-in gets a backlog, late-call counter, shrinking slots and a cold time.

Ruled out: a stand-in that sheds at once beyond its slots as the only model. It hides what missing admission control costs; with a backlog that runs calls whose callers have gone, it shows.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -19,10 +19,13 @@
     std::uint64_t seed = 1;
     std::vector<std::size_t> nodes;
     bool quick = false;
+    // The only variant to run; all if empty.
+    std::string variant;
 };
 
 // Each runs one experiment, prints one JSON object a line, and gives whether
 // every invariant held.
 bool runDemo(const ExperimentOptions &options);
+bool runCalls(const ExperimentOptions &options);
 
 }
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -164,7 +164,8 @@
                                                                fmt::format("--port={}", endpoint.port),
                                                                fmt::format("--slots={}", kind.slots),
                                                                fmt::format("--service-us={}", kind.serviceMicroseconds),
-                                                               fmt::format("--cold-start-ms={}", kind.coldStartMs)},
+                                                               fmt::format("--cold-start-ms={}", kind.coldStartMs),
+                                                               fmt::format("--backlog={}", kind.backlog)},
         d->path(fmt::format("target-{}.log", node)));
 }
 
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -26,6 +26,8 @@
         std::uint32_t slots = 6;
         std::uint32_t serviceMicroseconds = 2000;
         std::uint32_t coldStartMs = 0;
+        // Calls that a target lets wait for a slot; beyond them it refuses.
+        std::uint32_t backlog = 0;
     };
 
     struct Options
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -32,6 +32,7 @@
     char *folder = nullptr;
     char *commit = nullptr;
     char *nodes = nullptr;
+    char *variant = nullptr;
     long seed = 1;
     int quick = 0;
     const poptOption table[] = {
@@ -40,11 +41,12 @@
         {"folder", 0, POPT_ARG_STRING, &folder, 0, "Folder for settings and logs", "DIR"},
         {"commit", 0, POPT_ARG_STRING, &commit, 0, "Commit to put into the results", "HASH"},
         {"nodes", 0, POPT_ARG_STRING, &nodes, 0, "Fleet sizes", "N,N,..."},
+        {"variant", 0, POPT_ARG_STRING, &variant, 0, "The only variant to run", "NAME"},
         {"seed", 0, POPT_ARG_LONG, &seed, 0, "Seed of all random choices", "N"},
         {"quick", 0, POPT_ARG_NONE, &quick, 0, "A shorter run", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}};
+    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"calls", runCalls}, {"demo", runDemo}};
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
     poptSetOtherOptionHelp(context, "EXPERIMENT [OPTIONS]");
     const int parsed = poptGetNextOpt(context);
@@ -63,5 +65,6 @@
     options.nodes = numbers(text(nodes, ""));
     options.seed = static_cast<std::uint64_t>(seed);
     options.quick = quick != 0;
+    options.variant = text(variant, "");
     return experiment->second(options) ? 0 : 1;
 }
--- /dev/null
+++ b/src/core/callpolicy.cpp
@@ -0,0 +1,33 @@
+#include "core/callpolicy.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <map>
+#include <vector>
+
+namespace Galenahill {
+
+CallPolicy CallPolicy::withoutDecisions(const std::string &names)
+{
+    static const std::map<std::string, bool CallPolicy::*> decisions = {
+        {"round-robin", &CallPolicy::leastLoaded},
+        {"no-admission", &CallPolicy::admission},
+        {"no-adaptive", &CallPolicy::adaptive},
+        {"no-queue", &CallPolicy::queue},
+        {"newest-first", &CallPolicy::newestFirst},
+        {"no-ejection", &CallPolicy::ejection},
+        {"naive-retry", &CallPolicy::retryBudget},
+        {"no-shares", &CallPolicy::fairShares},
+    };
+    CallPolicy policy;
+    std::vector<std::string> items;
+    boost::split(items, names, boost::is_any_of(","));
+    for (const auto &item : items) {
+        if (const auto found = decisions.find(item); found != decisions.end()) {
+            policy.*found->second = !(policy.*found->second);
+        }
+    }
+    return policy;
+}
+
+}
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "core/callpolicy.h"
 #include "core/retrybudget.h"
 #include "core/routingview.h"
 #include "core/targetpicker.h"
@@ -22,6 +23,7 @@
         NodeName node;
         DataCentre dataCentre;
         std::uint64_t seed = 1;
+        CallPolicy policy;
     };
 
     explicit Ingress(Options options);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "daemon/node.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
 #include <map>
@@ -34,6 +35,14 @@
     return NodeSettings::parse(path.substr(path.rfind('/') + 1), text.str());
 }
 
+// The benchmarks alone set the variable. It isn't a key of the settings, so
+// that no copied file can switch a decision off.
+CallPolicy callPolicy()
+{
+    const char *names = std::getenv("GALENAHILL_BENCH_WITHOUT");
+    return CallPolicy::withoutDecisions(names == nullptr ? "" : names);
+}
+
 int runNode(const NodeSettings &settings)
 {
     sigset_t signals;
@@ -43,7 +52,7 @@
     // Blocked before any thread starts, so that only the wait below sees them.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c)
-    Node node({.settings = settings, .log = jsonLogger(settings.name.value(), logLevel(settings.logLevel))});
+    Node node({.settings = settings, .log = jsonLogger(settings.name.value(), logLevel(settings.logLevel)), .calls = callPolicy()});
     if (const auto started = node.start(); !started) {
         fmt::print(stderr, "{}\n", started.error().message);
         return ExitFailure;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -91,13 +91,14 @@
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
         , dataClient(dataContext, {})
-        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
+        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation, .policy = options.calls})
         , sidecar({.context = dataContext,
               .client = dataClient,
               .service = settings.service,
               .target = settings.target,
               .healthPath = settings.healthPath,
               .log = log,
+              .policy = options.calls,
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.h"
+#include "core/callpolicy.h"
 #include "core/nodesettings.h"
 #include "ports/logger.h"
 
@@ -17,6 +18,7 @@
     {
         NodeSettings settings;
         Logger log;
+        CallPolicy calls;
     };
 
     explicit Node(Options options);
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "core/callpolicy.h"
 #include "core/memberrecord.h"
 #include "core/routingview.h"
 #include "ports/logger.h"
@@ -24,6 +25,7 @@
         Endpoint target;
         std::string healthPath;
         Logger log;
+        CallPolicy policy;
         // The target began or ceased to take calls.
         std::function<void(MemberState)> stateChanged;
     };
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -5,8 +5,11 @@
 //   GET  /health   200 ready, or 503 starting or draining
 //   GET  /load     slots taken, as JSON
 //   GET  /ledger   ids of the calls that ran, one line each, in order
-//   POST /admin    {"drain": B, "service_us": N, "freeze": B, "misreport": B}
-// A call beyond the slots is refused with 503; it counts as an overrun.
+//   POST /admin    {"drain": B, "service_us": N, "slots": N, "cold_ms": N, "freeze": B, "misreport": B}
+// A call beyond the slots counts as an overrun. It waits in the backlog, if
+// there is one, and runs even if its caller has gone; without room it is
+// refused with 503. "cold_ms" makes it a cold one for that time, which refuses
+// all calls. "misreport" makes health and load say ready and idle.
 
 #include "adapters/http/httpserver.h"
 
@@ -27,8 +30,17 @@
     std::uint32_t slots = 6;
     std::chrono::microseconds serviceTime{2000};
     Milliseconds coldStart{0};
+    // Calls that wait for a slot at the most.
+    std::uint32_t backlog = 0;
+    std::uint32_t connections = 4096;
 };
 
+// Calls that start later than this after a drain was ordered are late.
+constexpr Milliseconds LeaveTime{1000};
+
+// Step in which calls of the backlog look for a free slot.
+constexpr std::chrono::microseconds BacklogStep{500};
+
 class Target
 {
 public:
@@ -46,13 +58,17 @@
     HttpResponse health() const;
     HttpResponse load() const;
     HttpResponse admin(const HttpRequest &request);
+    asio::awaitable<bool> takeSlot();
 
     asio::io_context &m_context;
     TargetOptions m_options;
     TimePoint m_readyAt;
     std::string m_ledger;
     std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
     std::uint64_t m_overruns = 0;
+    std::uint64_t m_lateCalls = 0;
+    TimePoint m_drainedAt;
     bool m_draining = false;
     bool m_frozen = false;
     bool m_misreports = false;
@@ -74,7 +90,7 @@
 
 HttpResponse Target::load() const
 {
-    const nlohmann::json json = {{"slots", m_options.slots}, {"running", m_misreports ? 0 : m_running}, {"overruns", m_overruns}};
+    const nlohmann::json json = {{"slots", m_options.slots}, {"running", m_misreports ? 0 : m_running}, {"overruns", m_overruns}, {"late_calls", m_lateCalls}};
     return makeResponse(http::status::ok, "application/json", json.dump());
 }
 
@@ -84,7 +100,13 @@
     if (!json.is_object()) {
         return makeErrorResponse(http::status::bad_request, "invalid", "give a JSON object");
     }
-    m_draining = json.value("drain", m_draining);
+    const bool draining = json.value("drain", m_draining);
+    m_drainedAt = draining && !m_draining ? Clock::now() : m_drainedAt;
+    m_draining = draining;
+    m_options.slots = json.value("slots", m_options.slots);
+    if (json.contains("cold_ms")) {
+        m_readyAt = Clock::now() + Milliseconds(json.value("cold_ms", 0));
+    }
     m_frozen = json.value("freeze", m_frozen);
     m_misreports = json.value("misreport", m_misreports);
     m_options.serviceTime = std::chrono::microseconds(json.value("service_us", m_options.serviceTime.count()));
@@ -109,15 +131,39 @@
     co_return co_await runCall(std::move(request));
 }
 
-asio::awaitable<HttpResponse> Target::runCall(HttpRequest request)
+asio::awaitable<bool> Target::takeSlot()
 {
     if (m_running >= m_options.slots) {
         ++m_overruns;
+        if (m_waiting >= m_options.backlog) {
+            co_return false;
+        }
+        ++m_waiting;
+        asio::steady_timer timer(m_context);
+        while (m_running >= m_options.slots) {
+            ErrorCode ignored;
+            timer.expires_after(BacklogStep);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        --m_waiting;
+    }
+    ++m_running;
+    co_return true;
+}
+
+asio::awaitable<HttpResponse> Target::runCall(HttpRequest request)
+{
+    if (Clock::now() < m_readyAt) {
+        co_return makeErrorResponse(http::status::service_unavailable, "starting", "the target is starting");
+    }
+    if (!co_await takeSlot()) {
         co_return makeErrorResponse(http::status::service_unavailable, "overrun", "all slots are taken");
     }
+    if (m_draining && Clock::now() > m_drainedAt + LeaveTime) {
+        ++m_lateCalls;
+    }
     const std::string id(request["Request-Id"]);
     m_ledger += id + "\n";
-    ++m_running;
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
     timer.expires_after(m_options.serviceTime);
@@ -137,7 +183,9 @@
     asio::io_context context(1);
     Target target(context, options);
     HttpServer server(context,
-        {.endpoint = {options.address, options.port}, .handler = [&](HttpRequest request, ServerConnection &) { return target.handle(std::move(request)); }});
+        {.endpoint = {options.address, options.port},
+            .handler = [&](HttpRequest request, ServerConnection &) { return target.handle(std::move(request)); },
+            .maxConnections = options.connections});
     if (const auto listening = server.listen(); !listening) {
         fmt::print(stderr, "{}\n", listening.error().message);
         return 1;
@@ -159,12 +207,16 @@
     int slots = 6;
     int serviceMicroseconds = 2000;
     int coldStart = 0;
+    int backlog = 0;
+    int connections = 4096;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP number to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
         {"slots", 's', POPT_ARG_INT, &slots, 0, "Calls run at a time", "N"},
         {"service-us", 't', POPT_ARG_INT, &serviceMicroseconds, 0, "Time that a call takes", "MICROSECONDS"},
         {"cold-start-ms", 'c', POPT_ARG_INT, &coldStart, 0, "Time from the start to ready", "MILLISECONDS"},
+        {"backlog", 0, POPT_ARG_INT, &backlog, 0, "Calls that wait for a slot at the most", "N"},
+        {"connections", 0, POPT_ARG_INT, &connections, 0, "Connections accepted at a time", "N"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("targetstandin", argc, argv, table, 0);
@@ -178,5 +230,7 @@
     options.slots = static_cast<std::uint32_t>(slots);
     options.serviceTime = std::chrono::microseconds(serviceMicroseconds);
     options.coldStart = Galenahill::Milliseconds(coldStart);
+    options.backlog = static_cast<std::uint32_t>(backlog);
+    options.connections = static_cast<std::uint32_t>(connections);
     return Galenahill::run(options);
 }
