--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "core/callpolicy.h"
 #include "core/retrybudget.h"
 #include "core/routingview.h"
 #include "core/servicelevelmetrics.h"
@@ -24,6 +25,7 @@
         NodeName node;
         DataCentre dataCentre;
         std::uint64_t seed = 1;
+        CallPolicy policy;
         // A call of a route got its final answer.
         std::function<void(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency)> callEnded;
     };
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -108,6 +108,7 @@
               .node = settings.name,
               .dataCentre = settings.dataCentre,
               .seed = self.incarnation,
+              .policy = options.calls,
               .callEnded
               = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); }})
         , sidecar({.context = dataContext,
@@ -116,6 +117,7 @@
               .target = settings.target,
               .healthPath = settings.healthPath,
               .log = log,
+              .policy = options.calls,
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
