--- a/autotests/support/fakeobjectstore.h
+++ b/autotests/support/fakeobjectstore.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace Galenahill {
 
@@ -24,6 +25,22 @@
     // replaces the answer.
     std::function<std::optional<Error>(const std::string &key)> afterWrite;
 
+    // Asked before each write; true delays it: the answer is lost at once, and
+    // the write lands when landDelayed is called.
+    std::function<bool(const std::string &key)> delays;
+
+    // Carries out the delayed writes in the order sent, as far as the versions
+    // that they expect still hold.
+    void landDelayed()
+    {
+        for (const auto &[key, value, expected] : std::exchange(m_delayed, {})) {
+            const auto found = objects.find(key);
+            if ((found == objects.end() ? ObjectVersion() : found->second.version) == expected) {
+                objects[key] = {value, ObjectVersion(++lastVersion)};
+            }
+        }
+    }
+
     Result<StoredObject> read(const std::string &key) override
     {
         if (const auto error = fault("read", key)) {
@@ -38,6 +55,10 @@
         if (const auto error = fault("write", key)) {
             return tl::unexpected(*error);
         }
+        if (delays && delays(key)) {
+            m_delayed.push_back({key, value, expected});
+            return failure(ErrorKind::OutcomeUnknown, "lost");
+        }
         const auto found = objects.find(key);
         const auto present = found == objects.end() ? ObjectVersion() : found->second.version;
         if (present != expected) {
@@ -87,6 +108,14 @@
     }
 
 private:
+    struct DelayedWrite
+    {
+        std::string key;
+        std::string value;
+        ObjectVersion expected;
+    };
+    std::vector<DelayedWrite> m_delayed;
+
     std::optional<Error> fault(const std::string &operation, const std::string &key)
     {
         ++calls;
--- a/autotests/unit/configrepositorytest.cpp
+++ b/autotests/unit/configrepositorytest.cpp
@@ -127,3 +127,155 @@
     BOOST_TEST(inForce->bundle.files.size() == 2U);
     BOOST_TEST(repository().readBundle(inForce->bundle.manifest, nullptr).has_value());
 }
+
+// The head write's answer is lost and the write itself is still on its way
+// when the head is read again: the change isn't there yet. Saying "not
+// accepted" would be wrong a moment later. The same write is sent again on the
+// same version, so the late one finds another version and is void.
+BOOST_FIXTURE_TEST_CASE(SettlesAWriteThatLandsAfterTheReadingBack, Fixture)
+{
+    apply("1", "services.ini", ServiceText);
+    int delayed = 0;
+    store.delays = [&](const std::string &key) { return key == "config/head" && delayed++ == 0; };
+    const auto outcome = apply("2", "services.ini", ServiceText + "; two\n");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->revision.value() == 2U);
+    apply("3", "services.ini", ServiceText + "; three\n");
+    store.landDelayed();
+    BOOST_TEST(repository().readHead()->manifest.revision.value() == 3U);
+    BOOST_TEST(repository().readHead()->manifest.files.at(FileName("services.ini")) == contentHash(ServiceText + "; three\n"));
+}
+
+// No head write gets an answer and all land later, while the operator holds
+// "outcome unknown" and repeats with the same id. One of them takes effect.
+BOOST_FIXTURE_TEST_CASE(RepeatAfterUnknownOutcomeTakesEffectOnce, Fixture)
+{
+    store.delays = [](const std::string &key) { return key == "config/head"; };
+    const auto first = apply("1", "services.ini", ServiceText);
+    BOOST_REQUIRE(!first.has_value());
+    BOOST_TEST((first.error().kind == ErrorKind::OutcomeUnknown));
+    BOOST_TEST(first.error().message.find("--apply-id=1") != std::string::npos);
+    store.delays = nullptr;
+    store.landDelayed();
+    BOOST_TEST(apply("1", "services.ini", ServiceText)->revision.value() == 1U);
+    BOOST_TEST(repository().readHead()->manifest.changes.size() == 1U);
+}
+
+// The operator repeats an apply whose answer was lost, a day and more than
+// MaxChanges applies by others later. Its id isn't among the changes kept any
+// more; run again it would undo what others did to the file.
+BOOST_FIXTURE_TEST_CASE(RefusesARepeatWhoseFirstRunMayBeForgotten, Fixture)
+{
+    apply("first", "services.ini", ServiceText);
+    for (std::size_t i = 0; i < Manifest::MaxChanges + 1; ++i) {
+        apply("other" + std::to_string(i), "services.ini", ServiceText + "; " + std::to_string(i) + "\n");
+    }
+    const auto before = repository().readHead()->manifest;
+    const ApplyRequest repeat{.id = ApplyId("first"), .file = FileName("services.ini"), .text = ServiceText, .operatorName = "ana", .begunAt = Revision(0)};
+    const auto outcome = repository().apply(repeat);
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST((outcome.error().kind == ErrorKind::OutcomeUnknown));
+    BOOST_TEST((repository().readHead()->manifest == before));
+}
+
+// The store takes a content but its answer is lost, each time. The apply must
+// go on: the content is there, and nothing is accepted before the head.
+BOOST_FIXTURE_TEST_CASE(GoesOnWhenTheAnswerToAContentIsLost, Fixture)
+{
+    store.afterWrite = [](const std::string &key) { return key == "config/head" ? std::nullopt : std::optional(Error{ErrorKind::OutcomeUnknown, "lost"}); };
+    BOOST_TEST(apply("1", "services.ini", ServiceText).has_value());
+}
+
+// The store is restored to revision 1, this node has 2 in force, and other
+// members 3, which hasn't come here yet. Numbering the next revision 3 or
+// building it on 2 would take the members' change back.
+BOOST_FIXTURE_TEST_CASE(WaitsForTheHighestKnownAlsoWhenTheStoreIsOlder, Fixture)
+{
+    apply("1", "services.ini", ServiceText);
+    const auto backup = store.objects;
+    apply("2", "routes.ini", RouteText);
+    store.objects = backup;
+    highest = 3;
+    const auto outcome = apply("3", "services.ini", ServiceText + "; later\n");
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST((outcome.error().kind == ErrorKind::Unavailable));
+}
+
+// The store is restored to revision 1, and a node that knows no other accepts
+// a revision 2 of its own, while the rest serve another revision 2. Both
+// operators were told "accepted", so the next revision has both changes.
+BOOST_FIXTURE_TEST_CASE(JoinsTwoHistoriesWithOneNumber, Fixture)
+{
+    apply("1", "services.ini", ServiceText);
+    const auto backup = store.objects;
+    const auto first = inForce;
+    apply("2", "routes.ini", RouteText);
+    const auto fleet = inForce;
+    store.objects = backup;
+    inForce = first;
+    apply("forked", "taller.ini", "[service taller]\ndata-centres = rosario-a\nslots = 6\n");
+    inForce = fleet;
+    const auto outcome = apply("3", "services.ini", ServiceText + "; later\n");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->revision.value() == 3U);
+    BOOST_TEST(inForce->bundle.files.size() == 3U);
+    BOOST_TEST(outcome->leftOut.empty());
+    BOOST_TEST(repository().outcome(ApplyId("forked"))->revision.value() == 3U);
+    BOOST_TEST(repository().readBundle(inForce->bundle.manifest, nullptr).has_value());
+}
+
+// As above, but the forked change is of the same file. What is in force stays,
+// and the operator learns which accepted change isn't.
+BOOST_FIXTURE_TEST_CASE(NamesAForkedChangeThatIsLeftOut, Fixture)
+{
+    apply("1", "services.ini", ServiceText);
+    const auto backup = store.objects;
+    const auto first = inForce;
+    apply("2", "services.ini", ServiceText + "; in force\n");
+    const auto fleet = inForce;
+    store.objects = backup;
+    inForce = first;
+    apply("forked", "services.ini", ServiceText + "; forked\n");
+    apply("forked2", "services.ini", ServiceText + "; forked again\n");
+    inForce = fleet;
+    const auto outcome = apply("3", "routes.ini", RouteText);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->revision.value() == 4U);
+    BOOST_TEST(outcome->leftOut.size() == 2U);
+    BOOST_TEST(inForce->bundle.file(FileName("services.ini"))->text == ServiceText + "; in force\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(GivesEarlierRevisions, Fixture)
+{
+    apply("1", "services.ini", ServiceText);
+    apply("2", "routes.ini", RouteText);
+    apply("3", "services.ini", ServiceText + "; later\n");
+    const auto second = repository().earlier(Revision(2));
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->files.size() == 2U);
+    BOOST_TEST(second->file(FileName("services.ini"))->text == ServiceText);
+    BOOST_TEST(repository().earlier(Revision(1))->files.size() == 1U);
+    BOOST_TEST((repository().earlier(Revision(4)).error().kind == ErrorKind::NotFound));
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesIdsAndNamesThatCannotBePrinted, Fixture)
+{
+    BOOST_TEST((apply("", "services.ini", ServiceText).error().kind == ErrorKind::Invalid));
+    BOOST_TEST((apply("a\x1b[2J", "services.ini", ServiceText).error().kind == ErrorKind::Invalid));
+    BOOST_TEST((apply("\xff", "services.ini", ServiceText).error().kind == ErrorKind::Invalid));
+    BOOST_TEST((apply(std::string(1000, 'a'), "services.ini", ServiceText).error().kind == ErrorKind::Invalid));
+}
+
+// The first run's write is still on its way when the operator repeats the
+// apply, and now the store is down. "Not accepted" would be taken for the
+// whole apply, and the first run's write lands a moment later.
+BOOST_FIXTURE_TEST_CASE(RepeatWhileTheStoreIsDownStaysUnknown, Fixture)
+{
+    store.delays = [](const std::string &key) { return key == "config/head"; };
+    apply("1", "services.ini", ServiceText);
+    store.before = [](const std::string &, const std::string &) { return std::optional(Error{ErrorKind::Unavailable, "down"}); };
+    const ApplyRequest repeat{.id = ApplyId("1"), .file = FileName("services.ini"), .text = ServiceText, .operatorName = "ana", .repeated = true};
+    const auto outcome = repository().apply(repeat);
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST((outcome.error().kind == ErrorKind::OutcomeUnknown));
+}
--- a/src/core/configrepository.cpp
+++ b/src/core/configrepository.cpp
@@ -1,6 +1,9 @@
 #include "core/configrepository.h"
 
+#include "core/configlimits.h"
+#include "core/configtext.h"
 #include "core/contenthash.h"
+#include "core/historymerge.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -18,11 +21,40 @@
 // operator's apply was accepted, so the system as a whole still advances.
 constexpr int MaxAttempts = 16;
 
+// Repeats of a head write whose answer was lost. With the store's time limit
+// this must stay below the operator client's.
+constexpr int MaxSettlingWrites = 3;
+
 std::string blobKey(const ContentHash &hash)
 {
     return "config/blob/" + hash.value();
 }
 
+// What makes the request unfit to be recorded, or nothing. Ids and names are
+// printed to other operators' terminals and kept in the head.
+std::string requestFault(const ApplyRequest &request)
+{
+    if (!isPlainLine(request.id.value(), ConfigLimits::MaxFileNameLength)) {
+        return fmt::format("apply id: give 1 to {} printable characters, or none to have one made", ConfigLimits::MaxFileNameLength);
+    }
+    if (!isPlainLine(request.operatorName, ConfigLimits::MaxFileNameLength)) {
+        return fmt::format("operator: give a name of 1 to {} printable characters with --operator", ConfigLimits::MaxFileNameLength);
+    }
+    return {};
+}
+
+tl::unexpected<Error> notAccepted(const ApplyRequest &request, const Error &error)
+{
+    if (!request.repeated) {
+        return failure(ErrorKind::Unavailable, "not accepted: " + error.message);
+    }
+    return failure(ErrorKind::OutcomeUnknown,
+        fmt::format("{}: outcome unknown: this run of apply {} was not accepted, an earlier one may have been: {}; repeat it once more",
+            request.file.value(),
+            request.id.value(),
+            error.message));
+}
+
 std::string describe(const AppliedChange &change)
 {
     return fmt::format("revision {} by {} (apply {})", change.revision.value(), change.operatorName, change.id.value());
@@ -51,6 +83,13 @@
     return Head{std::move(*manifest), object->version};
 }
 
+bool ConfigRepository::storeIsBehind(const Manifest &stored) const
+{
+    const auto current = m_options.inForce();
+    const bool isOlder = m_options.highestKnown() > stored.revision || (current && current->revision() > stored.revision);
+    return isOlder || (current && lacksChanges(stored, current->bundle.manifest));
+}
+
 Result<ConfigBundle> ConfigRepository::readBundle(const Manifest &manifest, const ConfigRevision *known)
 {
     ConfigBundle bundle;
@@ -63,7 +102,10 @@
         }
         auto blob = m_options.store.read(blobKey(hash));
         if (!blob) {
-            return tl::unexpected(blob.error());
+            // Also seen when the head moved on and the content was collected.
+            const bool missing = blob.error().kind == ErrorKind::NotFound;
+            return missing ? failure(ErrorKind::Unavailable, fmt::format("the store lacks the content of {}; read the head again", name.value()))
+                           : tl::unexpected(blob.error());
         }
         bundle.files.push_back({name, std::move(blob->value)});
     }
@@ -76,13 +118,26 @@
     if (!head) {
         return tl::unexpected(head.error());
     }
-    Base base{std::move(*head), m_options.inForce()};
-    // A store restored from an older backup has a head below what nodes
-    // serve. Building on it would take accepted changes back, so the change
-    // builds on the revision in force, which the nodes still hold whole.
-    const bool storeIsOlder = base.current && base.current->revision() > base.head.manifest.revision;
-    if (storeIsOlder) {
-        return base;
+    Base base;
+    base.head = std::move(*head);
+    base.current = m_options.inForce();
+    const auto inForce = base.current ? base.current->revision() : Revision();
+    const auto newest = std::max(inForce, base.head.manifest.revision);
+    if (m_options.highestKnown() > newest) {
+        return failure(ErrorKind::Unavailable,
+            fmt::format("members serve revision {} and this node knows only {}; it fetches that now, apply again in a second",
+                m_options.highestKnown().value(),
+                newest.value()));
+    }
+    // A store restored from an older backup has a head below what nodes serve,
+    // or one that lacks changes in force whatever its number, if applies were
+    // accepted on it meanwhile. Building on it would take accepted changes
+    // back, so the change builds on the revision in force, which the nodes
+    // still hold whole.
+    base.diverged
+        = base.current && base.current->bundle.manifest != base.head.manifest && (base.head.manifest.revision <= inForce || storeIsBehind(base.head.manifest));
+    if (base.diverged) {
+        return joinedBase(std::move(base));
     }
     if (!base.current || base.current->bundle.manifest != base.head.manifest) {
         auto bundle = readBundle(base.head.manifest, base.current.get());
@@ -95,123 +150,253 @@
         }
         base.current = std::move(*revision);
     }
-    if (m_options.highestKnown() > base.current->revision()) {
-        return failure(ErrorKind::Unavailable,
-            fmt::format("not accepted: members serve revision {} and this node knows only {}; it fetches that now, apply again in a second",
-                m_options.highestKnown().value(),
-                base.current->revision().value()));
+    base.bundle = base.current->bundle;
+    return base;
+}
+
+Result<ConfigRepository::Base> ConfigRepository::joinedBase(Base base)
+{
+    base.bundle = base.current->bundle;
+    base.bundle.manifest.revision = std::max(base.bundle.manifest.revision, base.head.manifest.revision);
+    auto merged = mergeHistories(base.bundle.manifest, base.head.manifest);
+    base.leftOut = std::move(merged.leftOut);
+    if (merged.taken.empty()) {
+        return base;
+    }
+    auto joined = readBundle(merged.manifest, base.current.get());
+    if (!joined) {
+        return tl::unexpected(joined.error());
+    }
+    // Two histories that are valid each may contradict each other; what is in
+    // force then stays, and the operators are told what isn't.
+    if (ConfigSnapshot::validate(joined->files)) {
+        base.bundle = std::move(*joined);
+    } else {
+        base.leftOut.insert(base.leftOut.end(), merged.taken.begin(), merged.taken.end());
     }
     return base;
 }
 
 Result<ConfigBundle> ConfigRepository::changedBundle(const Base &base, const ApplyRequest &request)
 {
-    ConfigBundle bundle = base.current->bundle;
+    ConfigBundle bundle = base.bundle;
+    auto &manifest = bundle.manifest;
+    manifest.revision = Revision(manifest.revision.value() + 1);
+    // A repeat of a change that only the outdated store had: the joined
+    // histories hold it already.
+    if (manifest.change(request.id)) {
+        return bundle;
+    }
+    const auto held = manifest.files.find(request.file);
+    const auto previous = held == manifest.files.end() ? ContentHash() : held->second;
     std::erase_if(bundle.files, [&](const auto &file) { return file.name == request.file; });
-    bundle.manifest.files.erase(request.file);
+    manifest.files.erase(request.file);
     if (!request.remove) {
         const auto after = std::find_if(bundle.files.begin(), bundle.files.end(), [&](const auto &file) { return request.file < file.name; });
         bundle.files.insert(after, {request.file, request.text});
-        bundle.manifest.files.emplace(request.file, contentHash(request.text));
+        manifest.files.emplace(request.file, contentHash(request.text));
     }
-    bundle.manifest.revision = Revision(base.current->revision().value() + 1);
-    bundle.manifest.record({request.id, bundle.manifest.revision, request.file, request.operatorName, m_options.now(), request.remove});
-    if (bundle.manifest.toJson().size() > MaxHeadBytes) {
+    manifest.record({request.id, manifest.revision, request.file, request.operatorName, m_options.now(), request.remove, previous});
+    if (manifest.toJson().size() > MaxHeadBytes) {
         return failure(
             ErrorKind::Invalid, fmt::format("{}: too many files ({}) for one head object; join small files", request.file.value(), bundle.files.size()));
     }
     return bundle;
 }
 
+Result<void> ConfigRepository::writeBlob(const std::string &key, const std::string &text)
+{
+    Error last;
+    ObjectVersion expected;
+    for (int attempt = 0; attempt < MaxAttempts; ++attempt) {
+        const auto written = m_options.store.write(key, text, expected);
+        if (written) {
+            return {};
+        }
+        last = written.error();
+        if (last.kind != ErrorKind::Conflict && last.kind != ErrorKind::OutcomeUnknown) {
+            break;
+        }
+        // An existing blob is written again, though its content can't differ:
+        // the collector may have found it unreferenced before this apply
+        // names it. The new version makes the collector's removal fail, which
+        // expects the version that it found.
+        const auto present = m_options.store.read(key);
+        if (!present && present.error().kind != ErrorKind::NotFound) {
+            last = present.error();
+            break;
+        }
+        // A version above one that this apply read was written since, by this
+        // apply or another; the first write proves nothing, for the blob may
+        // have been there before.
+        const bool writtenSince = present && expected != ObjectVersion() && present->version != expected;
+        if (writtenSince && last.kind == ErrorKind::OutcomeUnknown) {
+            return {};
+        }
+        expected = present ? present->version : ObjectVersion();
+    }
+    return failure(ErrorKind::Unavailable, last.message);
+}
+
 Result<void> ConfigRepository::writeBlobs(const Base &base, const ConfigBundle &bundle)
 {
-    const bool storeIsOlder = base.current->revision() > base.head.manifest.revision;
     for (const auto &file : bundle.files) {
         const auto &hash = bundle.manifest.files.at(file.name);
         const auto held = base.head.manifest.files.find(file.name);
-        if (held != base.head.manifest.files.end() && held->second == hash && !storeIsOlder) {
+        if (held != base.head.manifest.files.end() && held->second == hash && !base.diverged) {
             continue;
         }
-        const auto written = m_options.store.write(blobKey(hash), file.text, ObjectVersion());
-        // A blob that exists already has this very content: it is named by
-        // its hash.
-        if (!written && written.error().kind != ErrorKind::Conflict) {
-            return failure(ErrorKind::Unavailable, "not accepted: " + written.error().message);
+        if (const auto written = writeBlob(blobKey(hash), file.text); !written) {
+            return written;
         }
     }
     return {};
 }
 
+std::optional<Result<ApplyOutcome>> ConfigRepository::withoutWriting(const Base &base, const ApplyRequest &request)
+{
+    const auto &manifest = base.bundle.manifest;
+    // A client that repeats an apply after a lost answer gets the first run's
+    // outcome.
+    if (const auto done = base.current->bundle.manifest.change(request.id)) {
+        return ApplyOutcome{done->revision, true, base.current, {}};
+    }
+    // A repeat that comes after many other changes isn't found among the ones
+    // kept. Run again, it would undo what others did to the file since.
+    if (request.begunAt && manifest.forgets(*request.begunAt)) {
+        return failure(ErrorKind::OutcomeUnknown,
+            fmt::format("{}: apply {} was begun at revision {}, and the changes kept begin with revision {}: it can't be told any more whether it took effect, "
+                        "and it wasn't run now; compare 'galenahillctl diff FILE' and apply without --apply-id",
+                request.file.value(),
+                request.id.value(),
+                request.begunAt->value(),
+                manifest.changes.front().revision.value()));
+    }
+    const auto found = manifest.files.find(request.file);
+    const auto current = found == manifest.files.end() ? ContentHash("none") : found->second;
+    if (!request.basedOn.value().empty() && request.basedOn != current) {
+        const auto other = manifest.lastChange(request.file);
+        return failure(ErrorKind::Conflict,
+            fmt::format("{}: not accepted: changed meanwhile in {}; read it with 'galenahillctl show', merge, and apply again",
+                request.file.value(),
+                other ? describe(*other) : "another revision"));
+    }
+    if (manifest.change(request.id)) {
+        return std::nullopt;
+    }
+    if (request.remove && found == manifest.files.end()) {
+        return failure(ErrorKind::NotFound, fmt::format("{}: no such file is in force; 'galenahillctl show' lists the files", request.file.value()));
+    }
+    if (!request.remove && current == contentHash(request.text)) {
+        return ApplyOutcome{base.current->revision(), false, base.current, {}};
+    }
+    return std::nullopt;
+}
+
+Result<std::optional<ApplyOutcome>> ConfigRepository::attempt(ApplyRequest &request)
+{
+    auto base = readBase();
+    if (!base) {
+        return tl::unexpected(base.error());
+    }
+    if (auto settled = withoutWriting(*base, request)) {
+        return std::move(*settled);
+    }
+    // From here on the request means the content that was read: a lost race
+    // over the same file becomes a conflict, one over another file doesn't.
+    const auto found = base->bundle.manifest.files.find(request.file);
+    request.basedOn = found == base->bundle.manifest.files.end() ? ContentHash("none") : found->second;
+    if (!request.begunAt) {
+        request.begunAt = base->current->revision();
+    }
+    auto bundle = changedBundle(*base, request);
+    if (!bundle) {
+        return tl::unexpected(bundle.error());
+    }
+    auto revision = ConfigRevision::fromBundle(std::move(*bundle));
+    if (!revision) {
+        return tl::unexpected(revision.error());
+    }
+    if (const auto written = writeBlobs(*base, (*revision)->bundle); !written) {
+        return tl::unexpected(written.error());
+    }
+    const auto accepted = writeHead(*base, (*revision)->bundle, request);
+    if (!accepted) {
+        return tl::unexpected(accepted.error());
+    }
+    if (!*accepted) {
+        return std::nullopt;
+    }
+    return ApplyOutcome{(*revision)->revision(), true, *revision, std::move(base->leftOut)};
+}
+
 Result<ApplyOutcome> ConfigRepository::apply(const ApplyRequest &request)
 {
-    ContentHash basedOn = request.basedOn;
-    for (int attempt = 0; attempt < MaxAttempts; ++attempt) {
-        const auto base = readBase();
-        if (!base) {
-            const bool unreachable = base.error().kind == ErrorKind::Unavailable || base.error().kind == ErrorKind::OutcomeUnknown;
-            return unreachable ? failure(ErrorKind::Unavailable, "not accepted: " + base.error().message) : tl::unexpected(base.error());
-        }
-        const auto &manifest = base->current->bundle.manifest;
-        // A client that repeats an apply after a lost answer gets the first
-        // run's outcome.
-        if (const auto done = manifest.change(request.id)) {
-            return ApplyOutcome{done->revision, true, base->current};
-        }
-        const auto found = manifest.files.find(request.file);
-        const auto current = found == manifest.files.end() ? ContentHash("none") : found->second;
-        if (!basedOn.value().empty() && basedOn != current) {
-            const auto other = manifest.lastChange(request.file);
-            return failure(ErrorKind::Conflict,
-                fmt::format("{}: not accepted: changed meanwhile in {}; read it with 'galenahillctl show', merge, and apply again",
-                    request.file.value(),
-                    other ? describe(*other) : "another revision"));
-        }
-        basedOn = current;
-        if (request.remove && found == manifest.files.end()) {
-            return failure(ErrorKind::NotFound, fmt::format("{}: no such file is in force; 'galenahillctl show' lists the files", request.file.value()));
-        }
-        if (!request.remove && current == contentHash(request.text)) {
-            return ApplyOutcome{manifest.revision, false, base->current};
-        }
-        auto bundle = changedBundle(*base, request);
-        if (!bundle) {
-            return tl::unexpected(bundle.error());
-        }
-        auto revision = ConfigRevision::fromBundle(std::move(*bundle));
-        if (!revision) {
-            return tl::unexpected(revision.error());
-        }
-        if (const auto written = writeBlobs(*base, (*revision)->bundle); !written) {
-            return tl::unexpected(written.error());
-        }
-        const auto accepted = m_options.store.write(HeadKey, (*revision)->bundle.manifest.toJson(), base->head.version);
-        if (accepted) {
-            return ApplyOutcome{(*revision)->revision(), true, *revision};
-        }
-        if (accepted.error().kind == ErrorKind::OutcomeUnknown) {
-            return settle(request, accepted.error());
+    if (const auto fault = requestFault(request); !fault.empty()) {
+        return failure(ErrorKind::Invalid, fault);
+    }
+    auto current = request;
+    for (int i = 0; i < MaxAttempts; ++i) {
+        auto outcome = attempt(current);
+        if (!outcome) {
+            const bool unreachable = outcome.error().kind == ErrorKind::Unavailable;
+            return unreachable ? notAccepted(request, outcome.error()) : tl::unexpected(outcome.error());
         }
-        if (accepted.error().kind != ErrorKind::Conflict) {
-            return failure(ErrorKind::Unavailable, "not accepted: " + accepted.error().message);
+        if (*outcome) {
+            return std::move(**outcome);
         }
     }
-    return failure(ErrorKind::Unavailable, "not accepted: other operators' applies kept coming first; apply again");
+    return notAccepted(request, {ErrorKind::Unavailable, "other operators' applies kept coming first; apply again"});
 }
 
-Result<ApplyOutcome> ConfigRepository::settle(const ApplyRequest &request, const Error &error)
+// Whether the head was written; false if another writer was first.
+Result<bool> ConfigRepository::writeHead(const Base &base, const ConfigBundle &bundle, const ApplyRequest &request)
 {
-    const auto head = readHead();
-    if (head) {
-        if (const auto done = head->manifest.change(request.id)) {
-            return ApplyOutcome{done->revision, true, nullptr};
+    const auto text = bundle.manifest.toJson();
+    const auto written = m_options.store.write(HeadKey, text, base.head.version);
+    if (written) {
+        return true;
+    }
+    switch (written.error().kind) {
+    case ErrorKind::Conflict:
+        return false;
+    case ErrorKind::OutcomeUnknown:
+        return settle(base, text, request, written.error());
+    default:
+        return failure(ErrorKind::Unavailable, written.error().message);
+    }
+}
+
+// The answer to the head's write was lost, and the write may still be on its
+// way: a head without the change proves nothing while its version is the
+// expected one. So the very same write is sent again, on the same version. At
+// most one of the two takes effect, and once the version has moved on neither
+// can any more.
+Result<bool> ConfigRepository::settle(const Base &base, const std::string &head, const ApplyRequest &request, Error error)
+{
+    for (int i = 0; i < MaxSettlingWrites; ++i) {
+        const auto present = readHead();
+        if (!present) {
+            error = present.error();
+            continue;
         }
+        if (present->manifest.change(request.id)) {
+            return true;
+        }
+        if (present->version != base.head.version) {
+            return false;
+        }
+        const auto written = m_options.store.write(HeadKey, head, base.head.version);
+        if (written) {
+            return true;
+        }
+        error = written.error();
     }
-    // The head without the change proves nothing yet: the write may still be
-    // on its way.
     return failure(ErrorKind::OutcomeUnknown,
-        fmt::format("{}: outcome unknown: {}; settle it with 'galenahillctl outcome {}' before applying again",
+        fmt::format("{}: outcome unknown: {}; repeat the apply with --apply-id={}, which takes effect at most once, or ask 'galenahillctl outcome {}'",
             request.file.value(),
             error.message,
+            request.id.value(),
             request.id.value()));
 }
 
@@ -224,7 +409,24 @@
     if (const auto change = head->manifest.change(id)) {
         return *change;
     }
-    return failure(ErrorKind::NotFound, fmt::format("apply {} is not among the last {} accepted changes", id.value(), Manifest::MaxChanges));
+    return failure(ErrorKind::NotFound,
+        fmt::format("apply {} is not among the last {} accepted changes; if its answer was lost, repeat it with --apply-id={}, which settles it",
+            id.value(),
+            Manifest::MaxChanges,
+            id.value()));
+}
+
+Result<ConfigBundle> ConfigRepository::earlier(Revision revision)
+{
+    const auto current = m_options.inForce();
+    if (!current) {
+        return failure(ErrorKind::NotFound, "no configuration is in force; apply a file first");
+    }
+    const auto manifest = current->bundle.manifest.at(revision);
+    if (!manifest) {
+        return tl::unexpected(manifest.error());
+    }
+    return readBundle(*manifest, current.get());
 }
 
 }
--- a/src/core/manifest.cpp
+++ b/src/core/manifest.cpp
@@ -1,10 +1,29 @@
 #include "core/manifest.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Galenahill {
 
+namespace {
+
+// Far above any number that acceptances reach. A damaged head near the type's
+// end would make the next revision wrap around to zero, which no node takes.
+constexpr std::uint64_t MaxRevision = std::uint64_t(1) << 62;
+
+// A number that is written as a whole one; the JSON library would otherwise
+// convert negative numbers and fractions without a word.
+Revision revisionFrom(const nlohmann::json &json)
+{
+    if (!json.is_number_unsigned() || json.get<std::uint64_t>() > MaxRevision) {
+        throw nlohmann::json::other_error::create(501, "a revision is no whole number in range", nullptr);
+    }
+    return Revision(json.get<std::uint64_t>());
+}
+
+}
+
 std::optional<AppliedChange> Manifest::change(const ApplyId &id) const
 {
     const auto found = std::find_if(changes.begin(), changes.end(), [&](const auto &change) { return change.id == id; });
@@ -17,6 +36,11 @@
     return found == changes.rend() ? std::nullopt : std::optional(*found);
 }
 
+bool Manifest::forgets(Revision revision) const
+{
+    return changes.size() >= MaxChanges && changes.front().revision > revision;
+}
+
 void Manifest::record(AppliedChange change)
 {
     changes.push_back(std::move(change));
@@ -25,6 +49,37 @@
     }
 }
 
+Result<Manifest> Manifest::at(Revision earlier) const
+{
+    if (earlier > revision || earlier == Revision() || forgets(earlier)) {
+        const auto oldest = changes.size() < MaxChanges ? Revision(1) : changes.front().revision;
+        return failure(ErrorKind::NotFound, fmt::format("revision {} isn't kept; revisions {} to {} are", earlier.value(), oldest.value(), revision.value()));
+    }
+    Manifest result = *this;
+    while (!result.changes.empty() && result.changes.back().revision > earlier) {
+        const auto &undone = result.changes.back();
+        if (undone.previous == ContentHash()) {
+            result.files.erase(undone.file);
+        } else {
+            result.files[undone.file] = undone.previous;
+        }
+        result.changes.pop_back();
+    }
+    result.revision = earlier;
+    return result;
+}
+
+std::vector<ContentHash> Manifest::retained() const
+{
+    std::vector<ContentHash> hashes;
+    for (const auto &change : changes) {
+        if (change.previous != ContentHash()) {
+            hashes.push_back(change.previous);
+        }
+    }
+    return hashes;
+}
+
 std::string Manifest::toJson() const
 {
     nlohmann::json json;
@@ -40,7 +95,8 @@
             {"file", change.file.value()},
             {"operator", change.operatorName},
             {"time", change.time},
-            {"removed", change.removed}});
+            {"removed", change.removed},
+            {"previous", change.previous.value()}});
     }
     return json.dump();
 }
@@ -50,17 +106,18 @@
     try {
         const auto json = nlohmann::json::parse(text);
         Manifest manifest;
-        manifest.revision = Revision(json.at("revision").get<std::uint64_t>());
+        manifest.revision = revisionFrom(json.at("revision"));
         for (const auto &[name, hash] : json.at("files").items()) {
             manifest.files.emplace(FileName(name), ContentHash(hash.get<std::string>()));
         }
         for (const auto &change : json.at("changes")) {
             manifest.changes.push_back({ApplyId(change.at("id").get<std::string>()),
-                Revision(change.at("revision").get<std::uint64_t>()),
+                revisionFrom(change.at("revision")),
                 FileName(change.at("file").get<std::string>()),
                 change.at("operator").get<std::string>(),
                 change.at("time").get<std::int64_t>(),
-                change.at("removed").get<bool>()});
+                change.at("removed").get<bool>(),
+                ContentHash(change.at("previous").get<std::string>())});
         }
         return manifest;
     } catch (const nlohmann::json::exception &error) {
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -94,6 +94,10 @@
     request.text = params.value("text", "");
     request.operatorName = params.at("operator").get<std::string>();
     request.basedOn = ContentHash(params.value("based_on", ""));
+    if (params.contains("begun_at")) {
+        request.begunAt = Revision(params.at("begun_at").get<std::uint64_t>());
+    }
+    request.repeated = params.value("repeated", false);
     const auto outcome = options.repository.apply(request);
     if (!outcome) {
         return tl::unexpected(outcome.error());
@@ -101,7 +105,11 @@
     if (outcome->accepted) {
         options.accepted(outcome->accepted);
     }
-    return json{{"revision", outcome->revision.value()}, {"changed", outcome->changed}};
+    json result = {{"revision", outcome->revision.value()}, {"changed", outcome->changed}, {"left_out", json::array()}};
+    for (const auto &change : outcome->leftOut) {
+        result["left_out"].push_back(toJson(change));
+    }
+    return result;
 }
 
 Result<json> OperatorMethods::Private::check(const json &params)
