bench: Play seeded faults on real processes and check the nine promises

Cause: nothing showed what the promises are worth when the store, nodes, targets and links fail while callers and operators go on.

Links are cut and made lossy by a filter in the node that exists only with `[testing] link-faults = yes`.

Ruled out: a relay on loopback, since nodes reach each other by the address that their records carry; target ledgers read over HTTP, since a killed target would take its ledger along.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -24,5 +24,6 @@
 // Each runs one experiment, prints one JSON object a line, and gives whether
 // every invariant held.
 bool runDemo(const ExperimentOptions &options);
+bool runFaults(const ExperimentOptions &options);
 
 }
--- /dev/null
+++ b/bench/faultchecks.cpp
@@ -0,0 +1,287 @@
+#include "faultchecks.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr Milliseconds LeavingGrace{3000};
+constexpr Milliseconds InForceLimit{13000};
+constexpr int NoRouteStatus = 404;
+
+// A call that began this long before a stop may still be in flight at it.
+constexpr Milliseconds LongestCall{5000};
+
+// An answer or a retry may lag the planned end of a fault by this much.
+constexpr Milliseconds FaultShadow{2000};
+
+std::unordered_map<std::string, std::vector<const LedgerEntry *>> byCall(const FaultRunRecords &records)
+{
+    std::unordered_map<std::string, std::vector<const LedgerEntry *>> runs;
+    for (const auto &entry : records.ledger) {
+        runs[entry.call].push_back(&entry);
+    }
+    return runs;
+}
+
+TimePoint sentAt(const FaultRunRecords &records, const CallRecord &call)
+{
+    return records.begin + call.scheduled;
+}
+
+bool planned(const FaultRecord &fault)
+{
+    return fault.kind == NodeStopFault || fault.kind == TargetDrainFault;
+}
+
+// Whether another fault than a planned stop touched the time: then a call
+// without an answer can't be laid at the stop's door.
+bool disturbed(const FaultRunRecords &records, TimePoint from, TimePoint to)
+{
+    return std::any_of(records.faults.begin(), records.faults.end(), [&](const FaultRecord &fault) {
+        const bool store = fault.kind.rfind("platform-", 0) == 0;
+        return !planned(fault) && !store && fault.begin <= to && fault.end + FaultShadow >= from;
+    });
+}
+
+TimePoint lastFaultEnd(const FaultRunRecords &records)
+{
+    auto last = records.begin;
+    for (const auto &fault : records.faults) {
+        last = std::max(last, fault.end);
+    }
+    return last;
+}
+
+const HeadValue *lastHead(const FaultRunRecords &records)
+{
+    const auto last = std::max_element(
+        records.heads.begin(), records.heads.end(), [](const HeadValue &left, const HeadValue &right) { return left.revision < right.revision; });
+    return last == records.heads.end() ? nullptr : &*last;
+}
+
+void append(std::vector<Violation> &all, std::vector<Violation> more)
+{
+    all.insert(all.end(), more.begin(), more.end());
+}
+
+}
+
+std::vector<Violation> checkRevisionsNeverFall(const FaultRunRecords &records)
+{
+    std::vector<Violation> violations;
+    std::map<std::size_t, Revision> highest;
+    for (const auto &sample : records.samples) {
+        if (sample.revision == Revision()) {
+            continue;
+        }
+        auto &served = highest[sample.node];
+        if (sample.revision < served) {
+            violations.push_back(
+                {"revision-never-falls", fmt::format("node {} serves {} after {}", sample.node, sample.revision.value(), served.value()), sample.answered});
+        }
+        served = std::max(served, sample.revision);
+    }
+    return violations;
+}
+
+std::vector<Violation> checkRoutesReachTheirService(const FaultRunRecords &records)
+{
+    std::vector<Violation> violations;
+    std::unordered_map<std::string, const CallRecord *> calls;
+    for (const auto &call : records.calls) {
+        calls[call.id] = &call;
+        if (call.status == NoRouteStatus) {
+            violations.push_back({"no-route-astray", fmt::format("call {} on {}: told that there is no route", call.id, call.path), sentAt(records, call)});
+        }
+    }
+    for (const auto &entry : records.ledger) {
+        const auto call = calls.find(entry.call);
+        const auto &service = records.services.at(entry.node);
+        if (call == calls.end() || call->second->path.rfind("/" + service + "/", 0) != 0) {
+            violations.push_back({"no-route-astray", fmt::format("call {} ran at node {}, a target of {}", entry.call, entry.node, service), entry.time});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkWholeRevisions(const FaultRunRecords &records)
+{
+    std::set<std::pair<std::uint64_t, std::string>> accepted;
+    for (const auto &head : records.heads) {
+        accepted.emplace(head.revision.value(), head.digest.value());
+    }
+    std::vector<Violation> violations;
+    for (const auto &sample : records.samples) {
+        if (sample.revision != Revision() && !accepted.contains({sample.revision.value(), sample.digest.value()})) {
+            violations.push_back({"all-or-nothing",
+                fmt::format("node {} serves {} with digest {}, which no head had", sample.node, sample.revision.value(), sample.digest.value()),
+                sample.answered});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkOwnAnswers(const FaultRunRecords &records)
+{
+    const auto runs = byCall(records);
+    std::vector<Violation> violations;
+    for (const auto &call : records.calls) {
+        if (call.outcome == CallOutcome::Crossed) {
+            violations.push_back({"own-answer", fmt::format("call {} got another call's answer or a part of its own", call.id), sentAt(records, call)});
+        }
+        if (call.outcome == CallOutcome::Answered && !runs.contains(call.id)) {
+            violations.push_back({"own-answer", fmt::format("call {} was answered and no target ran it", call.id), sentAt(records, call)});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkRefusals(const FaultRunRecords &records)
+{
+    const auto runs = byCall(records);
+    std::vector<Violation> violations;
+    for (const auto &call : records.calls) {
+        if (call.outcome == CallOutcome::NotRun && runs.contains(call.id)) {
+            violations.push_back({"refused-not-run", fmt::format("call {} was refused as not run and ran", call.id), sentAt(records, call)});
+        }
+    }
+    std::set<std::string> accepted;
+    for (const auto &head : records.heads) {
+        for (const auto &id : head.applies) {
+            accepted.insert(id.value());
+        }
+    }
+    for (const auto &apply : records.applies) {
+        const bool refused = apply.error && *apply.error != ErrorKind::OutcomeUnknown;
+        if (apply.bad && (!apply.error || accepted.contains(apply.id.value()))) {
+            violations.push_back({"refused-not-run", fmt::format("apply {} of a bad file was accepted", apply.id.value()), apply.ended});
+        }
+        if (!apply.bad && refused && accepted.contains(apply.id.value())) {
+            violations.push_back({"refused-not-run", fmt::format("apply {} was refused and took effect", apply.id.value()), apply.ended});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkRunAtMostOnce(const FaultRunRecords &records)
+{
+    const auto runs = byCall(records);
+    std::vector<Violation> violations;
+    for (const auto &call : records.calls) {
+        const auto found = runs.find(call.id);
+        if (!call.idempotent && found != runs.end() && found->second.size() > 1) {
+            violations.push_back({"at-most-once", fmt::format("call {} ran {} times", call.id, found->second.size()), found->second.at(1)->time});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkLeavingTargets(const FaultRunRecords &records, Milliseconds grace)
+{
+    std::vector<Violation> violations;
+    for (const auto &fault : records.faults) {
+        if (!planned(fault)) {
+            continue;
+        }
+        for (const auto &entry : records.ledger) {
+            const bool here = std::find(fault.nodes.begin(), fault.nodes.end(), entry.node) != fault.nodes.end();
+            if (here && entry.time > fault.begin + grace && entry.time < fault.end) {
+                violations.push_back(
+                    {"leaving-target", fmt::format("call {} began at node {}, which was leaving ({})", entry.call, entry.node, fault.kind), entry.time});
+            }
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkPlannedStops(const FaultRunRecords &records)
+{
+    const auto runs = byCall(records);
+    std::vector<Violation> violations;
+    for (const auto &stop : records.faults) {
+        if (!planned(stop)) {
+            continue;
+        }
+        if (!stop.clean) {
+            violations.push_back({"planned-stop", fmt::format("{} of node {} didn't exit with 0 in time", stop.kind, stop.nodes.front()), stop.end});
+        }
+        for (const auto &call : records.calls) {
+            const auto sent = sentAt(records, call);
+            const auto ended = sent + call.latency;
+            const bool within = sent >= stop.begin - LongestCall && sent <= stop.end && ended >= stop.begin;
+            if (call.outcome != CallOutcome::Unknown || !within || disturbed(records, sent, ended)) {
+                continue;
+            }
+            const auto found = runs.find(call.id);
+            const bool ranHere = found != runs.end()
+                && std::any_of(found->second.begin(), found->second.end(), [&](const auto *entry) { return entry->node == stop.nodes.front(); });
+            const bool through = stop.kind == NodeStopFault && call.ingress == stop.nodes.front();
+            if (ranHere || through) {
+                violations.push_back({"planned-stop", fmt::format("call {} was cut off by {} of node {}", call.id, stop.kind, stop.nodes.front()), ended});
+            }
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkAcceptedInForce(const FaultRunRecords &records, Milliseconds limit)
+{
+    const auto *head = lastHead(records);
+    if (head == nullptr) {
+        return {{"accepted-in-force", "the store has no head", records.begin}};
+    }
+    std::vector<Violation> violations;
+    for (const auto &apply : records.applies) {
+        const bool kept = std::find(head->applies.begin(), head->applies.end(), apply.id) != head->applies.end();
+        if (!apply.error && !kept) {
+            violations.push_back({"accepted-in-force", fmt::format("apply {} was accepted and is not part of the last head", apply.id.value()), apply.ended});
+        }
+    }
+    auto settled = lastFaultEnd(records);
+    for (const auto &apply : records.applies) {
+        settled = std::max(settled, apply.ended);
+    }
+    const auto due = settled + limit;
+    std::map<std::size_t, const StatusSample *> last;
+    for (const auto &sample : records.samples) {
+        const bool behind = sample.digest != head->digest;
+        if (sample.asked > due && behind) {
+            violations.push_back({"accepted-in-force",
+                fmt::format("node {} serves {} past the limit, accepted is {}", sample.node, sample.revision.value(), head->revision.value()),
+                sample.answered});
+        }
+        last[sample.node] = &sample;
+    }
+    for (const auto node : records.live) {
+        const auto found = last.find(node);
+        if (found == last.end() || found->second->digest != head->digest) {
+            violations.push_back({"accepted-in-force",
+                fmt::format("node {} ends without revision {}", node, head->revision.value()),
+                found == last.end() ? records.begin : found->second->answered});
+        }
+    }
+    return violations;
+}
+
+std::vector<Violation> checkAllPromises(const FaultRunRecords &records)
+{
+    std::vector<Violation> all;
+    append(all, checkRevisionsNeverFall(records));
+    append(all, checkRoutesReachTheirService(records));
+    append(all, checkWholeRevisions(records));
+    append(all, checkOwnAnswers(records));
+    append(all, checkRefusals(records));
+    append(all, checkRunAtMostOnce(records));
+    append(all, checkLeavingTargets(records, LeavingGrace));
+    append(all, checkPlannedStops(records));
+    append(all, checkAcceptedInForce(records, InForceLimit));
+    return all;
+}
+
+}
--- /dev/null
+++ b/bench/faultplayer.cpp
@@ -0,0 +1,184 @@
+#include "faultplayer.h"
+
+#include "adapters/http/blockinghttpclient.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr double LossyLink = 0.3;
+constexpr Milliseconds AdminTimeout{1000};
+
+// A planned stop that takes longer counts as one that doesn't end.
+constexpr Milliseconds ExitLimit{8000};
+
+void post(const Endpoint &endpoint, const std::string &path, const std::string &body)
+{
+    HttpRequest request(http::verb::post, path, 11);
+    request.set(http::field::host, toString(endpoint));
+    request.body() = body;
+    const auto answer = blockingExchange(endpoint, std::move(request), AdminTimeout);
+    if (!answer || answer->result() != http::status::ok) {
+        fmt::print(stderr, "{}{}: {}\n", toString(endpoint), path, answer ? answer->body() : answer.error().message);
+    }
+}
+
+struct Moment
+{
+    Milliseconds at{0};
+    bool begins = false;
+    std::size_t fault = 0;
+};
+
+std::vector<Moment> moments(const std::vector<PlannedFault> &faults)
+{
+    std::vector<Moment> result;
+    for (std::size_t i = 0; i < faults.size(); ++i) {
+        result.push_back({faults[i].begin, true, i});
+        result.push_back({faults[i].end, false, i});
+    }
+    std::stable_sort(result.begin(), result.end(), [](const Moment &left, const Moment &right) { return left.at < right.at; });
+    return result;
+}
+
+}
+
+FaultPlayer::FaultPlayer(Fleet &fleet)
+    : m_fleet(fleet)
+{
+}
+
+void FaultPlayer::backUp()
+{
+    platform("/admin/backup");
+}
+
+void FaultPlayer::platform(const std::string &path, const std::string &body)
+{
+    post(m_fleet.platform(), path, body);
+}
+
+void FaultPlayer::setLinks(std::size_t node, const std::vector<std::size_t> &others, double loss)
+{
+    auto links = nlohmann::json::object();
+    for (const auto other : others) {
+        if (other != node && loss > 0) {
+            links[m_fleet.control(other).address] = loss;
+        }
+    }
+    post(m_fleet.control(node), "/testing/links", links.dump());
+}
+
+void FaultPlayer::cutLinks(const std::vector<std::size_t> &inside)
+{
+    std::vector<std::size_t> outside;
+    for (std::size_t node = 0; node < m_fleet.size(); ++node) {
+        if (std::find(inside.begin(), inside.end(), node) == inside.end()) {
+            outside.push_back(node);
+        }
+    }
+    for (const auto node : inside) {
+        setLinks(node, outside, 1);
+    }
+    for (const auto node : outside) {
+        setLinks(node, inside, 1);
+    }
+}
+
+void FaultPlayer::loseOnAllLinks(double loss)
+{
+    std::vector<std::size_t> all(m_fleet.size());
+    for (std::size_t node = 0; node < all.size(); ++node) {
+        all[node] = node;
+    }
+    for (const auto node : all) {
+        setLinks(node, all, loss);
+    }
+}
+
+bool FaultPlayer::waitForExit(std::size_t node)
+{
+    auto *process = m_fleet.nodeProcess(node);
+    const auto until = Clock::now() + ExitLimit;
+    while (process->running() && Clock::now() < until) {
+        std::this_thread::sleep_for(Milliseconds(10));
+    }
+    return !process->running() && process->wait() == 0;
+}
+
+void FaultPlayer::begin(const PlannedFault &fault)
+{
+    if (fault.kind == "platform-restore") {
+        platform("/admin/restore");
+    } else if (fault.kind.rfind("platform-", 0) == 0) {
+        platform("/admin/fault", nlohmann::json({{"mode", fault.kind.substr(std::string("platform-").size())}, {"delay_ms", 1500}}).dump());
+    } else if (fault.kind == "link-cut") {
+        cutLinks(fault.nodes);
+    } else if (fault.kind == "link-loss") {
+        loseOnAllLinks(LossyLink);
+    }
+    for (const auto node : fault.nodes) {
+        if (fault.kind == "herd-kill" || fault.kind == "node-kill") {
+            m_fleet.nodeProcess(node)->signal(SIGKILL);
+        } else if (fault.kind == "node-pause" || fault.kind == "herd-pause") {
+            m_fleet.nodeProcess(node)->signal(SIGSTOP);
+        } else if (fault.kind == NodeStopFault) {
+            m_fleet.nodeProcess(node)->signal(SIGTERM);
+        } else if (fault.kind == TargetDrainFault) {
+            post(m_fleet.target(node), "/admin", R"({"drain": true})");
+        } else if (fault.kind == "target-kill") {
+            m_fleet.targetProcess(node)->signal(SIGKILL);
+        }
+    }
+}
+
+void FaultPlayer::end(const PlannedFault &fault, FaultRecord &record)
+{
+    if (fault.kind == NodeStopFault) {
+        record.clean = waitForExit(fault.nodes.front());
+    }
+    record.end = Clock::now();
+    if (fault.kind.rfind("platform-", 0) == 0) {
+        platform("/admin/fault", R"({"mode": "none"})");
+    } else if (fault.kind.rfind("link-", 0) == 0) {
+        loseOnAllLinks(0);
+    }
+    for (const auto node : fault.nodes) {
+        if (fault.kind == "herd-kill" || fault.kind == "node-kill" || fault.kind == NodeStopFault) {
+            m_fleet.startNode(node);
+        } else if (fault.kind == "node-pause" || fault.kind == "herd-pause") {
+            m_fleet.nodeProcess(node)->signal(SIGCONT);
+        } else if (fault.kind == TargetDrainFault || fault.kind == "target-kill") {
+            m_fleet.targetProcess(node)->signal(SIGTERM);
+            m_fleet.targetProcess(node)->wait();
+            m_fleet.startTarget(node);
+        }
+    }
+}
+
+std::vector<FaultRecord> FaultPlayer::play(const std::vector<PlannedFault> &faults)
+{
+    std::vector<FaultRecord> records(faults.size());
+    const auto start = Clock::now();
+    for (const auto &moment : moments(faults)) {
+        std::this_thread::sleep_until(start + moment.at);
+        const auto &fault = faults[moment.fault];
+        auto &record = records[moment.fault];
+        if (moment.begins) {
+            record = {fault.kind, fault.nodes, Clock::now(), {}};
+            begin(fault);
+            fmt::print(stderr, "{} ms: {} {}\n", moment.at.count(), fault.kind, nlohmann::json(fault.nodes).dump());
+        } else {
+            end(fault, record);
+        }
+    }
+    return records;
+}
+
+}
--- /dev/null
+++ b/bench/faults.cpp
@@ -0,0 +1,240 @@
+#include "adapters/http/blockinghttpclient.h"
+#include "core/contenthash.h"
+#include "experiments.h"
+#include "faultchecks.h"
+#include "faultplayer.h"
+#include "racingoperators.h"
+#include "reconciliation.h"
+#include "statuspoller.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr std::size_t Nodes = 12;
+constexpr double CallsPerSecond = 200;
+constexpr Milliseconds Length{12000};
+constexpr Milliseconds QuickLength{4000};
+constexpr Milliseconds InForceLimit{13000};
+constexpr Milliseconds StartLimit{20000};
+
+// Calls go on for this long after the last fault, so that late effects show.
+constexpr Milliseconds CallsAfterFaults{3000};
+
+// Applies of the last change before it counts as impossible.
+constexpr int LastApplyAttempts = 12;
+
+using NamedText = std::pair<std::string, std::string>;
+
+std::vector<NamedText> exampleFiles(const std::string &examples)
+{
+    std::vector<NamedText> files;
+    for (const std::string name : {"forja-services.ini", "forja-routes.ini"}) {
+        std::ostringstream text;
+        text << std::ifstream(fmt::format("{}/forja/{}", examples, name)).rdbuf();
+        files.emplace_back(name, text.str());
+    }
+    return files;
+}
+
+std::vector<Endpoint> controls(const Fleet &fleet)
+{
+    std::vector<Endpoint> endpoints;
+    for (std::size_t node = 0; node < fleet.size(); ++node) {
+        endpoints.push_back(fleet.control(node));
+    }
+    return endpoints;
+}
+
+// Applies until it is accepted, as an operator who repeats with one id; false
+// if it never is.
+bool applyLast(const Fleet &fleet, const NamedText &file, const std::string &id, std::vector<ApplyRecord> &records)
+{
+    for (int attempt = 0; attempt < LastApplyAttempts; ++attempt) {
+        const auto node = static_cast<std::size_t>(attempt) % fleet.size();
+        auto record = RacingOperators::apply(fleet.control(node), id, file.first, fmt::format("{}\n; {}\n", file.second, id));
+        if (!record.error) {
+            records.push_back(std::move(record));
+            return true;
+        }
+        std::this_thread::sleep_for(Milliseconds(1000));
+    }
+    return false;
+}
+
+bool applyFirst(Fleet &fleet, const std::vector<NamedText> &files)
+{
+    std::vector<ApplyRecord> records;
+    for (const auto &file : files) {
+        if (!applyLast(fleet, file, "first-" + file.first, records)) {
+            return false;
+        }
+    }
+    return fleet.waitForAll([](const nlohmann::json &status) { return status.value("revision", 0) >= 2; }, StartLimit).has_value();
+}
+
+std::vector<CallRecord> sendCalls(const Fleet &fleet, std::uint64_t seed, Milliseconds time)
+{
+    LoadGenerator::Options load;
+    for (std::size_t node = 0; node < fleet.size(); ++node) {
+        load.ingresses.push_back(fleet.ingress(node));
+    }
+    load.kinds = {{.method = "GET", .path = "/tablero/cola", .idempotent = true, .weight = 3},
+        {.method = "GET", .path = "/ventas/pedidos", .idempotent = true, .weight = 1},
+        {.method = "POST", .path = "/ventas/pedidos", .idempotent = false, .weight = 3},
+        {.method = "POST", .path = "/taller/lotes", .idempotent = false, .weight = 2}};
+    load.rate = CallsPerSecond;
+    load.calls = static_cast<std::size_t>(CallsPerSecond * std::chrono::duration<double>(time).count());
+    load.seed = seed;
+    return LoadGenerator(load).run();
+}
+
+// Every head that the store ever had, by its own record.
+std::vector<HeadValue> headHistory(const Fleet &fleet)
+{
+    HttpRequest request(http::verb::get, "/admin/head-history", 11);
+    request.set(http::field::host, toString(fleet.platform()));
+    const auto answer = blockingExchange(fleet.platform(), std::move(request), Milliseconds(5000));
+    std::vector<HeadValue> heads;
+    if (!answer) {
+        return heads;
+    }
+    for (const auto &value : nlohmann::json::parse(answer->body())) {
+        const auto text = value.get<std::string>();
+        const auto head = nlohmann::json::parse(text);
+        HeadValue entry{Revision(head.at("revision").get<std::uint64_t>()), contentHash(text), {}};
+        for (const auto &change : head.at("changes")) {
+            entry.applies.emplace_back(change.at("id").get<std::string>());
+        }
+        heads.push_back(std::move(entry));
+    }
+    return heads;
+}
+
+std::vector<std::size_t> liveNodes(Fleet &fleet)
+{
+    std::vector<std::size_t> live;
+    for (std::size_t node = 0; node < fleet.size(); ++node) {
+        if (fleet.nodeProcess(node)->running()) {
+            live.push_back(node);
+        }
+    }
+    return live;
+}
+
+Milliseconds lastEnd(const std::vector<PlannedFault> &faults)
+{
+    Milliseconds last{0};
+    for (const auto &fault : faults) {
+        last = std::max(last, fault.end);
+    }
+    return last;
+}
+
+// The whole run between the first applies and the stop; false if the last
+// change was never accepted.
+bool record(Fleet &fleet, const ExperimentOptions &options, const std::vector<NamedText> &files, FaultRunRecords &records)
+{
+    const auto schedule = scheduleFaults(options.seed, fleet.size(), fleet.dataCentres(), options.quick ? QuickLength : Length);
+    FaultPlayer player(fleet);
+    player.backUp();
+    StatusPoller poller(fleet);
+    records.begin = Clock::now();
+    std::thread callers([&] { records.calls = sendCalls(fleet, options.seed, lastEnd(schedule) + CallsAfterFaults); });
+    RacingOperators operators({.nodes = controls(fleet), .files = files, .seed = options.seed});
+    records.faults = player.play(schedule);
+    records.applies = operators.stop();
+    const bool applied = applyLast(fleet, files.front(), "last", records.applies);
+    callers.join();
+    records.heads = headHistory(fleet);
+    const auto last = std::max_element(
+        records.heads.begin(), records.heads.end(), [](const HeadValue &left, const HeadValue &right) { return left.revision < right.revision; });
+    if (last != records.heads.end()) {
+        fleet.waitForAll([&](const nlohmann::json &status) { return status.value("digest", "") == last->digest.value(); }, InForceLimit);
+    }
+    std::this_thread::sleep_for(Milliseconds(500));
+    records.live = liveNodes(fleet);
+    records.samples = poller.stop();
+    records.ledger = fleet.loggedRuns();
+    return applied;
+}
+
+std::int64_t sinceBegin(const FaultRunRecords &records, TimePoint time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time - records.begin).count();
+}
+
+std::size_t countOf(const FaultRunRecords &records, CallOutcome outcome)
+{
+    return static_cast<std::size_t>(std::count_if(records.calls.begin(), records.calls.end(), [&](const CallRecord &call) { return call.outcome == outcome; }));
+}
+
+nlohmann::ordered_json describe(const FaultRunRecords &records, const std::vector<Violation> &violations)
+{
+    nlohmann::ordered_json json;
+    json["faults"] = nlohmann::json::array();
+    for (const auto &fault : records.faults) {
+        json["faults"].push_back(
+            {{"kind", fault.kind}, {"begin_ms", sinceBegin(records, fault.begin)}, {"end_ms", sinceBegin(records, fault.end)}, {"nodes", fault.nodes}});
+    }
+    json["violations"] = nlohmann::json::array();
+    for (const auto &violation : violations) {
+        json["violations"].push_back({{"promise", violation.promise}, {"record", violation.record}, {"when_ms", sinceBegin(records, violation.when)}});
+    }
+    json["calls"] = records.calls.size();
+    json["calls_answered"] = countOf(records, CallOutcome::Answered);
+    json["calls_refused_not_run"] = countOf(records, CallOutcome::NotRun);
+    json["calls_outcome_unknown"] = countOf(records, CallOutcome::Unknown);
+    json["answers_crossed"] = countOf(records, CallOutcome::Crossed);
+    json["orders_run_twice"] = checkRunAtMostOnce(records).size();
+    json["refused_but_run"] = checkRefusals(records).size();
+    json["answers_lost"] = checkOwnAnswers(records).size();
+    json["cut_off"] = checkPlannedStops(records).size();
+    json["applies"] = records.applies.size();
+    json["applies_accepted"] = std::count_if(records.applies.begin(), records.applies.end(), [](const ApplyRecord &apply) { return !apply.error; });
+    json["heads"] = records.heads.size();
+    json["status_samples"] = records.samples.size();
+    return json;
+}
+
+}
+
+bool runFaults(const ExperimentOptions &options)
+{
+    Fleet fleet({.programs = options.programs,
+        .folder = options.folder,
+        .nodes = Nodes,
+        .dataCentres = {"rosario-a", "rosario-b", "cordoba-a", "cordoba-b"},
+        .services = {{.name = "tablero"}, {.name = "ventas"}, {.name = "taller"}},
+        .logRuns = true,
+        .settings = "[testing]\nlink-faults = yes\n"});
+    const auto begin = Clock::now();
+    const auto files = exampleFiles(options.examples);
+    const auto started = fleet.start();
+    if (!started || !applyFirst(fleet, files)) {
+        fmt::print(stderr, "{}\n", started ? "the first files don't come into force" : started.error().message);
+        return false;
+    }
+    FaultRunRecords records;
+    for (std::size_t node = 0; node < fleet.size(); ++node) {
+        records.services.push_back(fleet.service(node).name);
+    }
+    const bool applied = record(fleet, options, files, records);
+    const auto unclean = fleet.stop();
+    const auto violations = checkAllPromises(records);
+    nlohmann::ordered_json line
+        = {{"bench", "faults"}, {"commit", options.commit}, {"seed", options.seed}, {"nodes", Nodes}, {"seconds", 0}, {"last_apply_accepted", applied}};
+    line.update(describe(records, violations));
+    line["unclean_stops"] = unclean;
+    line["seconds"] = std::chrono::duration<double>(Clock::now() - begin).count();
+    fmt::print("{}\n", line.dump());
+    return applied && violations.empty() && unclean == 0;
+}
+
+}
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -94,6 +94,11 @@
     return d->slots.size();
 }
 
+std::size_t Fleet::dataCentres() const
+{
+    return d->options.dataCentres.size();
+}
+
 Endpoint Fleet::platform() const
 {
     return {fmt::format("127.{}.0.1", d->options.network), PlatformPort};
@@ -159,13 +164,16 @@
 {
     const auto endpoint = target(node);
     const auto &kind = service(node);
-    d->slots[node].target = std::make_unique<ChildProcess>(std::vector<std::string>{d->options.programs + "/standins/targetstandin",
-                                                               "--address=" + endpoint.address,
-                                                               fmt::format("--port={}", endpoint.port),
-                                                               fmt::format("--slots={}", kind.slots),
-                                                               fmt::format("--service-us={}", kind.serviceMicroseconds),
-                                                               fmt::format("--cold-start-ms={}", kind.coldStartMs)},
-        d->path(fmt::format("target-{}.log", node)));
+    std::vector<std::string> command{d->options.programs + "/standins/targetstandin",
+        "--address=" + endpoint.address,
+        fmt::format("--port={}", endpoint.port),
+        fmt::format("--slots={}", kind.slots),
+        fmt::format("--service-us={}", kind.serviceMicroseconds),
+        fmt::format("--cold-start-ms={}", kind.coldStartMs)};
+    if (d->options.logRuns) {
+        command.emplace_back("--log-runs");
+    }
+    d->slots[node].target = std::make_unique<ChildProcess>(command, d->path(fmt::format("target-{}.log", node)));
 }
 
 Result<void> Fleet::start()
@@ -205,6 +213,23 @@
     return d->platform.get();
 }
 
+std::vector<LedgerEntry> Fleet::loggedRuns() const
+{
+    std::vector<LedgerEntry> entries;
+    for (std::size_t node = 0; node < size(); ++node) {
+        std::ifstream log(d->path(fmt::format("target-{}.log", node)));
+        std::string word;
+        while (log >> word) {
+            std::string call;
+            std::int64_t microseconds = 0;
+            if (word == "ran" && log >> call >> microseconds) {
+                entries.push_back({call, node, TimePoint(std::chrono::microseconds(microseconds))});
+            }
+        }
+    }
+    return entries;
+}
+
 std::optional<nlohmann::json> Fleet::status(std::size_t node) const
 {
     std::optional<nlohmann::json> result;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -15,6 +15,15 @@
 
 namespace Galenahill {
 
+// One execution that a target wrote into its ledger as it began, by the steady
+// clock that all processes of one machine share.
+struct LedgerEntry
+{
+    std::string call;
+    std::size_t node = 0;
+    TimePoint time;
+};
+
 // A fleet of real processes on loopback addresses: the platform stand-in, and
 // nodes with a target stand-in beside each.
 class Fleet
@@ -43,6 +52,9 @@
         std::vector<Service> services;
         // False leaves the targets out, for runs that make no calls.
         bool targets = true;
+        // Targets write each execution to their log, so that a killed one's
+        // ledger isn't lost.
+        bool logRuns = false;
         // Further lines of each node's settings.
         std::string settings;
     };
@@ -54,6 +66,9 @@
     Result<void> start();
 
     std::size_t size() const;
+
+    // Number of data centres; node i is in number i modulo this.
+    std::size_t dataCentres() const;
     Endpoint platform() const;
     Endpoint ingress(std::size_t node) const;
     Endpoint sidecar(std::size_t node) const;
@@ -70,6 +85,10 @@
     ChildProcess *targetProcess(std::size_t node);
     ChildProcess *platformProcess();
 
+    // The executions that targets wrote to their logs as call id, node and
+    // time, in no order over nodes.
+    std::vector<LedgerEntry> loggedRuns() const;
+
     // Status of a node as it answers on its control port, or nothing.
     std::optional<nlohmann::json> status(std::size_t node) const;
 
--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -69,9 +69,11 @@
         const auto &kind = options.kinds[chooseKind(random)];
         auto &record = records[i];
         record.id = fmt::format("{}-{}", options.idPrefix, i);
+        record.path = kind.path;
+        record.ingress = chooseIngress(random);
         record.idempotent = kind.idempotent;
         record.scheduled = offset;
-        Plan plan{options.ingresses[chooseIngress(random)], &kind, begin + offset};
+        Plan plan{options.ingresses[record.ingress], &kind, begin + offset};
         asio::co_spawn(context, sendCall(client, std::move(plan), Clock::now() + options.timeout, record), asio::detached);
     }
 }
--- a/bench/loadgenerator.h
+++ b/bench/loadgenerator.h
@@ -24,6 +24,9 @@
 struct CallRecord
 {
     std::string id;
+    std::string path;
+    // Index of the ingress that took it.
+    std::size_t ingress = 0;
     bool idempotent = false;
     CallOutcome outcome = CallOutcome::Unknown;
     int status = 0;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -44,7 +44,7 @@
         {"quick", 0, POPT_ARG_NONE, &quick, 0, "A shorter run", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}};
+    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}, {"faults", runFaults}};
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
     poptSetOtherOptionHelp(context, "EXPERIMENT [OPTIONS]");
     const int parsed = poptGetNextOpt(context);
--- /dev/null
+++ b/bench/racingoperators.cpp
@@ -0,0 +1,103 @@
+#include "racingoperators.h"
+
+#include "cli/nodeconnection.h"
+
+#include <atomic>
+#include <fmt/format.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+namespace Galenahill {
+
+namespace {
+
+// Every so many applies one file is bad.
+constexpr std::size_t BadEvery = 5;
+
+// Its route names a service that no file defines.
+constexpr const char *BadText = "[route hanging]\npath = /hanging\nmethods = GET\nservice = venta\nidempotent = yes\ntimeout-ms = 1000\n";
+
+}
+
+class RacingOperators::Private
+{
+public:
+    Options options;
+    std::atomic<bool> stopping = false;
+    TimePoint begin = Clock::now();
+    std::mutex mutex;
+    std::vector<ApplyRecord> records;
+    std::vector<std::thread> threads;
+
+    void work(std::size_t number);
+    ApplyRecord applyOne(std::size_t number, std::size_t turn, std::mt19937_64 &random) const;
+};
+
+RacingOperators::RacingOperators(Options options)
+    : d(std::make_unique<Private>())
+{
+    d->options = std::move(options);
+    for (std::size_t number = 0; number < d->options.operators; ++number) {
+        d->threads.emplace_back([this, number] { d->work(number); });
+    }
+}
+
+RacingOperators::~RacingOperators()
+{
+    stop();
+}
+
+std::vector<ApplyRecord> RacingOperators::stop()
+{
+    d->stopping = true;
+    for (auto &thread : d->threads) {
+        thread.join();
+    }
+    d->threads.clear();
+    return std::move(d->records);
+}
+
+ApplyRecord RacingOperators::apply(const Endpoint &node, const std::string &id, const std::string &file, const std::string &text)
+{
+    NodeConnection connection(node);
+    const auto result = connection.call("apply", {{"apply", id}, {"file", file}, {"text", text}, {"operator", "faults"}});
+    ApplyRecord record{ApplyId(id)};
+    if (!result) {
+        record.error = result.error().kind;
+    }
+    record.ended = Clock::now();
+    return record;
+}
+
+ApplyRecord RacingOperators::Private::applyOne(std::size_t number, std::size_t turn, std::mt19937_64 &random) const
+{
+    const auto &node = options.nodes[random() % options.nodes.size()];
+    const auto id = fmt::format("operator{}-{}", number, turn);
+    if (turn % BadEvery == BadEvery - 1) {
+        auto record = apply(node, id, "hanging.ini", BadText);
+        record.bad = true;
+        return record;
+    }
+    const auto &[name, text] = options.files[random() % options.files.size()];
+    return apply(node, id, name, fmt::format("{}\n; {}\n", text, id));
+}
+
+void RacingOperators::Private::work(std::size_t number)
+{
+    std::mt19937_64 random(options.seed * options.operators + number);
+    for (std::size_t turn = 1; !stopping; ++turn) {
+        // All operators wait for the same moment, so their applies race.
+        const auto passed = (Clock::now() - begin) / options.interval;
+        std::this_thread::sleep_until(begin + (passed + 1) * options.interval);
+        if (stopping) {
+            break;
+        }
+        auto record = applyOne(number, turn, random);
+        const std::lock_guard lock(mutex);
+        records.push_back(std::move(record));
+    }
+}
+
+}
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -47,7 +47,7 @@
 public:
     Private(asio::io_context &ioContext, Options given)
         : context(ioContext)
-        , options(given)
+        , options(std::move(given))
     {
     }
 
@@ -62,7 +62,7 @@
 };
 
 HttpClient::HttpClient(asio::io_context &context, Options options)
-    : d(std::make_unique<Private>(context, options))
+    : d(std::make_unique<Private>(context, std::move(options)))
 {
 }
 
@@ -114,6 +114,9 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::exchange(Endpoint endpoint, HttpRequest request, TimePoint deadline)
 {
+    if (d->options.reachable && !d->options.reachable(endpoint)) {
+        co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": the link is cut for a test");
+    }
     auto connection = d->takeIdle(endpoint);
     if (!connection) {
         auto connected = co_await d->connect(endpoint, deadline);
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -6,6 +6,7 @@
 #include "common/error.h"
 #include "common/identifiers.h"
 
+#include <functional>
 #include <memory>
 
 namespace Galenahill {
@@ -23,6 +24,9 @@
         // server may be about to close them.
         Milliseconds maxIdleAge{20000};
         std::uint64_t maxBodyBytes = 64 * 1024 * 1024;
+        // Whether connections to the endpoint can be made; for playing cut
+        // links. Null: always.
+        std::function<bool(const Endpoint &)> reachable;
     };
 
     HttpClient(asio::io_context &context, Options options);
--- a/src/core/nodesettings.cpp
+++ b/src/core/nodesettings.cpp
@@ -97,6 +97,15 @@
     return {};
 }
 
+std::string readLinkFaults(NodeSettings &settings, const std::string &value)
+{
+    if (value != "yes" && value != "no") {
+        return "give yes or no";
+    }
+    settings.linkFaults = value == "yes";
+    return {};
+}
+
 std::string readSeeds(NodeSettings &settings, const std::string &value)
 {
     std::vector<std::string> items;
@@ -142,6 +151,7 @@
                 {"timeout-ms", {false, duration([](S &s) -> Milliseconds & { return s.storeTimeout; }, 60000)}},
             }},
         {"fleet", {{"seeds", {false, readSeeds}}}},
+        {"testing", {{"link-faults", {false, readLinkFaults}}}},
     };
     return keys;
 }
--- a/src/core/nodesettings.h
+++ b/src/core/nodesettings.h
@@ -32,6 +32,10 @@
     // Nodes to join through when the store is out or has no contacts.
     std::vector<Endpoint> seeds;
 
+    // Lets a harness play cut and lossy links; never set it where callers are
+    // served.
+    bool linkFaults = false;
+
     // Reads an INI text. Invalid with one line per fault, each naming
     // section, key and remedy.
     static Result<NodeSettings> parse(const std::string &fileName, const std::string &text);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,6 +10,7 @@
 #include "daemon/controlmessages.h"
 #include "daemon/controlservice.h"
 #include "daemon/ingress.h"
+#include "daemon/linkfilter.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
 #include "daemon/storekeeper.h"
@@ -74,13 +75,16 @@
               .inForce = [this] { return state->revisions.current(); },
               .highestKnown = [this] { return Revision(state->highestKnown); },
               .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
-        , controlClient(controlContext, {})
+        , links(settings.linkFaults ? std::make_unique<LinkFilter>(self.incarnation) : nullptr)
+        , controlClient(controlContext, clientOptions())
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
               {.endpoint = self.control(),
                   .received =
                       [this](const Endpoint &from, std::string bytes) {
-                          tell(DatagramReceived{from, std::move(bytes)});
+                          if (!links || links->passes(from.address)) {
+                              tell(DatagramReceived{from, std::move(bytes)});
+                          }
                       }})
         , controlService({.context = controlContext,
               .state = state,
@@ -89,8 +93,8 @@
               .counters = [this] { return counters(); },
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
-              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
-        , dataClient(dataContext, {})
+              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
+        , dataClient(dataContext, clientOptions())
         , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
         , sidecar({.context = dataContext,
               .client = dataClient,
@@ -117,6 +121,7 @@
     asio::io_context dataContext{1};
     HttpObjectStore store;
     ConfigRepository repository;
+    std::unique_ptr<LinkFilter> links;
     HttpClient controlClient;
     RevisionExchange exchange;
     DatagramSocket datagrams;
@@ -135,6 +140,8 @@
     std::thread dataThread;
 
     MemberRecord selfRecord() const;
+    HttpClient::Options clientOptions() const;
+    asio::awaitable<HttpResponse> handleControl(HttpRequest request);
     std::string counters() const;
     Result<void> listen();
     void startActors();
@@ -175,6 +182,24 @@
     return record;
 }
 
+HttpClient::Options Node::Private::clientOptions() const
+{
+    HttpClient::Options options;
+    if (links) {
+        options.reachable = [this](const Endpoint &endpoint) { return links->connects(endpoint.address); };
+    }
+    return options;
+}
+
+asio::awaitable<HttpResponse> Node::Private::handleControl(HttpRequest request)
+{
+    if (links && request.target() == "/testing/links") {
+        const auto set = links->set(request.body());
+        co_return set ? makeResponse(http::status::ok, "text/plain", "") : makeErrorResponse(http::status::bad_request, "invalid", set.error().message);
+    }
+    co_return co_await controlService.handle(std::move(request));
+}
+
 std::string Node::Private::counters() const
 {
     const nlohmann::json json
@@ -199,7 +224,11 @@
     options.seed = self.incarnation ^ std::hash<NodeName>{}(self.name);
     options.state = state;
     options.log = log;
-    options.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
+    options.send = [this](const Endpoint &to, const GossipMessage &message) {
+        if (!links || links->passes(to.address)) {
+            datagrams.send(to, encode(message));
+        }
+    };
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
             ingress.setView(view);
@@ -225,6 +254,9 @@
 
 bool Node::Private::joinThrough(const Endpoint &contact)
 {
+    if (links && !links->connects(contact.address)) {
+        return false;
+    }
     HttpRequest request(http::verb::get, "/members", 11);
     request.set(http::field::host, toString(contact));
     const auto answer = blockingExchange(contact, std::move(request), JoinTimeout, &state->stopping);
--- a/standins/platformmodel.cpp
+++ b/standins/platformmodel.cpp
@@ -2,6 +2,12 @@
 
 namespace Galenahill {
 
+namespace {
+
+constexpr const char *HeadKey = "config/head";
+
+}
+
 std::optional<PlatformModel::Object> PlatformModel::read(const std::string &key) const
 {
     const auto found = m_objects.find(key);
@@ -15,6 +21,9 @@
     if (present != expected) {
         return std::nullopt;
     }
+    if (key == HeadKey) {
+        m_headHistory.push_back(value);
+    }
     m_objects[key] = {std::move(value), ++m_lastVersion};
     return m_lastVersion;
 }
@@ -38,6 +47,11 @@
     return keys;
 }
 
+std::vector<std::string> PlatformModel::history(const std::string &key) const
+{
+    return key == HeadKey ? m_headHistory : std::vector<std::string>();
+}
+
 void PlatformModel::backUp()
 {
     m_backup = m_objects;
--- a/standins/platformmodel.h
+++ b/standins/platformmodel.h
@@ -27,6 +27,10 @@
     bool remove(const std::string &key, std::uint64_t expected);
     std::vector<std::string> list(const std::string &prefix) const;
 
+    // Every value that was written to the key, in order, if it is one whose
+    // history is kept.
+    std::vector<std::string> history(const std::string &key) const;
+
     // Keeps a copy of all objects, and puts the copy back as an operator's
     // restore would: contents are older, versions go on growing.
     void backUp();
@@ -36,6 +40,8 @@
     std::map<std::string, Object> m_objects;
     std::map<std::string, Object> m_backup;
     std::uint64_t m_lastVersion = 0;
+    // Of the one object whose every value matters; blobs never change.
+    std::vector<std::string> m_headHistory;
 };
 
 }
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -6,6 +6,7 @@
 //   GET    /watch/KEY?known=V&timeout_ms=T   waits for another version
 // and, for experiments:
 //   GET    /admin/counters         calls by kind
+//   GET    /admin/head-history     every value that config/head had, as a JSON array
 //   POST   /admin/fault            {"mode": "none|down|slow|lose-answers|stall-watches", "delay_ms": N}
 //   POST   /admin/backup, /admin/restore
 
@@ -170,6 +171,9 @@
     if (target == "/admin/counters") {
         return makeResponse(http::status::ok, "application/json", nlohmann::json(m_calls).dump());
     }
+    if (target == "/admin/head-history") {
+        return makeResponse(http::status::ok, "application/json", nlohmann::json(m_model.history("config/head")).dump());
+    }
     if (target == "/admin/backup") {
         m_model.backUp();
     } else if (target == "/admin/restore") {
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -6,6 +6,8 @@
 //   GET  /load     slots taken, as JSON
 //   GET  /ledger   ids of the calls that ran, one line each, in order
 //   POST /admin    {"drain": B, "service_us": N, "freeze": B, "misreport": B}
+// With --log-runs each entry also goes to standard error as "ran ID MICROSECONDS"
+// by the steady clock, so that the ledger outlives the process.
 // A call beyond the slots is refused with 503; it counts as an overrun.
 
 #include "adapters/http/httpserver.h"
@@ -27,6 +29,7 @@
     std::uint32_t slots = 6;
     std::chrono::microseconds serviceTime{2000};
     Milliseconds coldStart{0};
+    bool logRuns = false;
 };
 
 class Target
@@ -117,6 +120,9 @@
     }
     const std::string id(request["Request-Id"]);
     m_ledger += id + "\n";
+    if (m_options.logRuns) {
+        fmt::print(stderr, "ran {} {}\n", id, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
+    }
     ++m_running;
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
@@ -159,12 +165,14 @@
     int slots = 6;
     int serviceMicroseconds = 2000;
     int coldStart = 0;
+    int logRuns = 0;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP number to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
         {"slots", 's', POPT_ARG_INT, &slots, 0, "Calls run at a time", "N"},
         {"service-us", 't', POPT_ARG_INT, &serviceMicroseconds, 0, "Time that a call takes", "MICROSECONDS"},
         {"cold-start-ms", 'c', POPT_ARG_INT, &coldStart, 0, "Time from the start to ready", "MILLISECONDS"},
+        {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each execution to standard error", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("targetstandin", argc, argv, table, 0);
@@ -178,5 +186,6 @@
     options.slots = static_cast<std::uint32_t>(slots);
     options.serviceTime = std::chrono::microseconds(serviceMicroseconds);
     options.coldStart = Galenahill::Milliseconds(coldStart);
+    options.logRuns = logRuns != 0;
     return Galenahill::run(options);
 }
