--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -32,5 +32,6 @@
 // Memory, time and bytes of a node's parts against fleet and configuration
 // size, in this process; docs/CAPACITY.md is worked out from them.
 bool runSlopes(const ExperimentOptions &options);
+bool runFaults(const ExperimentOptions &options);
 
 }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -59,6 +59,7 @@
         {"calls", runCalls},
         {"demo", runDemo},
         {"distribution", runDistribution},
+        {"faults", runFaults},
         {"slopes", runSlopes},
     };
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
--- a/src/core/nodesettings.h
+++ b/src/core/nodesettings.h
@@ -49,6 +49,9 @@
     // Share of datagrams that the node drops before sending, in percent. For
     // experiments with a lossy network only.
     std::uint32_t dropPercent = 0;
+    // Lets a harness play cut and lossy links; never set it where callers are
+    // served.
+    bool linkFaults = false;
 
     // Reads an INI text. Invalid with one line per fault, each naming
     // section, key and remedy.
