calls: Bound, share and retry by what targets really do

Cause: one frozen, slow or misreporting target of four failed 3 to 7% of idempotent calls, a cold one 11%, and a sidecar put all slots on its target at once after a restart.

Sidecar: the bound is min(slots, limit), the limit starts at one, ramps with each answer and follows latency, refusals and stalls; the slot of a call given up stays taken until the target can have cancelled it; a short deadline-aware queue shared between routes; refusals at once, from the moment draining starts also for calls that wait. Ingress: power of two choices by the load on each answer, own data centre while it has room, ejection that never takes out most of a service, attempts that leave time for another, retries within the budget and only where there is room, one repeating layer in a tree of calls (Galenahill-Retried-Above), and a cap on calls held per route.

Ruled out: a lower limit after every timeout. A route whose timeout is shorter than its calls would lower it for all others (test); only a target that answered nobody since the call began is taken for stalled.

--- /dev/null
+++ b/autotests/unit/targetpickertest.cpp
@@ -0,0 +1,116 @@
+#include "core/targetpicker.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace Galenahill;
+
+namespace {
+
+// Four targets, the first of them in the own data centre.
+struct Fixture
+{
+    Fixture()
+    {
+        for (int i = 0; i < 4; ++i) {
+            MemberRecord record;
+            record.name = NodeName("n" + std::to_string(i));
+            record.dataCentre = DataCentre(i == 0 ? "rosario-a" : "cordoba-a");
+            targets.push_back(record);
+        }
+    }
+
+    std::map<std::string, int> pickMany(int count = 300)
+    {
+        std::map<std::string, int> picked;
+        for (int i = 0; i < count; ++i) {
+            const auto *target = picker.pick(targets, {}, now);
+            BOOST_REQUIRE(target != nullptr);
+            ++picked[target->name.value()];
+        }
+        return picked;
+    }
+
+    void fail(std::size_t target, int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            picker.failed(targets[target].name, now);
+        }
+    }
+
+    TargetPicker picker{{.dataCentre = DataCentre("rosario-a")}};
+    std::vector<MemberRecord> targets;
+    TimePoint now{Milliseconds(1000000)};
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(picking, Fixture)
+
+BOOST_AUTO_TEST_CASE(staysInTheOwnDataCentreUntilItIsFull)
+{
+    BOOST_TEST(pickMany().size() == 1U);
+    picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
+    BOOST_TEST(pickMany().count("n0") == 0U);
+    now += Milliseconds(600);
+    BOOST_TEST(pickMany().count("n0") == 1U);
+}
+
+// All targets say that they are full. A first attempt still goes to the least
+// loaded, whose report may be old; a retry would only be refused again.
+BOOST_AUTO_TEST_CASE(fullServiceGetsNoRetries)
+{
+    for (const auto &target : targets) {
+        picker.reported(target.name, {.calls = 6, .limit = 6}, now);
+    }
+    BOOST_TEST(picker.pick(targets, {}, now) != nullptr);
+    BOOST_TEST(picker.pick(targets, {targets[0].name}, now, true) == nullptr);
+}
+
+// Target 0 is frozen: attempts time out. It is passed over, longer each time;
+// one success brings it back wholly.
+BOOST_AUTO_TEST_CASE(failingTargetIsPassedOver)
+{
+    fail(0, 2);
+    BOOST_TEST(pickMany().count("n0") == 1U);
+    fail(0, 1);
+    BOOST_TEST(pickMany().count("n0") == 0U);
+    now += Milliseconds(501);
+    BOOST_TEST(pickMany().count("n0") == 1U);
+    fail(0, 1);
+    now += Milliseconds(501);
+    BOOST_TEST(pickMany().count("n0") == 0U);
+    now += Milliseconds(501);
+    picker.succeeded(targets[0].name);
+    fail(0, 2);
+    BOOST_TEST(pickMany().count("n0") == 1U);
+}
+
+// A fault that all share (a network, one poisonous call) makes three of four
+// targets fail. With all three passed over, the last one would get four times
+// its load and fail as well, so none is.
+BOOST_AUTO_TEST_CASE(neverEjectsMostOfAService)
+{
+    fail(1, 3);
+    fail(2, 3);
+    picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
+    BOOST_TEST(pickMany().size() == 1U);
+    fail(3, 3);
+    picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
+    BOOST_TEST(pickMany().size() == 3U);
+}
+
+// A leaving target says so with a limit of zero; it is used only if there is
+// nothing else, though it runs less than the others, which are all full.
+BOOST_AUTO_TEST_CASE(leavingTargetIsLastResort)
+{
+    for (const auto &target : targets) {
+        picker.reported(target.name, {.calls = 9, .limit = 6}, now);
+    }
+    picker.reported(targets[0].name, {.calls = 0, .limit = 0}, now);
+    BOOST_TEST(pickMany().count("n0") == 0U);
+    BOOST_TEST(picker.pick({targets[0]}, {}, now) != nullptr);
+    BOOST_TEST(picker.pick({targets[0]}, {targets[0].name}, now) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/callheaders.h
+++ b/src/core/callheaders.h
@@ -21,4 +21,16 @@
 // Name of the service that the ingress means; a sidecar of another refuses.
 inline constexpr const char *Service = "Galenahill-Service";
 
+// Name of the route, for the sidecar's fair shares.
+inline constexpr const char *Route = "Galenahill-Route";
+
+// On a sidecar's answers: calls that it runs and holds, a slash, and how many
+// its target may run now; zero if it takes none.
+inline constexpr const char *Load = "Galenahill-Load";
+
+// Present if a node nearer to the first caller repeats the call when it
+// fails. A target copies it, and the timeout, onto the calls that it makes for
+// this one; else each layer of a deep tree would multiply the load.
+inline constexpr const char *RetriedAbove = "Galenahill-Retried-Above";
+
 }
--- /dev/null
+++ b/src/core/callqueue.cpp
@@ -0,0 +1,88 @@
+#include "core/callqueue.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+CallQueue::CallQueue(Options options)
+    : m_options(options)
+{
+}
+
+std::optional<QueueTicket> CallQueue::push(QueueTicket ticket, const RouteName &route, std::size_t capacity)
+{
+    m_waiting.push_back({ticket, route});
+    if (m_waiting.size() <= capacity) {
+        return std::nullopt;
+    }
+    // The newest call of the route with the most waiting goes, so that those
+    // who have waited longest keep their place.
+    auto loser = std::prev(m_waiting.end());
+    if (m_options.fairShares) {
+        for (auto candidate = m_waiting.begin(); candidate != m_waiting.end(); ++candidate) {
+            if (waiting(candidate->route) > waiting(loser->route)) {
+                loser = candidate;
+            }
+        }
+        const auto crowded = loser->route;
+        loser = std::prev(std::find_if(m_waiting.rbegin(), m_waiting.rend(), [&](const auto &item) { return item.route == crowded; }).base());
+    }
+    const auto refused = loser->ticket;
+    m_waiting.erase(loser);
+    return refused;
+}
+
+std::optional<QueueTicket> CallQueue::pop()
+{
+    if (m_waiting.empty()) {
+        return std::nullopt;
+    }
+    auto next = m_waiting.begin();
+    if (m_options.fairShares) {
+        next = std::min_element(m_waiting.begin(), m_waiting.end(), [this](const auto &a, const auto &b) { return running(a.route) < running(b.route); });
+    }
+    if (m_options.newestFirst) {
+        const auto route = next->route;
+        const bool anyRoute = !m_options.fairShares;
+        next = std::prev(std::find_if(m_waiting.rbegin(), m_waiting.rend(), [&](const auto &item) { return anyRoute || item.route == route; }).base());
+    }
+    const auto ticket = next->ticket;
+    m_waiting.erase(next);
+    return ticket;
+}
+
+void CallQueue::remove(QueueTicket ticket)
+{
+    m_waiting.remove_if([&](const auto &item) { return item.ticket == ticket; });
+}
+
+std::size_t CallQueue::size() const
+{
+    return m_waiting.size();
+}
+
+void CallQueue::started(const RouteName &route)
+{
+    ++m_running[route];
+}
+
+void CallQueue::ended(const RouteName &route)
+{
+    const auto found = m_running.find(route);
+    if (found != m_running.end() && --found->second == 0) {
+        m_running.erase(found);
+    }
+}
+
+std::size_t CallQueue::waiting(const RouteName &route) const
+{
+    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto &item) { return item.route == route; }));
+}
+
+std::uint32_t CallQueue::running(const RouteName &route) const
+{
+    const auto found = m_running.find(route);
+    return found == m_running.end() ? 0 : found->second;
+}
+
+}
--- /dev/null
+++ b/src/core/callqueue.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "common/identifiers.h"
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+namespace Galenahill {
+
+// Names a waiting call.
+using QueueTicket = StrongType<std::uint64_t, struct QueueTicketTag>;
+
+// Calls that wait for a slot of the target, shared fairly between routes: the
+// next call is of the route that runs the fewest, and when the queue is full
+// the route with the most waiting gives way. So a route that floods the target
+// fills only what the others leave.
+class CallQueue
+{
+public:
+    struct Options
+    {
+        bool newestFirst = false;
+        bool fairShares = true;
+    };
+
+    explicit CallQueue(Options options);
+
+    // Adds a call and gives the one that must be refused for it, which may be
+    // the call itself; nothing if there was room.
+    std::optional<QueueTicket> push(QueueTicket ticket, const RouteName &route, std::size_t capacity);
+
+    // Takes the next call out, or nothing if none waits.
+    std::optional<QueueTicket> pop();
+
+    void remove(QueueTicket ticket);
+    std::size_t size() const;
+
+    // A call of the route took a slot or left it.
+    void started(const RouteName &route);
+    void ended(const RouteName &route);
+
+private:
+    struct Waiting
+    {
+        QueueTicket ticket;
+        RouteName route;
+    };
+
+    std::size_t waiting(const RouteName &route) const;
+    std::uint32_t running(const RouteName &route) const;
+
+    Options m_options;
+    // In order of arrival.
+    std::list<Waiting> m_waiting;
+    std::unordered_map<RouteName, std::uint32_t> m_running;
+};
+
+}
--- /dev/null
+++ b/src/core/routelimiter.cpp
@@ -0,0 +1,30 @@
+#include "core/routelimiter.h"
+
+namespace Galenahill {
+
+RouteLimiter::RouteLimiter(Options options)
+    : m_options(options)
+{
+}
+
+bool RouteLimiter::tryEnter(const RouteName &route)
+{
+    auto &calls = m_routes[route];
+    if (m_all >= m_options.all || calls >= m_options.perRoute) {
+        return false;
+    }
+    ++m_all;
+    ++calls;
+    return true;
+}
+
+void RouteLimiter::leave(const RouteName &route)
+{
+    --m_all;
+    const auto found = m_routes.find(route);
+    if (--found->second == 0) {
+        m_routes.erase(found);
+    }
+}
+
+}
--- a/src/core/targetpicker.cpp
+++ b/src/core/targetpicker.cpp
@@ -10,52 +10,133 @@
 {
 }
 
-const MemberRecord *TargetPicker::pick(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+bool TargetPicker::fresh(const State &state, TimePoint now) const
 {
-    std::vector<const MemberRecord *> near;
-    std::vector<const MemberRecord *> far;
+    return state.reportedAt != TimePoint() && now - state.reportedAt < m_options.loadAge;
+}
+
+// A target that reported nothing lately is taken to have room: otherwise one
+// bad report would keep every call, and so every better report, away from it.
+bool TargetPicker::hasRoom(const State &state, TimePoint now) const
+{
+    return !fresh(state, now) || state.load.calls + state.begunSince < state.load.limit;
+}
+
+double TargetPicker::score(const State &state, TimePoint now) const
+{
+    if (!fresh(state, now)) {
+        return state.inFlight;
+    }
+    const auto calls = std::max(state.load.calls + state.begunSince, state.inFlight);
+    return static_cast<double>(calls) / std::max<std::uint32_t>(state.load.limit, 1);
+}
+
+std::vector<const MemberRecord *> TargetPicker::usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+{
+    std::vector<const MemberRecord *> good;
     std::vector<const MemberRecord *> resting;
+    std::vector<const MemberRecord *> ejected;
+    std::size_t ejectedInAll = 0;
     for (const auto &target : targets) {
+        const auto &state = m_states[target.name];
+        const bool isEjected = state.ejectedUntil > now;
+        ejectedInAll += isEjected ? 1 : 0;
         if (std::find(tried.begin(), tried.end(), target.name) != tried.end()) {
             continue;
         }
-        const auto load = m_loads.find(target.name);
-        if (load != m_loads.end() && load->second.restsUntil > now) {
-            resting.push_back(&target);
-        } else if (target.dataCentre == m_options.dataCentre) {
-            near.push_back(&target);
-        } else {
-            far.push_back(&target);
-        }
+        const bool rests = state.restsUntil > now || (fresh(state, now) && state.load.limit == 0);
+        (rests ? resting : isEjected ? ejected : good).push_back(&target);
     }
-    // A resting target is better than none: were all passed over, a fault
+    // When more than half fail, the fault is more likely shared (the network,
+    // this node, a bad call) than theirs; the few left would be overrun.
+    if (ejectedInAll * 2 > targets.size()) {
+        good.insert(good.end(), ejected.begin(), ejected.end());
+    }
+    // A passed-over target is better than none: were all passed over, a fault
     // that touches every target for a moment would become an outage.
-    const auto &candidates = !near.empty() ? near : !far.empty() ? far : resting;
+    return !good.empty() ? good : !ejected.empty() ? ejected : resting;
+}
+
+const MemberRecord *TargetPicker::lessLoaded(const std::vector<const MemberRecord *> &candidates, TimePoint now)
+{
+    std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
+    const auto first = index(m_random);
+    auto second = index(m_random);
+    if (second == first) {
+        second = (first + 1) % candidates.size();
+    }
+    const bool firstLess = score(m_states[candidates[first]->name], now) <= score(m_states[candidates[second]->name], now);
+    return candidates[firstLess ? first : second];
+}
+
+const MemberRecord *TargetPicker::pick(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now, bool onlyWithRoom)
+{
+    const auto candidates = usable(targets, tried, now);
     if (candidates.empty()) {
         return nullptr;
     }
-    std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
-    const auto *first = candidates[index(m_random)];
-    const auto *second = candidates[index(m_random)];
-    return m_loads[first->name].inFlight <= m_loads[second->name].inFlight ? first : second;
+    if (!m_options.policy.leastLoaded) {
+        return candidates[m_turn++ % candidates.size()];
+    }
+    std::vector<const MemberRecord *> near;
+    std::vector<const MemberRecord *> far;
+    for (const auto *target : candidates) {
+        if (hasRoom(m_states[target->name], now)) {
+            (target->dataCentre == m_options.dataCentre ? near : far).push_back(target);
+        }
+    }
+    if (!near.empty() || !far.empty()) {
+        return lessLoaded(!near.empty() ? near : far, now);
+    }
+    return onlyWithRoom ? nullptr : lessLoaded(candidates, now);
 }
 
 void TargetPicker::begin(const NodeName &target)
 {
-    ++m_loads[target].inFlight;
+    auto &state = m_states[target];
+    ++state.inFlight;
+    ++state.begunSince;
 }
 
 void TargetPicker::end(const NodeName &target)
 {
-    auto &load = m_loads[target];
-    if (load.inFlight > 0) {
-        --load.inFlight;
+    auto &state = m_states[target];
+    if (state.inFlight > 0) {
+        --state.inFlight;
+    }
+}
+
+void TargetPicker::reported(const NodeName &target, TargetLoad load, TimePoint now)
+{
+    auto &state = m_states[target];
+    state.load = load;
+    state.begunSince = 0;
+    state.reportedAt = now;
+}
+
+void TargetPicker::succeeded(const NodeName &target)
+{
+    auto &state = m_states[target];
+    state.failures = 0;
+    state.ejections = 0;
+}
+
+void TargetPicker::failed(const NodeName &target, TimePoint now)
+{
+    auto &state = m_states[target];
+    if (!m_options.policy.ejection || state.ejectedUntil > now || ++state.failures < m_options.failuresToEject) {
+        return;
     }
+    // After the time is over a single failure ejects again, for twice as long.
+    const auto time = m_options.ejectTime * (1 << std::min<std::uint32_t>(state.ejections, 8));
+    state.ejectedUntil = now + std::min<Milliseconds>(time, m_options.maxEjectTime);
+    state.failures = m_options.failuresToEject - 1;
+    ++state.ejections;
 }
 
 void TargetPicker::rest(const NodeName &target, TimePoint now)
 {
-    m_loads[target].restsUntil = now + m_options.restTime;
+    m_states[target].restsUntil = now + m_options.restTime;
 }
 
 }
--- a/src/core/targetpicker.h
+++ b/src/core/targetpicker.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "core/callpolicy.h"
 #include "core/memberrecord.h"
+#include "core/targetload.h"
 
 #include <cstdint>
 #include <random>
@@ -10,7 +12,8 @@
 namespace Galenahill {
 
 // Chooses the target of a call: the less loaded of two random ones, in the
-// own data centre while it has some that take calls.
+// own data centre while it has room, and never one that fails in a row while
+// half of the service is better.
 class TargetPicker
 {
 public:
@@ -18,33 +21,62 @@
     {
         DataCentre dataCentre;
         std::uint64_t seed = 1;
-        // Time that a target which refused or failed is passed over.
+        CallPolicy policy;
+        // Time that a target which takes no calls is passed over.
         Milliseconds restTime{200};
+        // Age at which a reported load is no longer believed.
+        Milliseconds loadAge{500};
+        // Failures in a row before a target is ejected, and for how long the
+        // first time and at the most.
+        std::uint32_t failuresToEject = 3;
+        Milliseconds ejectTime{500};
+        Milliseconds maxEjectTime{4000};
     };
 
     explicit TargetPicker(Options options);
 
     // The chosen target, or null if none is left. Tried ones aren't chosen
-    // again.
-    const MemberRecord *pick(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+    // again. With `onlyWithRoom`, targets that reported to be full aren't
+    // chosen either.
+    const MemberRecord *pick(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now, bool onlyWithRoom = false);
 
     // A call to the target began or ended.
     void begin(const NodeName &target);
     void end(const NodeName &target);
 
-    // The target refused or failed and rests for a while.
+    // The target's sidecar reported its load.
+    void reported(const NodeName &target, TargetLoad load, TimePoint now);
+
+    // A call to the target was answered; it failed or wasn't answered; or the
+    // target can't be reached.
+    void succeeded(const NodeName &target);
+    void failed(const NodeName &target, TimePoint now);
     void rest(const NodeName &target, TimePoint now);
 
 private:
-    struct Load
+    struct State
     {
         std::uint32_t inFlight = 0;
+        TargetLoad load;
+        // Own calls begun since the report.
+        std::uint32_t begunSince = 0;
+        TimePoint reportedAt;
         TimePoint restsUntil;
+        TimePoint ejectedUntil;
+        std::uint32_t failures = 0;
+        std::uint32_t ejections = 0;
     };
 
+    bool fresh(const State &state, TimePoint now) const;
+    bool hasRoom(const State &state, TimePoint now) const;
+    double score(const State &state, TimePoint now) const;
+    std::vector<const MemberRecord *> usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+    const MemberRecord *lessLoaded(const std::vector<const MemberRecord *> &candidates, TimePoint now);
+
     Options m_options;
     std::mt19937_64 m_random;
-    std::unordered_map<NodeName, Load> m_loads;
+    std::size_t m_turn = 0;
+    std::unordered_map<NodeName, State> m_states;
 };
 
 }
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
+#include <fmt/format.h>
+#include <string_view>
 #include <vector>
 
 namespace Galenahill {
@@ -13,6 +15,17 @@
 constexpr const char *RetryAfterSeconds = "1";
 constexpr const char *InternalPrefix = "Galenahill-";
 
+// The number that the text spells, if it spells nothing else.
+template <typename Number>
+std::optional<Number> wholeNumber(std::string_view text)
+{
+    Number value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    const bool whole = !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+    return whole ? std::optional(value) : std::nullopt;
+}
+
 }
 
 void stripFields(http::fields &fields)
@@ -56,11 +69,25 @@
 std::optional<std::int64_t> timeoutHeader(const HttpRequest &request)
 {
     const auto text = request[CallHeaders::TimeoutMs];
-    std::int64_t value = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    const bool whole = !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
-    return whole ? std::optional(value) : std::nullopt;
+    return wholeNumber<std::int64_t>({text.data(), text.size()});
+}
+
+std::optional<TargetLoad> loadHeader(const HttpResponse &response)
+{
+    const auto field = response[CallHeaders::Load];
+    const std::string_view text(field.data(), field.size());
+    const auto slash = text.find('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto calls = wholeNumber<std::uint32_t>(text.substr(0, slash));
+    const auto limit = wholeNumber<std::uint32_t>(text.substr(slash + 1));
+    return calls && limit ? std::optional(TargetLoad{*calls, *limit}) : std::nullopt;
+}
+
+std::string formatLoad(TargetLoad load)
+{
+    return fmt::format("{}/{}", load.calls, load.limit);
 }
 
 bool saysNotRun(const HttpResponse &response)
--- a/src/daemon/callmessages.h
+++ b/src/daemon/callmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/httpmessage.h"
+#include "core/targetload.h"
 
 #include <optional>
 #include <string>
@@ -22,6 +23,10 @@
 // isn't a number.
 std::optional<std::int64_t> timeoutHeader(const HttpRequest &request);
 
+// The load in a sidecar's answer; nothing if it isn't there or malformed.
+std::optional<TargetLoad> loadHeader(const HttpResponse &response);
+std::string formatLoad(TargetLoad load);
+
 // Whether the answer says that the call didn't run, or may have run.
 bool saysNotRun(const HttpResponse &response);
 bool saysOutcomeUnknown(const HttpResponse &response);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -1,8 +1,12 @@
 #include "daemon/ingress.h"
 
+#include "core/attempttimer.h"
 #include "core/callheaders.h"
+#include "core/configlimits.h"
+#include "core/routelimiter.h"
 #include "daemon/callmessages.h"
 
+#include <atomic>
 #include <fmt/format.h>
 
 namespace Galenahill {
@@ -23,12 +27,17 @@
     std::vector<NodeName> tried;
     // Attempts that may have run.
     std::uint32_t uncertain = 0;
+    // A node nearer to the first caller repeats the call if it fails.
+    bool retriedAbove = false;
 };
 
 // How one attempt ended.
 enum class AttemptEnd {
     Answered,
     NotRun,
+    // The target answered that it has no room. Unlike a sidecar's refusal,
+    // that doesn't prove that the call didn't run.
+    Shed,
     OutcomeUnknown,
 };
 
@@ -51,7 +60,7 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , picker({.dataCentre = options.dataCentre, .seed = options.seed})
+        , picker({.dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy})
         , retries({})
     {
     }
@@ -59,12 +68,20 @@
     Options options;
     TargetPicker picker;
     RetryBudget retries;
+    AttemptTimer attempts;
+    RouteLimiter routes{{}};
+    std::atomic<std::uint64_t> retriesMade = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
     asio::awaitable<HttpResponse> route(Call &call);
     asio::awaitable<Attempt> attempt(Call &call, MemberRecord target);
+    HttpRequest sidecarRequest(const Call &call, TimePoint deadline) const;
+    TimePoint attemptDeadline(const Call &call) const;
+    void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
+    bool mayRepeat(const Call &call) const;
     bool mayRetry(Call &call, AttemptEnd end);
+    HttpResponse finalAnswer(const Call &call, Attempt last, bool uncertain) const;
 };
 
 Ingress::Ingress(Options options)
@@ -98,12 +115,32 @@
     if (const auto wanted = timeoutHeader(request)) {
         timeout = std::min(timeout, Milliseconds(std::max<std::int64_t>(*wanted, 0)));
     }
-    call.deadline = Clock::now() + timeout;
+    call.deadline = Clock::now() + std::min(timeout, ConfigLimits::MaxTimeout);
+    call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     call.id = CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++));
     stripFields(request);
     request.keep_alive(true);
     call.request = std::move(request);
-    co_return co_await d->route(call);
+    if (!d->routes.tryEnter(call.route->name)) {
+        co_return notRunResponse(
+            http::status::service_unavailable, "refused", fmt::format("this node holds as many calls of route {} as it may", call.route->name.value()));
+    }
+    auto response = co_await d->route(call);
+    d->routes.leave(call.route->name);
+    co_return response;
+}
+
+std::uint64_t Ingress::retries() const
+{
+    return d->retriesMade;
+}
+
+// Only one node in a tree of calls repeats what may have run: with seven
+// layers that each try three times, one failure would become two thousand
+// calls. What certainly didn't run is retried by the layer that was refused.
+bool Ingress::Private::mayRepeat(const Call &call) const
+{
+    return call.route->idempotent && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
 }
 
 bool Ingress::Private::mayRetry(Call &call, AttemptEnd end)
@@ -111,63 +148,127 @@
     if (call.tried.size() >= MaxAttempts || Clock::now() >= call.deadline) {
         return false;
     }
-    if (end == AttemptEnd::OutcomeUnknown) {
+    if (end != AttemptEnd::NotRun) {
         // Only here could a call run twice: what may have run is repeated
         // only if the route says that repeating does no harm.
-        ++call.uncertain;
-        if (!call.route->idempotent || call.uncertain > call.route->retries) {
+        if (!mayRepeat(call)) {
             return false;
         }
+        ++call.uncertain;
+    }
+    return !options.policy.retryBudget || retries.tryTake();
+}
+
+HttpResponse Ingress::Private::finalAnswer(const Call &call, Attempt last, bool uncertain) const
+{
+    if (last.end == AttemptEnd::Answered || last.end == AttemptEnd::Shed) {
+        stripFields(last.response);
+        return std::move(last.response);
     }
-    return retries.tryTake();
+    if (uncertain) {
+        return outcomeUnknownResponse(fmt::format("call {} may have run; find out before repeating it", call.id.value()));
+    }
+    return notRunResponse(http::status::service_unavailable,
+        "refused",
+        fmt::format("call {} was not run: no target of {} takes it now", call.id.value(), call.route->service.value()));
 }
 
 asio::awaitable<HttpResponse> Ingress::Private::route(Call &call)
 {
     retries.callMade();
     const auto &targets = call.view->targetsOf(call.route->service);
-    AttemptEnd last = AttemptEnd::NotRun;
-    while (const auto *target = picker.pick(targets, call.tried, Clock::now())) {
+    bool uncertain = false;
+    Attempt last;
+    const auto *target = picker.pick(targets, call.tried, Clock::now());
+    while (target != nullptr) {
         call.tried.push_back(target->name);
-        Attempt result = co_await attempt(call, *target);
-        if (result.end == AttemptEnd::Answered) {
-            stripFields(result.response);
-            co_return std::move(result.response);
+        last = co_await attempt(call, *target);
+        if (last.end == AttemptEnd::Answered) {
+            break;
         }
-        last = std::max(last, result.end);
-        picker.rest(call.tried.back(), Clock::now());
-        if (!mayRetry(call, result.end)) {
+        uncertain = uncertain || last.end != AttemptEnd::NotRun;
+        // A retry goes only where there is room: under overload it would be
+        // refused again and delay the caller's refusal.
+        target = picker.pick(targets, call.tried, Clock::now(), options.policy.retryBudget);
+        if (target == nullptr || !mayRetry(call, last.end)) {
             break;
         }
+        ++retriesMade;
     }
-    if (last == AttemptEnd::OutcomeUnknown) {
-        co_return outcomeUnknownResponse(fmt::format("call {} may have run; find out before repeating it", call.id.value()));
+    co_return finalAnswer(call, std::move(last), uncertain);
+}
+
+TimePoint Ingress::Private::attemptDeadline(const Call &call) const
+{
+    const bool leavesTime = options.policy.retryBudget && mayRepeat(call);
+    return leavesTime ? attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline) : call.deadline;
+}
+
+HttpRequest Ingress::Private::sidecarRequest(const Call &call, TimePoint deadline) const
+{
+    HttpRequest request = call.request;
+    request.set(CallHeaders::CallId, call.id.value());
+    request.set(CallHeaders::Service, call.route->service.value());
+    request.set(CallHeaders::Route, call.route->name.value());
+    request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()).count()));
+    if (call.retriedAbove || (call.route->idempotent && call.route->retries > 0)) {
+        request.set(CallHeaders::RetriedAbove, "yes");
+    }
+    return request;
+}
+
+void Ingress::Private::learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response)
+{
+    const auto now = Clock::now();
+    const auto load = response ? loadHeader(*response) : std::nullopt;
+    if (load) {
+        picker.reported(target.name, *load, now);
+    }
+    switch (attempt.end) {
+    case AttemptEnd::Answered:
+        picker.succeeded(target.name);
+        break;
+    case AttemptEnd::Shed:
+    case AttemptEnd::OutcomeUnknown:
+        picker.failed(target.name, now);
+        break;
+    case AttemptEnd::NotRun:
+        // A full target is told by its load; one that can't say it rests.
+        if (!load) {
+            picker.rest(target.name, now);
+        }
+        break;
     }
-    co_return notRunResponse(http::status::service_unavailable,
-        "refused",
-        fmt::format("call {} was not run: no target of {} takes it now", call.id.value(), call.route->service.value()));
 }
 
 asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, MemberRecord target)
 {
-    const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - Clock::now());
-    if (left.count() <= 0) {
+    const auto begin = Clock::now();
+    const auto deadline = attemptDeadline(call);
+    if (deadline - begin < Milliseconds(1)) {
         co_return Attempt{};
     }
-    HttpRequest request = call.request;
-    request.set(CallHeaders::CallId, call.id.value());
-    request.set(CallHeaders::Service, call.route->service.value());
-    request.set(CallHeaders::TimeoutMs, std::to_string(left.count()));
+    auto request = sidecarRequest(call, deadline);
     picker.begin(target.name);
-    auto response = co_await options.client.exchange(target.sidecar(), std::move(request), call.deadline);
+    auto response = co_await options.client.exchange(target.sidecar(), std::move(request), deadline);
     picker.end(target.name);
     Attempt result;
     if (!response) {
         result.end = response.error().kind == ErrorKind::Unavailable ? AttemptEnd::NotRun : AttemptEnd::OutcomeUnknown;
-        co_return result;
+    } else if (saysNotRun(*response)) {
+        result.end = AttemptEnd::NotRun;
+    } else if (saysOutcomeUnknown(*response)) {
+        result.end = AttemptEnd::OutcomeUnknown;
+    } else {
+        result.end = response->result() == http::status::service_unavailable ? AttemptEnd::Shed : AttemptEnd::Answered;
+    }
+    learn(target, result, response);
+    if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::OutcomeUnknown) {
+        attempts.observed(call.route->name, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
+    }
+    if (response) {
+        result.response = std::move(*response);
     }
-    result.end = saysNotRun(*response) ? AttemptEnd::NotRun : saysOutcomeUnknown(*response) ? AttemptEnd::OutcomeUnknown : AttemptEnd::Answered;
-    result.response = std::move(*response);
     co_return result;
 }
 
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -35,6 +35,9 @@
     // Handles one call from its request to its final answer.
     asio::awaitable<HttpResponse> handle(HttpRequest request);
 
+    // Attempts made after a call's first.
+    std::uint64_t retries() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -178,8 +178,10 @@
 
 std::string Node::Private::counters() const
 {
-    const nlohmann::json json
-        = {{"datagram_bytes", datagrams.bytes()}, {"control_http_bytes", controlServer.bytes() + controlClient.bytes()}, {"store_calls", store.calls()}};
+    const nlohmann::json json = {{"datagram_bytes", datagrams.bytes()},
+        {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
+        {"store_calls", store.calls()},
+        {"call_retries", ingress.retries()}};
     return json.dump();
 }
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -2,21 +2,57 @@
 
 #include "core/admissioncontroller.h"
 #include "core/callheaders.h"
+#include "core/callqueue.h"
 #include "daemon/callmessages.h"
 
 #include <fmt/format.h>
+#include <unordered_map>
 
 namespace Galenahill {
 
 namespace {
 
+using Microseconds = std::chrono::microseconds;
+
 constexpr Milliseconds StartingProbeInterval{100};
-constexpr Milliseconds ReadyProbeInterval{1000};
+constexpr Milliseconds ReadyProbeInterval{250};
 constexpr Milliseconds ProbeTimeout{1000};
 
-// Failed probes in a row before a target counts as not ready; one lost probe
-// says little.
-constexpr int FailedProbesToLeave = 3;
+// Unanswered probes in a row before a target counts as not ready, and probes
+// that it answered with "not ready"; one alone says little.
+constexpr int LostProbesToLeave = 3;
+constexpr int RefusedProbesToLeave = 2;
+
+// A call waits for a slot at most for this many usual calls, but never less
+// than the shortest wait and never more than the longest.
+constexpr int WaitFactor = 2;
+constexpr Microseconds ShortestWait{5000};
+constexpr Microseconds LongestWait{200000};
+constexpr std::uint32_t MinQueue = 4;
+
+// What a call is taken to need before the first answer tells.
+constexpr Microseconds UnknownCallTime{25000};
+
+// One call from its arrival to its answer.
+struct SidecarCall
+{
+    RouteName route;
+    TimePoint deadline;
+    TimePoint entered;
+};
+
+// A call that waits for a slot.
+struct Waiter
+{
+    explicit Waiter(asio::io_context &context)
+        : timer(context)
+    {
+    }
+
+    asio::steady_timer timer;
+    RouteName route;
+    bool admitted = false;
+};
 
 }
 
@@ -25,18 +61,36 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
+        , admission(options.policy)
+        , queue({.newestFirst = options.policy.newestFirst, .fairShares = options.policy.fairShares})
     {
     }
 
     Options options;
     AdmissionController admission;
+    CallQueue queue;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+    std::uint64_t nextTicket = 1;
     MemberState state = MemberState::Starting;
-    int failedProbes = 0;
+    int lostProbes = 0;
+    int refusedProbes = 0;
 
     asio::awaitable<void> probeLoop();
     void probed(const Result<HttpResponse> &answer);
     void setState(MemberState newState);
     std::string refusal(const HttpRequest &request) const;
+    HttpResponse refuse(const std::string &reason) const;
+    void reportLoad(HttpResponse &response) const;
+
+    TimePoint waitLimit(TimePoint now, TimePoint deadline) const;
+    asio::awaitable<bool> enter(SidecarCall &call);
+    asio::awaitable<bool> waitForSlot(SidecarCall &call);
+    void leave(const SidecarCall &call, AdmissionController::End end);
+    void wake(QueueTicket ticket, bool admitted);
+    void admitWaiting();
+    asio::awaitable<void> admitWhenReleased();
+    asio::awaitable<HttpResponse> passOn(HttpRequest request, SidecarCall call);
+    HttpRequest targetRequest(HttpRequest request, const SidecarCall &call) const;
 };
 
 Sidecar::Sidecar(Options options)
@@ -60,8 +114,9 @@
         request.set(http::field::host, toString(options.target));
         const auto answer = co_await options.client.exchange(options.target, std::move(request), Clock::now() + ProbeTimeout);
         probed(answer);
+        const bool settled = state == MemberState::Ready && lostProbes == 0 && refusedProbes == 0;
         ErrorCode error;
-        timer.expires_after(state == MemberState::Ready ? ReadyProbeInterval : StartingProbeInterval);
+        timer.expires_after(settled ? ReadyProbeInterval : StartingProbeInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
 }
@@ -72,7 +127,8 @@
         return;
     }
     if (answer && answer->result() == http::status::ok) {
-        failedProbes = 0;
+        lostProbes = 0;
+        refusedProbes = 0;
         setState(MemberState::Ready);
         return;
     }
@@ -81,7 +137,8 @@
         setState(MemberState::Draining);
         return;
     }
-    if (++failedProbes >= FailedProbesToLeave) {
+    ++(answer ? refusedProbes : lostProbes);
+    if (lostProbes >= LostProbesToLeave || refusedProbes >= RefusedProbesToLeave) {
         setState(MemberState::Starting);
     }
 }
@@ -92,6 +149,9 @@
         return;
     }
     state = newState;
+    if (newState == MemberState::Ready) {
+        admission.restart();
+    }
     options.log(LogLevel::Info, "target-state", {{"state", toString(newState)}});
     options.stateChanged(newState);
 }
@@ -114,46 +174,173 @@
         return "the target is starting";
     }
     const auto left = timeoutHeader(request);
-    if (!left || *left <= 0) {
-        return "no time is left";
+    if (!left || Milliseconds(*left) <= admission.fastest()) {
+        return "less time is left than any call takes";
     }
     return {};
 }
 
-asio::awaitable<HttpResponse> Sidecar::handle(HttpRequest request, ServerConnection &connection)
+void Sidecar::Private::reportLoad(HttpResponse &response) const
 {
-    const auto keep = d;
-    if (const auto reason = keep->refusal(request); !reason.empty()) {
-        co_return notRunResponse(http::status::service_unavailable, "refused", reason);
+    const bool takesCalls = state == MemberState::Ready && !admission.draining();
+    response.set(CallHeaders::Load, formatLoad({admission.inFlight() + static_cast<std::uint32_t>(queue.size()), takesCalls ? admission.limit() : 0}));
+}
+
+HttpResponse Sidecar::Private::refuse(const std::string &reason) const
+{
+    auto response = notRunResponse(http::status::service_unavailable, "refused", reason);
+    reportLoad(response);
+    return response;
+}
+
+// Until when a call that arrived now may wait: a call that gets its slot later
+// would rather have been refused at once and gone elsewhere.
+TimePoint Sidecar::Private::waitLimit(TimePoint now, TimePoint deadline) const
+{
+    const auto usual = admission.typical().count() == 0 ? UnknownCallTime : admission.typical();
+    const auto longest = std::clamp(WaitFactor * usual, ShortestWait, LongestWait);
+    return std::min(now + longest, deadline - admission.fastest());
+}
+
+asio::awaitable<bool> Sidecar::Private::enter(SidecarCall &call)
+{
+    call.entered = Clock::now();
+    if (queue.size() == 0 && admission.tryEnter(call.entered)) {
+        queue.started(call.route);
+        co_return true;
     }
-    // After a pause of this process the ingress may have given the call up
-    // and told its caller so; running it now would serve nobody.
-    if (connection.peerClosed()) {
-        co_return notRunResponse(http::status::service_unavailable, "refused", "the caller has gone");
+    const auto wait = admission.typical() * (queue.size() + 1) / std::max<std::uint32_t>(admission.limit(), 1);
+    if (!options.policy.queue || call.entered + wait >= waitLimit(call.entered, call.deadline)) {
+        co_return false;
+    }
+    co_return co_await waitForSlot(call);
+}
+
+asio::awaitable<bool> Sidecar::Private::waitForSlot(SidecarCall &call)
+{
+    const auto waiter = std::make_shared<Waiter>(options.context);
+    const QueueTicket ticket(nextTicket++);
+    waiter->route = call.route;
+    waiter->timer.expires_at(waitLimit(call.entered, call.deadline));
+    // While the limit ramps up, more calls than it wait: it grows with each
+    // answer, so they get their slots about as fast.
+    const auto refused = queue.push(ticket, call.route, std::max(admission.limit(), MinQueue));
+    if (refused == ticket) {
+        co_return false;
     }
-    if (!keep->admission.tryEnter()) {
-        co_return notRunResponse(http::status::service_unavailable, "refused", "all slots of the target are taken");
+    waiters.emplace(ticket.value(), waiter);
+    if (refused) {
+        wake(*refused, false);
     }
-    const auto deadline = Clock::now() + Milliseconds(*timeoutHeader(request));
+    ErrorCode ignored;
+    co_await waiter->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    queue.remove(ticket);
+    waiters.erase(ticket.value());
+    call.entered = Clock::now();
+    co_return waiter->admitted;
+}
+
+void Sidecar::Private::wake(QueueTicket ticket, bool admitted)
+{
+    const auto found = waiters.find(ticket.value());
+    if (found != waiters.end()) {
+        found->second->admitted = admitted;
+        found->second->timer.cancel();
+    }
+}
+
+void Sidecar::Private::admitWaiting()
+{
+    while (queue.size() > 0 && admission.tryEnter(Clock::now())) {
+        const auto ticket = *queue.pop();
+        queue.started(waiters.at(ticket.value())->route);
+        wake(ticket, true);
+    }
+}
+
+asio::awaitable<void> Sidecar::Private::admitWhenReleased()
+{
+    const auto keep = shared_from_this();
+    asio::steady_timer timer(options.context, admission.nextRelease());
+    ErrorCode ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    admitWaiting();
+}
+
+void Sidecar::Private::leave(const SidecarCall &call, AdmissionController::End end)
+{
+    queue.ended(call.route);
+    admission.leave(call.route, call.entered, end, Clock::now());
+    if (end == AdmissionController::End::GivenUp) {
+        asio::co_spawn(options.context, admitWhenReleased(), asio::detached);
+    }
+    admitWaiting();
+}
+
+HttpRequest Sidecar::Private::targetRequest(HttpRequest request, const SidecarCall &call) const
+{
     const std::string callId(request[CallHeaders::CallId]);
+    const bool retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     stripFields(request);
     request.set(CallHeaders::CallId, callId);
+    request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(call.deadline - call.entered).count()));
+    if (retriedAbove) {
+        request.set(CallHeaders::RetriedAbove, "yes");
+    }
     request.keep_alive(true);
-    auto response = co_await keep->options.client.exchange(keep->options.target, std::move(request), deadline);
-    keep->admission.leave();
+    return request;
+}
+
+asio::awaitable<HttpResponse> Sidecar::Private::passOn(HttpRequest request, SidecarCall call)
+{
+    using End = AdmissionController::End;
+    auto forwarded = targetRequest(std::move(request), call);
+    auto response = co_await options.client.exchange(options.target, std::move(forwarded), call.deadline);
     if (response) {
+        leave(call, response->result() == http::status::service_unavailable ? End::Shed : End::Answered);
         stripFields(*response);
+        reportLoad(*response);
         co_return std::move(*response);
     }
     if (response.error().kind == ErrorKind::Unavailable) {
-        co_return notRunResponse(http::status::service_unavailable, "refused", "the target can't be reached");
+        leave(call, End::NotSent);
+        co_return refuse("the target can't be reached");
+    }
+    leave(call, Clock::now() >= call.deadline ? End::GivenUp : End::Broken);
+    auto unknown = outcomeUnknownResponse(response.error().message);
+    reportLoad(unknown);
+    co_return unknown;
+}
+
+asio::awaitable<HttpResponse> Sidecar::handle(HttpRequest request, ServerConnection &connection)
+{
+    const auto keep = d;
+    if (const auto reason = keep->refusal(request); !reason.empty()) {
+        co_return keep->refuse(reason);
     }
-    co_return outcomeUnknownResponse(response.error().message);
+    SidecarCall call;
+    call.route = RouteName(std::string(request[CallHeaders::Route]));
+    call.deadline = Clock::now() + Milliseconds(*timeoutHeader(request));
+    if (!co_await keep->enter(call)) {
+        co_return keep->refuse("all slots of the target are taken");
+    }
+    // After a pause of this process, or a wait for a slot, the ingress may
+    // have given the call up and told its caller so; running it now would
+    // serve nobody. The ingress closes the connection when it gives up.
+    if (connection.peerClosed()) {
+        keep->leave(call, AdmissionController::End::NotSent);
+        co_return keep->refuse("the caller has gone");
+    }
+    co_return co_await keep->passOn(std::move(request), std::move(call));
 }
 
 void Sidecar::drain()
 {
     d->admission.startDraining();
+    // Waiting calls haven't run; other targets can still take them.
+    while (const auto ticket = d->queue.pop()) {
+        d->wake(*ticket, false);
+    }
 }
 
 std::uint32_t Sidecar::inFlight() const
