--- a/bench/calls.cpp
+++ b/bench/calls.cpp
@@ -361,7 +361,8 @@
 {
     bool holds = true;
     for (const auto &variant : allVariants()) {
-        if (!options.variant.empty() && variant.name != options.variant) {
+        const auto &wanted = options.variants;
+        if (!wanted.empty() && std::find(wanted.begin(), wanted.end(), variant.name) == wanted.end()) {
             continue;
         }
         // The baselines are there to be compared; only the system's own
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -47,6 +47,17 @@
     HttpResponse response;
 };
 
+CallEnd endOf(const HttpResponse &response)
+{
+    if (saysNotRun(response)) {
+        return CallEnd::NotRun;
+    }
+    if (saysOutcomeUnknown(response)) {
+        return CallEnd::OutcomeUnknown;
+    }
+    return response.result_int() >= 500 ? CallEnd::TargetFailed : CallEnd::Answered;
+}
+
 std::string_view pathOf(const HttpRequest &request)
 {
     const std::string_view target(request.target().data(), request.target().size());
@@ -74,6 +85,7 @@
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
+    asio::awaitable<HttpResponse> admit(Call &call);
     asio::awaitable<HttpResponse> route(Call &call);
     asio::awaitable<Attempt> attempt(Call &call, MemberRecord target);
     HttpRequest sidecarRequest(const Call &call, TimePoint deadline) const;
@@ -115,18 +127,15 @@
     if (const auto wanted = timeoutHeader(request)) {
         timeout = std::min(timeout, Milliseconds(std::max<std::int64_t>(*wanted, 0)));
     }
-    call.deadline = Clock::now() + std::min(timeout, ConfigLimits::MaxTimeout);
+    const auto begin = Clock::now();
+    call.deadline = begin + std::min(timeout, ConfigLimits::MaxTimeout);
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     call.id = CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++));
     stripFields(request);
     request.keep_alive(true);
     call.request = std::move(request);
-    if (!d->routes.tryEnter(call.route->name)) {
-        co_return notRunResponse(
-            http::status::service_unavailable, "refused", fmt::format("this node holds as many calls of route {} as it may", call.route->name.value()));
-    }
-    auto response = co_await d->route(call);
-    d->routes.leave(call.route->name);
+    auto response = co_await d->admit(call);
+    d->options.callEnded(*call.route, endOf(response), std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
     co_return response;
 }
 
@@ -135,6 +144,17 @@
     return d->retriesMade;
 }
 
+asio::awaitable<HttpResponse> Ingress::Private::admit(Call &call)
+{
+    if (!routes.tryEnter(call.route->name)) {
+        co_return notRunResponse(
+            http::status::service_unavailable, "refused", fmt::format("this node holds as many calls of route {} as it may", call.route->name.value()));
+    }
+    auto response = co_await route(call);
+    routes.leave(call.route->name);
+    co_return response;
+}
+
 // Only one node in a tree of calls repeats what may have run: with seven
 // layers that each try three times, one failure would become two thousand
 // calls. What certainly didn't run is retried by the layer that was refused.
