--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -78,6 +78,13 @@
     : d(std::make_unique<Private>(std::move(options)))
 {
     std::filesystem::create_directories(d->options.folder);
+    // Logs are appended to, since processes are restarted; an earlier run's
+    // executions in them would count as this run's.
+    for (const auto &entry : std::filesystem::directory_iterator(d->options.folder)) {
+        if (entry.path().extension() == ".log" || entry.path().extension() == ".ini") {
+            std::filesystem::remove(entry.path());
+        }
+    }
 }
 
 Fleet::~Fleet() = default;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -230,7 +230,8 @@
         {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
         {"pull_bytes", controlClient.bytes()},
         {"join_bytes", joinBytes.load()},
-        {"store_calls", store.calls()}};
+        {"store_calls", store.calls()},
+        {"call_retries", ingress.retries()}};
     return json.dump();
 }
 
