--- /dev/null
+++ b/autotests/support/httptest.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <future>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+
+namespace Galenahill {
+
+// How long a test waits for what must happen, however busy the machine is.
+inline constexpr Milliseconds Patience{30000};
+
+// A loopback address for the server number N of a test program; programs that
+// may run side by side use different numbers.
+inline std::string testAddress(int number)
+{
+    const char *network = std::getenv("GALENAHILL_TEST_NETWORK");
+    return "127." + std::string(network == nullptr ? "20" : network) + ".250." + std::to_string(number);
+}
+
+// A server with a thread of its own.
+class RunningServer
+{
+public:
+    explicit RunningServer(HttpServer::Options options)
+        : m_guard(asio::make_work_guard(m_context))
+        , m_server(m_context, std::move(options))
+    {
+        if (const auto listening = m_server.listen(); !listening) {
+            throw std::runtime_error(listening.error().message);
+        }
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~RunningServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    asio::io_context &context()
+    {
+        return m_context;
+    }
+
+    // Runs the function on the server's thread and gives its result.
+    template <typename Function>
+    auto ask(Function function)
+    {
+        std::packaged_task<decltype(function(m_server))()> task([&] { return function(m_server); });
+        auto result = task.get_future();
+        asio::post(m_context, [&task] { task(); });
+        return result.get();
+    }
+
+    // Waits until the condition on the server holds.
+    template <typename Condition>
+    bool waitUntil(Condition condition)
+    {
+        const auto end = Clock::now() + Patience;
+        while (Clock::now() < end) {
+            if (ask(condition)) {
+                return true;
+            }
+            std::this_thread::sleep_for(Milliseconds(5));
+        }
+        return false;
+    }
+
+private:
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+// A caller that sends whatever bytes a test wants.
+class RawCaller
+{
+public:
+    explicit RawCaller(const Endpoint &endpoint)
+        : m_socket(m_context)
+    {
+        m_socket.connect(Tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
+        const timeval limit{Patience.count() / 1000, 0};
+        setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+
+    // Whether all bytes were taken.
+    bool send(std::string_view bytes)
+    {
+        ErrorCode error;
+        asio::write(m_socket, asio::buffer(bytes), error);
+        return !error;
+    }
+
+    // Reads until the text has been seen; empty if the server closed first.
+    std::string readTo(const std::string &text)
+    {
+        while (m_received.find(text) == std::string::npos) {
+            if (!receive()) {
+                return {};
+            }
+        }
+        const auto end = m_received.find(text) + text.size();
+        auto result = m_received.substr(0, end);
+        m_received.erase(0, end);
+        return result;
+    }
+
+    // Reads until the server closes; nothing if it doesn't.
+    std::optional<std::string> readToEnd()
+    {
+        while (receive()) { }
+        return m_closed ? std::optional(m_received) : std::nullopt;
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+private:
+    bool receive()
+    {
+        char part[4096];
+        const auto count = ::recv(m_socket.native_handle(), part, sizeof part, 0);
+        if (count > 0) {
+            m_received.append(part, static_cast<std::size_t>(count));
+        }
+        m_closed = count == 0 || (count < 0 && errno == ECONNRESET);
+        return count > 0;
+    }
+
+    asio::io_context m_context;
+    Tcp::socket m_socket;
+    std::string m_received;
+    bool m_closed = false;
+};
+
+}
--- /dev/null
+++ b/autotests/unit/httpclienttest.cpp
@@ -0,0 +1,255 @@
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const Endpoint Here{testAddress(2), 18080};
+
+const std::string WholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+
+// A server that does to each connection whatever a test wants.
+class ScriptedServer
+{
+public:
+    using Script = std::function<void(Tcp::socket &socket, int connection)>;
+
+    explicit ScriptedServer(Script script)
+        : m_acceptor(m_context, Tcp::endpoint(asio::ip::make_address(Here.address), Here.port))
+        , m_thread([this, script] { run(script); })
+    {
+    }
+
+    ~ScriptedServer()
+    {
+        m_stopping = true;
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        m_thread.join();
+    }
+
+    // Requests whose header has arrived.
+    std::atomic<int> requests = 0;
+
+    // Reads a request without a body; false if the client closed.
+    bool readRequest(Tcp::socket &socket)
+    {
+        std::string text;
+        char byte = 0;
+        ErrorCode error;
+        while (text.find("\r\n\r\n") == std::string::npos) {
+            socket.read_some(asio::buffer(&byte, 1), error);
+            if (error) {
+                return false;
+            }
+            text += byte;
+        }
+        ++requests;
+        return true;
+    }
+
+    static void send(Tcp::socket &socket, std::string_view text)
+    {
+        ErrorCode ignored;
+        asio::write(socket, asio::buffer(text), ignored);
+    }
+
+private:
+    void run(const Script &script)
+    {
+        for (int connection = 0; !m_stopping; ++connection) {
+            ErrorCode error;
+            Tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                script(socket, connection);
+            }
+        }
+    }
+
+    asio::io_context m_context;
+    Tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+struct Fixture
+{
+    asio::io_context context{1};
+    std::optional<HttpClient> client;
+
+    explicit Fixture(HttpClient::Options options = {})
+    {
+        client.emplace(context, options);
+    }
+
+    Result<HttpResponse> exchange(Milliseconds limit = Patience, Cancellation *cancellation = nullptr)
+    {
+        std::optional<Result<HttpResponse>> result;
+        asio::co_spawn(context, exchangeInto(limit, cancellation, result), asio::detached);
+        context.restart();
+        while (!result) {
+            context.run_one();
+        }
+        return std::move(*result);
+    }
+
+    asio::awaitable<void> exchangeInto(Milliseconds limit, Cancellation *cancellation, std::optional<Result<HttpResponse>> &result)
+    {
+        HttpRequest request(http::verb::post, "/orders", 11);
+        request.set(http::field::host, "h");
+        HttpClient::Companions companions;
+        companions.cancellation = cancellation;
+        result = co_await client->exchange(Here, request, Clock::now() + limit, companions);
+    }
+};
+
+ErrorKind kindOf(const Result<HttpResponse> &result)
+{
+    BOOST_REQUIRE(!result.has_value());
+    return result.error().kind;
+}
+
+}
+
+// The server takes the request and closes without an answer, or answers in
+// part. It may have run, so the client must not send it again by itself, and
+// must not take the part for the whole answer.
+BOOST_FIXTURE_TEST_CASE(SendsARequestOnceWhateverBecomesOfIt, Fixture)
+{
+    const std::vector<std::string> ends = {
+        "",
+        "HTTP/1.1 200 OK\r\nContent-",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsh",
+        "nonsense\r\n\r\n",
+    };
+    ScriptedServer *self = nullptr;
+    ScriptedServer server([&](Tcp::socket &socket, int connection) {
+        if (self->readRequest(socket)) {
+            ScriptedServer::send(socket, ends[static_cast<std::size_t>(connection)]);
+        }
+    });
+    self = &server;
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+        BOOST_TEST((kindOf(exchange()) == ErrorKind::OutcomeUnknown));
+        BOOST_TEST(server.requests == static_cast<int>(i) + 1);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(SaysUnavailableOnlyIfNothingWasSent, Fixture)
+{
+    BOOST_TEST((kindOf(exchange()) == ErrorKind::Unavailable));
+}
+
+// The server closes an idle connection, or sends something unasked on it. The
+// next request must go out on a fresh one: on the first its outcome would be
+// unknown for nothing, on the second it would get another request's answer.
+BOOST_FIXTURE_TEST_CASE(NeverUsesASpoiltIdleConnection, Fixture)
+{
+    std::promise<void> spoilt[2];
+    ScriptedServer *self = nullptr;
+    std::vector<Tcp::socket> open;
+    ScriptedServer server([&](Tcp::socket &socket, int connection) {
+        self->readRequest(socket);
+        ScriptedServer::send(socket, WholeAnswer);
+        if (connection == 1) {
+            ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad");
+            open.push_back(std::move(socket));
+        } else {
+            socket.close();
+        }
+        if (connection < 2) {
+            spoilt[connection].set_value();
+        }
+    });
+    self = &server;
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = exchange();
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->body() == "good");
+        if (i < 2) {
+            spoilt[i].get_future().wait();
+        }
+    }
+    BOOST_TEST(server.requests == 3);
+}
+
+// An answer comes after its request was given up. The next request must not
+// get it, so the connection that it comes on is closed.
+BOOST_FIXTURE_TEST_CASE(NeverReusesAConnectionWithALateAnswer, Fixture)
+{
+    ScriptedServer *self = nullptr;
+    std::promise<void> closed;
+    ScriptedServer server([&](Tcp::socket &socket, int connection) {
+        self->readRequest(socket);
+        if (connection == 0) {
+            if (!self->readRequest(socket)) {
+                closed.set_value();
+            }
+            ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+            return;
+        }
+        ScriptedServer::send(socket, WholeAnswer);
+    });
+    self = &server;
+    BOOST_TEST((kindOf(exchange(Milliseconds(50))) == ErrorKind::OutcomeUnknown));
+    BOOST_TEST((closed.get_future().wait_for(Patience) == std::future_status::ready));
+    BOOST_TEST(exchange()->body() == "good");
+    BOOST_TEST(client->openConnections(Here) == 1U);
+}
+
+// The caller gives up while the answer is awaited: the server sees the
+// connection close, which is how it learns that the call is cancelled.
+BOOST_FIXTURE_TEST_CASE(ClosesTheConnectionWhenCancelled, Fixture)
+{
+    ScriptedServer *self = nullptr;
+    Cancellation cancellation;
+    std::promise<bool> closed;
+    ScriptedServer server([&](Tcp::socket &socket, int) {
+        self->readRequest(socket);
+        asio::post(context, [&] { cancellation.cancel(); });
+        closed.set_value(!self->readRequest(socket));
+    });
+    self = &server;
+    BOOST_TEST((kindOf(exchange(Patience, &cancellation)) == ErrorKind::OutcomeUnknown));
+    BOOST_TEST(closed.get_future().get());
+    BOOST_TEST(client->openConnections(Here) == 0U);
+    // Given up before it began: nothing is sent.
+    BOOST_TEST((kindOf(exchange(Patience, &cancellation)) == ErrorKind::Unavailable));
+    BOOST_TEST(server.requests == 1);
+}
+
+// The target takes about 120 connections. One more than its limit would be
+// refused, or push out another's.
+BOOST_FIXTURE_TEST_CASE(HoldsTheLimitOfConnections, Fixture)
+{
+    std::atomic<std::size_t> running = 0;
+    RunningServer server({.endpoint = Here, .handler = [&](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> {
+                              ++running;
+                              asio::steady_timer timer(co_await asio::this_coro::executor);
+                              while (running < 3) {
+                                  timer.expires_after(Milliseconds(1));
+                                  co_await timer.async_wait(asio::use_awaitable);
+                              }
+                              co_return makeResponse(http::status::ok, "text/plain", "good");
+                          }});
+    client->limitConnections(Here, 3);
+    asio::co_spawn(context, client->warm(Here, 100, Clock::now() + Patience), asio::detached);
+    context.run();
+    BOOST_TEST(client->openConnections(Here) == 3U);
+    std::vector<std::optional<Result<HttpResponse>>> results(10);
+    for (auto &result : results) {
+        asio::co_spawn(context, exchangeInto(Patience, nullptr, result), asio::detached);
+    }
+    context.restart();
+    context.run();
+    const auto answered = std::count_if(results.begin(), results.end(), [](const auto &result) { return result->has_value(); });
+    const auto refused
+        = std::count_if(results.begin(), results.end(), [](const auto &result) { return !*result && result->error().kind == ErrorKind::Unavailable; });
+    BOOST_TEST(answered == 3);
+    BOOST_TEST(refused == 7);
+    BOOST_TEST(server.ask([](HttpServer &it) { return it.connections(); }) == 3U);
+}
--- /dev/null
+++ b/autotests/unit/httpservertest.cpp
@@ -0,0 +1,283 @@
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const Endpoint Here{testAddress(1), 18080};
+
+// A server that counts and echoes what reaches its handler.
+struct Fixture
+{
+    std::atomic<int> handled = 0;
+    std::atomic<int> cancelled = 0;
+    std::atomic<bool> release = false;
+    HttpServer::Options options{
+        .endpoint = Here, .handler = [this](HttpRequest request, ServerConnection &connection) { return handle(std::move(request), connection); }};
+
+    asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection)
+    {
+        ++handled;
+        if (request.target() == "/throw") {
+            throw std::runtime_error("broken handler");
+        }
+        if (request.target() == "/large") {
+            co_return makeResponse(http::status::ok, "text/plain", std::string(64 * 1024 * 1024, 'x'));
+        }
+        if (request.target() == "/wait") {
+            connection.cancellation().setHook([this] { ++cancelled; });
+            asio::steady_timer timer(co_await asio::this_coro::executor);
+            while (!release && !connection.cancellation().cancelled()) {
+                timer.expires_after(Milliseconds(2));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+        }
+        co_return makeResponse(http::status::ok, "text/plain", std::string(request.target()) + "|" + request.body() + "|" + std::string(request["Host"]));
+    }
+};
+
+std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+int statusOf(const std::string &answer)
+{
+    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+// Each connection is served after the tests' worst one.
+void checkServes(const Endpoint &endpoint)
+{
+    RawCaller caller(endpoint);
+    caller.send(get("/fine"));
+    BOOST_TEST(caller.readTo("/fine||h").substr(0, 15) == "HTTP/1.1 200 OK");
+}
+
+}
+
+// A caller's request makes the handler throw. Without a catch the connection's
+// coroutine ends there: the caller waits for ever, and the request counts as
+// in flight for good, so that a planned stop runs into its time limit.
+BOOST_FIXTURE_TEST_CASE(AnswersWhenTheHandlerThrows, Fixture)
+{
+    RunningServer server(options);
+    RawCaller caller(Here);
+    caller.send(get("/throw"));
+    const auto answer = caller.readToEnd();
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(statusOf(*answer) == 500);
+    BOOST_TEST(answer->find("Galenahill-Outcome: outcome-unknown") != std::string::npos);
+    BOOST_TEST(answer->find("Connection: close") != std::string::npos);
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 0 && it.connections() == 0; }));
+    checkServes(Here);
+}
+
+// A caller sends a request whose end two parsers see in different places, and
+// hides a second request behind it. Were it passed on, the target would run a
+// request that no route or limit has been applied to.
+BOOST_FIXTURE_TEST_CASE(RefusesWhatCouldBeReadInTwoWays, Fixture)
+{
+    RunningServer server(options);
+    const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const std::string chunkedStart = start + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> shapes = {
+        start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        start + "Content-Length: 3, 3\r\n\r\nabc",
+        start + "Content-Length: +3\r\n\r\nabc",
+        start + "Content-Length: -3\r\n\r\nabc",
+        start + "Content-Length: 0x3\r\n\r\nabc",
+        start + "Content-Length: 99999999999999999999999\r\n\r\nabc",
+        start + "Content-Length:\r\n\r\nabc",
+        start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: gzip\r\n\r\nabc",
+        start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        start + "X: a\r\n b\r\n\r\n",
+        start + "X: a\r\n\tContent-Length: 3\r\n\r\nabc",
+        start + "X: a\nContent-Length: 3\r\n\r\nabc",
+        "GET /a HTTP/1.1\nHost: h\n\n",
+        start + "X: a\rY: b\r\n\r\n",
+        start + std::string("X: a\0b\r\n\r\n", 10),
+        start + "X\x01: a\r\n\r\n",
+        start + ": a\r\n\r\n",
+        start + "nocolon\r\n\r\n",
+        chunkedStart + "x\r\nabc\r\n0\r\n\r\n",
+        chunkedStart + "-1\r\nabc\r\n0\r\n\r\n",
+        chunkedStart + "0x3\r\nabc\r\n0\r\n\r\n",
+        chunkedStart + "3 \r\nabc\r\n0\r\n\r\n",
+        chunkedStart + "\r\nabc\r\n0\r\n\r\n",
+        chunkedStart + "3\r\nabcd\r\n0\r\n\r\n",
+        chunkedStart + "3\nabc\r\n0\r\n\r\n",
+        chunkedStart + "10000000000000003\r\nabc\r\n0\r\n\r\n",
+    };
+    for (const auto &shape : shapes) {
+        BOOST_TEST_CONTEXT(shape)
+        {
+            RawCaller caller(Here);
+            caller.send(shape + get("/hidden"));
+            const auto answer = caller.readToEnd();
+            BOOST_REQUIRE(answer.has_value());
+            BOOST_TEST((statusOf(*answer) >= 400 && statusOf(*answer) < 502));
+            BOOST_TEST(answer->find("Connection: close") != std::string::npos);
+            BOOST_TEST(answer->find("Galenahill-Outcome: not-run") != std::string::npos);
+            BOOST_TEST(answer->find("\"error\"") != std::string::npos);
+        }
+    }
+    BOOST_TEST(handled == 0);
+    checkServes(Here);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesMalformedRequests, Fixture)
+{
+    RunningServer server(options);
+    const std::vector<std::pair<std::string, int>> cases = {
+        {"garbage\r\n\r\n", 400},
+        {"GET  /a HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        {"GET /a HTTP/2.0\r\nHost: h\r\n\r\n", 400},
+        {"GET /a HTTP/1.2\r\nHost: h\r\n\r\n", 400},
+        {"GET /a\r\n\r\n", 400},
+        {"GET a HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        {"GET * HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        {"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        {"GET /a HTTP/1.1\r\n\r\n", 400},
+        {"GET /a HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", 400},
+        {"GET /a HTTP/1.1\r\nHost: h\r\nExpect: tea\r\n\r\n", 417},
+        {"GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'x') + "\r\n\r\n", 431},
+        {"GET /" + std::string(20000, 'x') + " HTTP/1.1\r\nHost: h\r\n\r\n", 431},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n", 413},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n", 413},
+        {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(40000, 'x'), 400},
+    };
+    for (const auto &[bytes, status] : cases) {
+        BOOST_TEST_CONTEXT(bytes.substr(0, 80))
+        {
+            RawCaller caller(Here);
+            caller.send(bytes);
+            const auto answer = caller.readToEnd();
+            BOOST_REQUIRE(answer.has_value());
+            BOOST_TEST(statusOf(*answer) == status);
+        }
+    }
+    BOOST_TEST(handled == 0);
+    checkServes(Here);
+}
+
+// A caller sends its header or its body a byte at a time, or takes no byte of
+// the answer, and so would hold a connection and its memory for ever. Each
+// has a time limit as a whole, which a trickle doesn't renew.
+BOOST_FIXTURE_TEST_CASE(EndsSlowCallers, Fixture)
+{
+    options.readTimeout = Milliseconds(200);
+    RunningServer server(options);
+    for (const std::string start : {"GET /a HTTP/1.1\r\nX: ", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"}) {
+        RawCaller caller(Here);
+        caller.send(start);
+        std::atomic<bool> stop = false;
+        std::thread trickle([&] {
+            while (!stop && caller.send("x")) {
+                std::this_thread::sleep_for(Milliseconds(5));
+            }
+        });
+        const auto answer = caller.readTo("Connection: close");
+        stop = true;
+        trickle.join();
+        BOOST_TEST(statusOf(answer) == 408);
+    }
+    RawCaller reader(Here);
+    reader.send(get("/large"));
+    reader.readTo("200 OK");
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 0 && it.connections() == 0; }));
+    checkServes(Here);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersPipelinedRequestsInOrder, Fixture)
+{
+    RunningServer server(options);
+    RawCaller caller(Here);
+    std::string requests;
+    for (int i = 0; i < 500; ++i) {
+        requests += get("/" + std::to_string(i));
+    }
+    std::thread sender([&] { caller.send(requests); });
+    for (int i = 0; i < 500; ++i) {
+        const auto wanted = "\r\n\r\n/" + std::to_string(i) + "||h";
+        const auto answer = caller.readTo(wanted);
+        BOOST_TEST(statusOf(answer) == 200);
+        BOOST_TEST(answer.find("200 OK", 20) == std::string::npos);
+    }
+    sender.join();
+    BOOST_TEST(handled == 500);
+}
+
+BOOST_FIXTURE_TEST_CASE(FollowsTheRulesOfTheProtocol, Fixture)
+{
+    RunningServer server(options);
+    RawCaller caller(Here);
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+    BOOST_TEST(caller.readTo("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send("abc");
+    BOOST_TEST(!caller.readTo("/a|abc|h").empty());
+    caller.send("HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto head = caller.readTo("\r\n\r\n");
+    BOOST_TEST(head.find("Content-Length: 5\r\n") != std::string::npos);
+    caller.send("GET http://other/p?q HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(!caller.readTo("\r\n\r\n/p?q||other").empty());
+    caller.send("GET HTTP://other?q HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(!caller.readTo("\r\n\r\n/?q||other").empty());
+    caller.send("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(!caller.readTo("\r\n\r\n*||h").empty());
+    // Fields that trail a body don't become fields of the request.
+    caller.send("POST /t HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nHost: forged\r\n\r\n");
+    BOOST_TEST(!caller.readTo("/t|abc|h").empty());
+    caller.send("\r\nGET /old HTTP/1.0\r\n\r\n");
+    BOOST_TEST(caller.readToEnd()->find("/old||") != std::string::npos);
+}
+
+// Peers connect and send nothing until the server's connections are used up.
+// Without making room everybody else is kept out until the peers' time is up.
+// The one that is closed is never one whose request is being handled.
+BOOST_FIXTURE_TEST_CASE(ServesOthersWhenItsConnectionsAreUsedUp, Fixture)
+{
+    options.maxConnections = 8;
+    RunningServer server(options);
+    RawCaller waiting(Here);
+    waiting.send(get("/wait"));
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 1; }));
+    std::vector<std::unique_ptr<RawCaller>> silent;
+    for (int i = 0; i < 100; ++i) {
+        silent.push_back(std::make_unique<RawCaller>(Here));
+        silent.back()->send(i % 2 == 0 ? "" : "GET /");
+    }
+    checkServes(Here);
+    BOOST_TEST(server.ask([](HttpServer &it) { return it.connections(); }) <= 8U);
+    release = true;
+    BOOST_TEST(!waiting.readTo("/wait||h").empty());
+}
+
+// A caller closes its connection while its call runs. The handler must learn
+// of it, or the target goes on with work that nobody waits for and a slot
+// stays taken. Requests sent ahead don't hide the close.
+BOOST_FIXTURE_TEST_CASE(CancelsTheHandlerWhenTheCallerCloses, Fixture)
+{
+    RunningServer server(options);
+    for (int requests = 1; requests <= 3; ++requests) {
+        RawCaller caller(Here);
+        for (int i = 0; i < requests; ++i) {
+            caller.send(get("/wait"));
+        }
+        BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 1; }));
+        caller.close();
+        BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 0 && it.connections() == 0; }));
+        BOOST_TEST(cancelled == requests);
+    }
+    BOOST_TEST(handled == 3);
+}
--- /dev/null
+++ b/src/adapters/http/cancellation.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <utility>
+
+namespace Galenahill {
+
+// Tells the work done for a caller that the caller has given it up. One hook
+// at a time; it is called once, at once if the caller is gone already.
+class Cancellation
+{
+public:
+    bool cancelled() const
+    {
+        return m_cancelled;
+    }
+
+    void cancel()
+    {
+        m_cancelled = true;
+        if (const auto hook = std::exchange(m_hook, nullptr)) {
+            hook();
+        }
+    }
+
+    void setHook(std::function<void()> hook)
+    {
+        m_hook = std::move(hook);
+        if (m_cancelled && m_hook) {
+            std::exchange(m_hook, nullptr)();
+        }
+    }
+
+private:
+    std::function<void()> m_hook;
+    bool m_cancelled = false;
+};
+
+}
--- /dev/null
+++ b/src/adapters/http/clientexchange.cpp
@@ -0,0 +1,235 @@
+#include "adapters/http/clientexchange.h"
+
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <fmt/format.h>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr std::uint32_t MaxAnswerHeaderBytes = 16 * 1024;
+constexpr std::size_t PartBytes = 64 * 1024;
+
+void setLength(HttpRequest &request)
+{
+    const bool mayHaveBody = request.method() != http::verb::get && request.method() != http::verb::head;
+    request.erase(http::field::transfer_encoding);
+    if (!request.body().empty() || mayHaveBody) {
+        request.content_length(request.body().size());
+    } else {
+        request.erase(http::field::content_length);
+    }
+}
+
+}
+
+// The rest of an answer's body. It owns the connection, which goes back to
+// the pool once the body has been read to its end and is closed otherwise.
+class ClientExchange::AnswerBody : public BodySource
+{
+public:
+    explicit AnswerBody(std::shared_ptr<ClientExchange> exchange)
+        : m_exchange(std::move(exchange))
+    {
+    }
+
+    asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override
+    {
+        m_taken = true;
+        auto &exchange = *m_exchange;
+        exchange.m_connection->channel.deadline.set(Clock::now() + exchange.m_options.partTimeout);
+        const auto error = co_await exchange.m_reader->readBody(part, limit);
+        exchange.m_connection->channel.deadline.clear();
+        if (!error && done()) {
+            exchange.finish();
+        }
+        co_return error;
+    }
+
+    bool done() const override
+    {
+        return m_exchange->m_reader->done();
+    }
+
+    bool taken() const override
+    {
+        return m_taken;
+    }
+
+    std::optional<std::uint64_t> length() const override
+    {
+        return m_exchange->m_reader->contentLength();
+    }
+
+private:
+    std::shared_ptr<ClientExchange> m_exchange;
+    bool m_taken = false;
+};
+
+ClientExchange::ClientExchange(std::shared_ptr<ConnectionPool> pool, std::unique_ptr<ClientConnection> connection, const HttpClient::Options &options)
+    : m_pool(std::move(pool))
+    , m_connection(std::move(connection))
+    , m_options(options)
+{
+}
+
+bool ClientExchange::sent() const
+{
+    return m_sent;
+}
+
+void ClientExchange::abort()
+{
+    m_aborted = true;
+    if (m_connection) {
+        m_connection->channel.close();
+    }
+}
+
+tl::unexpected<Error> ClientExchange::unknown(const std::string &what, const ErrorCode &error) const
+{
+    const auto reason = m_aborted ? "given up by the caller" : error.message();
+    return failure(
+        m_sent ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable, fmt::format("{}: {}: {}", toString(m_connection->owner->endpoint), what, reason));
+}
+
+asio::awaitable<Result<HttpResponse>> ClientExchange::run(HttpRequest &request, TimePoint deadline, HttpClient::Companions companions)
+{
+    auto &channel = m_connection->channel;
+    channel.deadline.set(deadline);
+    m_head = request.method() == http::verb::head;
+    const auto sendError = co_await send(request, companions);
+    // A server that refuses may close before it has read everything; its
+    // answer is still worth reading.
+    m_cutShort = m_cutShort || sendError;
+    if (sendError && (m_aborted || channel.deadline.passed() || !channel.readable())) {
+        co_return unknown("sending failed", sendError);
+    }
+    ErrorCode error;
+    if (!m_reader) {
+        error = co_await readHeader(false);
+    }
+    if (error) {
+        co_return unknown("no answer", error);
+    }
+    HttpResponse response(m_reader->takeHeader());
+    error = co_await readBody(response, companions.answerBody != nullptr);
+    if (error) {
+        co_return unknown("no whole answer", error);
+    }
+    if (m_reader->done()) {
+        finish();
+    } else {
+        channel.deadline.clear();
+        *companions.answerBody = std::make_unique<AnswerBody>(shared_from_this());
+    }
+    co_return response;
+}
+
+asio::awaitable<ErrorCode> ClientExchange::send(HttpRequest &request, const HttpClient::Companions &companions)
+{
+    auto &channel = m_connection->channel;
+    if (companions.requestBody == nullptr) {
+        setLength(request);
+        m_sent = true;
+        co_return co_await channel.writeMessage(request);
+    }
+    http::request<http::empty_body> header(request.base());
+    const auto length = companions.requestBody->length();
+    if (length) {
+        header.content_length(*length);
+    } else {
+        header.chunked(true);
+    }
+    if (companions.askFirst) {
+        header.set(http::field::expect, "100-continue");
+    }
+    m_sent = true;
+    ErrorCode error = co_await channel.writeHeader(header);
+    if (!error && companions.askFirst) {
+        error = co_await readHeader(true);
+        if (!error && m_reader->status() != http::status::continue_) {
+            // The final answer, such as a refusal: the body stays unread.
+            m_cutShort = true;
+            co_return error;
+        }
+        m_reader.reset();
+    }
+    if (error) {
+        co_return error;
+    }
+    co_return co_await sendBody(request, *companions.requestBody);
+}
+
+// An answer that comes before the body is sent ends the sending: the server
+// won't read on, and both sides would wait for each other.
+asio::awaitable<ErrorCode> ClientExchange::sendBody(HttpRequest &request, BodySource &rest)
+{
+    auto &channel = m_connection->channel;
+    const bool chunked = !rest.length();
+    std::string part = request.body();
+    ErrorCode error;
+    while (!error && !(part.empty() && rest.done())) {
+        if (part.empty()) {
+            error = co_await rest.read(part, PartBytes);
+            continue;
+        }
+        if (channel.readable()) {
+            m_cutShort = true;
+            co_return error;
+        }
+        const auto buffer = asio::buffer(part);
+        if (chunked) {
+            const auto chunk = http::make_chunk(buffer);
+            error = co_await channel.write(chunk);
+        } else {
+            error = co_await channel.write(buffer);
+        }
+        part.clear();
+    }
+    if (!error && chunked) {
+        const auto last = http::make_chunk_last();
+        error = co_await channel.write(last);
+    }
+    co_return error;
+}
+
+// Reads up to the header of the final answer, or of 100 Continue if wanted.
+asio::awaitable<ErrorCode> ClientExchange::readHeader(bool toContinue)
+{
+    ErrorCode error;
+    do {
+        m_reader.emplace(m_connection->channel, MaxAnswerHeaderBytes, m_options.maxBodyBytes);
+        if (m_head) {
+            m_reader->skipBody();
+        }
+        error = co_await m_reader->readHeader();
+    } while (!error && m_reader->status() < http::status::ok && !(toContinue && m_reader->status() == http::status::continue_));
+    co_return error;
+}
+
+asio::awaitable<ErrorCode> ClientExchange::readBody(HttpResponse &response, bool streamed)
+{
+    auto &reader = *m_reader;
+    const auto length = reader.contentLength();
+    auto &body = response.body();
+    ErrorCode error;
+    while (!error && !reader.done() && !(streamed && body.size() >= m_options.bufferedBodyBytes)) {
+        const auto step = length ? std::min<std::uint64_t>(*length - body.size(), PartBytes) : ReadAheadBytes;
+        error = co_await reader.readBody(body, step);
+    }
+    co_return error;
+}
+
+// The connection carries another request only if nothing is left of this one
+// on either way.
+void ClientExchange::finish()
+{
+    const bool clean = m_reader->keepAlive() && m_connection->channel.buffer.size() == 0 && !m_cutShort && !m_aborted;
+    if (clean) {
+        m_pool->giveBack(std::move(m_connection));
+    }
+    m_connection.reset();
+}
+}
--- /dev/null
+++ b/src/adapters/http/connectionpool.cpp
@@ -0,0 +1,134 @@
+#include "adapters/http/connectionpool.h"
+
+#include <fmt/format.h>
+
+namespace Galenahill {
+
+namespace {
+
+// How late a call's time limit may strike.
+constexpr Milliseconds SweepStep{5};
+
+// Endpoints without a connection are forgotten beyond so many, so that a
+// fleet whose addresses change doesn't grow this table for good.
+constexpr std::size_t MaxEndpoints = 4096;
+
+}
+
+ClientConnection::ClientConnection(Tcp::socket socket, std::atomic<std::uint64_t> &bytes, std::shared_ptr<EndpointConnections> connections)
+    : channel(std::move(socket), bytes)
+    , owner(std::move(connections))
+{
+    ++owner->open;
+    channel.deadline.expire = [this] { channel.close(); };
+}
+
+ClientConnection::~ClientConnection()
+{
+    --owner->open;
+}
+
+std::size_t ConnectionPool::EndpointHash::operator()(const Endpoint &endpoint) const
+{
+    return std::hash<std::string>{}(endpoint.address) ^ endpoint.port;
+}
+
+ConnectionPool::ConnectionPool(asio::io_context &context, Options options)
+    : m_context(context)
+    , m_options(options)
+    , m_sweeper(context, SweepStep)
+{
+}
+
+// The idle connections and what is known of their endpoint hold each other.
+ConnectionPool::~ConnectionPool()
+{
+    for (const auto &[endpoint, connections] : m_endpoints) {
+        connections->idle.clear();
+    }
+}
+
+std::shared_ptr<EndpointConnections> ConnectionPool::connectionsTo(const Endpoint &endpoint)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end()) {
+        return found->second;
+    }
+    if (m_endpoints.size() >= MaxEndpoints) {
+        std::erase_if(m_endpoints, [](const auto &entry) { return entry.second->open == 0; });
+    }
+    auto connections = std::make_shared<EndpointConnections>();
+    ErrorCode error;
+    connections->endpoint = endpoint;
+    connections->address = Tcp::endpoint(asio::ip::make_address(endpoint.address, error), endpoint.port);
+    connections->valid = !error;
+    connections->limit = m_options.maxPerEndpoint;
+    m_endpoints.emplace(endpoint, connections);
+    return connections;
+}
+
+std::unique_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointConnections &connections)
+{
+    const auto oldest = Clock::now() - m_options.maxIdleAge;
+    while (!connections.idle.empty()) {
+        auto connection = std::move(connections.idle.back());
+        connections.idle.pop_back();
+        // A connection that the server has closed, or on which something came
+        // unasked, must not carry a request: the first would make its outcome
+        // unknown for nothing, the second would give it another's answer.
+        if (connection->lastUsed >= oldest && !connection->channel.readable()) {
+            m_sweeper.watch(connection->channel.deadline);
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<Result<std::unique_ptr<ClientConnection>>> ConnectionPool::connect(std::shared_ptr<EndpointConnections> connections, TimePoint deadline)
+{
+    const auto where = toString(connections->endpoint);
+    if (!connections->valid) {
+        co_return failure(ErrorKind::Unavailable, where + ": is no IP number with a port; mend the address");
+    }
+    if (connections->open >= connections->limit) {
+        co_return failure(ErrorKind::Unavailable, fmt::format("{}: all {} connections to it are in use; try again later", where, connections->open));
+    }
+    auto connection = std::make_unique<ClientConnection>(Tcp::socket(m_context), m_bytes, connections);
+    auto &channel = connection->channel;
+    channel.deadline.set(deadline);
+    m_sweeper.watch(channel.deadline);
+    ErrorCode error;
+    co_await channel.socket.async_connect(connections->address, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        const auto reason = channel.deadline.passed() ? "the time is up" : error.message();
+        co_return failure(ErrorKind::Unavailable, fmt::format("{}: can't connect: {}", where, reason));
+    }
+    channel.prepare();
+    co_return connection;
+}
+
+void ConnectionPool::giveBack(std::unique_ptr<ClientConnection> connection)
+{
+    auto &idle = connection->owner->idle;
+    if (idle.size() >= m_options.maxIdlePerEndpoint) {
+        return;
+    }
+    connection->lastUsed = Clock::now();
+    connection->channel.deadline.clear();
+    connection->channel.deadline.unlink();
+    idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::closeIdle(const Endpoint &endpoint)
+{
+    if (const auto found = m_endpoints.find(endpoint); found != m_endpoints.end()) {
+        found->second->idle.clear();
+    }
+}
+
+std::uint64_t ConnectionPool::bytes() const
+{
+    return m_bytes;
+}
+
+}
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/asio.h"
 #include "adapters/http/httpmessage.h"
+#include "adapters/http/serverconnection.h"
 #include "common/endpoint.h"
 #include "common/error.h"
 #include "common/identifiers.h"
@@ -11,17 +12,6 @@
 
 namespace Galenahill {
 
-// What a handler may ask of the connection that a request came on.
-class ServerConnection
-{
-public:
-    virtual ~ServerConnection() = default;
-
-    // Whether the peer has closed its side. A request of a peer that is gone
-    // needs no answer.
-    virtual bool peerClosed() = 0;
-};
-
 // An HTTP/1.1 server on one I/O context. One request is in flight per
 // connection, so answers can't cross.
 class HttpServer
@@ -35,7 +25,12 @@
         Handler handler;
         std::uint32_t maxHeaderBytes = 16 * 1024;
         std::uint64_t maxBodyBytes = 1024 * 1024;
-        // Time for a whole request to arrive once its first byte has.
+        // Whether bodies longer than this are given to the handler while they
+        // arrive.
+        bool streamBodies = false;
+        std::size_t bufferedBodyBytes = 64 * 1024;
+        // Time for a whole request to arrive once its first byte has, and for
+        // each part of a streamed body to be sent or taken.
         Milliseconds readTimeout{10000};
         // Time that a connection may be without a request.
         Milliseconds idleTimeout{60000};
@@ -58,6 +53,9 @@
     // Requests being handled.
     std::size_t requestsInFlight() const;
 
+    // Connections that are open.
+    std::size_t connections() const;
+
     // Bytes received and sent.
     std::uint64_t bytes() const;
 
--- /dev/null
+++ b/src/adapters/http/messagereader.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "adapters/http/requestcheck.h"
+#include "adapters/http/tcpchannel.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace Galenahill {
+
+// Reads one message from a channel, its body in parts of a bounded size.
+template <bool IsRequest>
+class MessageReader
+{
+public:
+    using Header = http::header<IsRequest, http::fields>;
+
+    MessageReader(TcpChannel &channel, std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+        : m_channel(channel)
+        , m_maxHeaderBytes(maxHeaderBytes)
+    {
+        m_parser.header_limit(maxHeaderBytes);
+        m_parser.body_limit(maxBodyBytes);
+        m_parser.eager(false);
+    }
+
+    // The answer to a HEAD request has no body whatever its header says.
+    void skipBody()
+    {
+        m_parser.skip(true);
+    }
+
+    // Reads up to the end of the header.
+    asio::awaitable<ErrorCode> readHeader();
+
+    // Appends the body's next bytes, up to so many.
+    asio::awaitable<ErrorCode> readBody(std::string &part, std::size_t limit);
+
+    // Whether the whole message has been read.
+    bool done() const
+    {
+        return m_parser.is_done();
+    }
+
+    bool keepAlive() const
+    {
+        return m_parser.keep_alive();
+    }
+
+    bool chunked() const
+    {
+        return m_parser.chunked();
+    }
+
+    std::optional<std::uint64_t> contentLength() const
+    {
+        const auto length = m_parser.content_length();
+        return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    }
+
+    http::status status() const
+    {
+        return m_parser.get().result();
+    }
+
+    // What is wrong with the bytes of the header, if that is why it can't be
+    // read.
+    const std::optional<RequestFault> &fault() const
+    {
+        return m_fault;
+    }
+
+    // The header, once read. Fields that trail a chunked body aren't in it.
+    Header takeHeader()
+    {
+        return std::move(m_parser.get().base());
+    }
+
+private:
+    asio::awaitable<ErrorCode> fillHeader();
+    ErrorCode parse();
+
+    TcpChannel &m_channel;
+    std::uint32_t m_maxHeaderBytes;
+    http::parser<IsRequest, http::buffer_body> m_parser;
+    std::optional<RequestFault> m_fault;
+};
+
+template <bool IsRequest>
+asio::awaitable<ErrorCode> MessageReader<IsRequest>::fillHeader()
+{
+    auto &buffer = m_channel.buffer;
+    for (;;) {
+        std::string_view text(static_cast<const char *>(buffer.data().data()), buffer.size());
+        while (text.substr(0, 2) == "\r\n") {
+            buffer.consume(2);
+            text.remove_prefix(2);
+        }
+        const auto length = headerLength(text);
+        if (IsRequest) {
+            m_fault = checkHeaderBytes(length > 0 ? text.substr(0, length) : text);
+            if (m_fault) {
+                co_return http::error::bad_field;
+            }
+        }
+        if (length > 0) {
+            co_return length > m_maxHeaderBytes ? ErrorCode(http::error::header_limit) : ErrorCode();
+        }
+        if (text.size() >= m_maxHeaderBytes) {
+            co_return http::error::header_limit;
+        }
+        const auto error = co_await m_channel.readMore();
+        if (error) {
+            co_return error == boost::system::errc::no_buffer_space ? ErrorCode(http::error::header_limit) : error;
+        }
+    }
+}
+
+template <bool IsRequest>
+ErrorCode MessageReader<IsRequest>::parse()
+{
+    ErrorCode error;
+    const auto count = m_parser.put(m_channel.buffer.data(), error);
+    m_channel.buffer.consume(count);
+    return error;
+}
+
+template <bool IsRequest>
+asio::awaitable<ErrorCode> MessageReader<IsRequest>::readHeader()
+{
+    ErrorCode error = co_await fillHeader();
+    while (!error && !m_parser.is_header_done()) {
+        error = parse();
+    }
+    co_return error;
+}
+
+template <bool IsRequest>
+asio::awaitable<ErrorCode> MessageReader<IsRequest>::readBody(std::string &part, std::size_t limit)
+{
+    const auto begin = part.size();
+    part.resize(begin + limit);
+    auto &body = m_parser.get().body();
+    body.data = part.data() + begin;
+    body.size = limit;
+    ErrorCode error;
+    while (!error && !m_parser.is_done() && body.size > 0) {
+        error = m_channel.buffer.size() > 0 ? parse() : ErrorCode(http::error::need_more);
+        if (error == http::error::need_buffer) {
+            error = {};
+            break;
+        }
+        if (error == http::error::need_more) {
+            error = co_await m_channel.readMore();
+            if (error == asio::error::eof) {
+                // Only a body without a length may end with the connection.
+                error = {};
+                m_parser.put_eof(error);
+            }
+        }
+    }
+    part.resize(begin + limit - body.size);
+    body.data = nullptr;
+    co_return error;
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/requestcheck.cpp
@@ -0,0 +1,105 @@
+#include "adapters/http/requestcheck.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr std::string_view HeaderEnd = "\r\n\r\n";
+constexpr std::string_view HttpScheme = "http://";
+
+RequestFault fault(std::string message)
+{
+    return {http::status::bad_request, std::move(message)};
+}
+
+bool allDigits(boost::beast::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char letter) { return letter >= '0' && letter <= '9'; });
+}
+
+// Only one Content-Length, only digits, or only one Transfer-Encoding, only
+// "chunked". Beast takes repeated equal lengths and lists of them, and treats
+// other codings as no body at all.
+std::optional<RequestFault> checkLength(const http::request_header<> &header)
+{
+    const auto lengths = header.count(http::field::content_length);
+    const auto codings = header.count(http::field::transfer_encoding);
+    if (lengths + codings > 1) {
+        return fault("the body's length is given more than once; send one Content-Length or one Transfer-Encoding");
+    }
+    if (lengths == 1 && !allDigits(header[http::field::content_length])) {
+        return fault("Content-Length isn't a number; send digits only");
+    }
+    if (codings == 1 && (header.version() < 11 || !boost::algorithm::iequals(header[http::field::transfer_encoding], "chunked"))) {
+        return RequestFault{http::status::not_implemented, "the only Transfer-Encoding taken is chunked, from HTTP/1.1 on"};
+    }
+    return std::nullopt;
+}
+
+std::optional<RequestFault> checkHost(const http::request_header<> &header)
+{
+    const auto hosts = header.count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && header.version() >= 11)) {
+        return fault("send exactly one Host field");
+    }
+    return std::nullopt;
+}
+
+// Absolute form names the host a second time; the rule is that it wins.
+std::optional<RequestFault> normalizeTarget(http::request_header<> &header)
+{
+    const std::string target(header.target());
+    if (boost::algorithm::istarts_with(target, HttpScheme)) {
+        const auto path = target.find_first_of("/?", HttpScheme.size());
+        header.set(http::field::host, target.substr(HttpScheme.size(), path - HttpScheme.size()));
+        const auto rest = path == std::string::npos ? std::string() : target.substr(path);
+        header.target(rest.empty() || rest.front() != '/' ? "/" + rest : rest);
+        return std::nullopt;
+    }
+    const bool asterisk = target == "*" && header.method() == http::verb::options;
+    if (!asterisk && target.front() != '/') {
+        return fault("the request's target is no path; send one that begins with /");
+    }
+    return std::nullopt;
+}
+
+}
+
+std::size_t headerLength(std::string_view text)
+{
+    const auto end = text.find(HeaderEnd);
+    return end == std::string_view::npos ? 0 : end + HeaderEnd.size();
+}
+
+std::optional<RequestFault> checkHeaderBytes(std::string_view header)
+{
+    if (header.find('\0') != std::string_view::npos) {
+        return fault("the header holds a NUL byte");
+    }
+    for (auto feed = header.find('\n'); feed != std::string_view::npos; feed = header.find('\n', feed + 1)) {
+        if (feed == 0 || header[feed - 1] != '\r') {
+            return fault("a header line ends with LF alone; end each with CR LF");
+        }
+        const bool folded = feed + 1 < header.size() && (header[feed + 1] == ' ' || header[feed + 1] == '\t');
+        if (folded) {
+            return fault("a header line is folded; send each field on one line");
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<RequestFault> checkHeader(http::request_header<> &header)
+{
+    if (auto found = checkLength(header)) {
+        return found;
+    }
+    if (auto found = checkHost(header)) {
+        return found;
+    }
+    return normalizeTarget(header);
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/tcpchannel.cpp
@@ -0,0 +1,81 @@
+#include "adapters/http/tcpchannel.h"
+
+namespace Galenahill {
+
+TcpChannel::TcpChannel(Tcp::socket given, std::atomic<std::uint64_t> &bytes)
+    : socket(std::move(given))
+    , m_bytes(bytes)
+{
+    deadline.expire = [this] { abort(); };
+}
+
+void TcpChannel::prepare()
+{
+    ErrorCode ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(Tcp::no_delay(true), ignored);
+}
+
+void TcpChannel::abort()
+{
+    ErrorCode ignored;
+    socket.cancel(ignored);
+}
+
+void TcpChannel::close()
+{
+    ErrorCode ignored;
+    socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    socket.close(ignored);
+}
+
+bool TcpChannel::peerClosed()
+{
+    char byte = 0;
+    ErrorCode error;
+    socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
+bool TcpChannel::readable()
+{
+    char byte = 0;
+    ErrorCode error;
+    socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+asio::awaitable<ErrorCode> TcpChannel::readMore()
+{
+    if (deadline.passed()) {
+        co_return asio::error::timed_out;
+    }
+    const auto room = buffer.max_size() - buffer.size();
+    if (room == 0) {
+        co_return make_error_code(boost::system::errc::no_buffer_space);
+    }
+    ErrorCode error;
+    const auto space = buffer.prepare(std::min<std::size_t>(room, 4096));
+    const auto count = co_await socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(count);
+    m_bytes += count;
+    co_return reasonOf(error);
+}
+
+asio::awaitable<ErrorCode> TcpChannel::waitWritable()
+{
+    if (deadline.passed()) {
+        co_return asio::error::timed_out;
+    }
+    ErrorCode error;
+    co_await socket.async_wait(Tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+    co_return reasonOf(error);
+}
+
+ErrorCode TcpChannel::reasonOf(const ErrorCode &error) const
+{
+    const bool timedOut = error && deadline.passed();
+    return timedOut ? ErrorCode(asio::error::timed_out) : error;
+}
+
+}
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -3,6 +3,7 @@
 #include "core/callheaders.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <vector>
 
@@ -13,10 +14,24 @@
 constexpr const char *RetryAfterSeconds = "1";
 constexpr const char *InternalPrefix = "Galenahill-";
 
+// The fields that the sender names as meant for the next hop only.
+std::vector<std::string> listedInConnection(const http::fields &fields)
+{
+    std::vector<std::string> names;
+    const auto [begin, end] = fields.equal_range(http::field::connection);
+    for (auto field = begin; field != end; ++field) {
+        for (const auto name : http::token_list(field->value())) {
+            names.emplace_back(name);
+        }
+    }
+    return names;
+}
+
 }
 
 void stripFields(http::fields &fields)
 {
+    std::vector<std::string> hopByHop = listedInConnection(fields);
     for (const auto field : {http::field::connection,
              http::field::keep_alive,
              http::field::te,
@@ -26,13 +41,12 @@
              http::field::proxy_connection}) {
         fields.erase(field);
     }
-    std::vector<std::string> internal;
     for (const auto &field : fields) {
         if (boost::algorithm::istarts_with(field.name_string(), InternalPrefix)) {
-            internal.emplace_back(field.name_string());
+            hopByHop.emplace_back(field.name_string());
         }
     }
-    for (const auto &name : internal) {
+    for (const auto &name : hopByHop) {
         fields.erase(name);
     }
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -20,6 +20,7 @@
     CallId id;
     TimePoint deadline;
     HttpRequest request;
+    ServerConnection &connection;
     std::vector<NodeName> tried;
     // Attempts that may have run.
     std::uint32_t uncertain = 0;
@@ -36,6 +37,8 @@
 {
     AttemptEnd end = AttemptEnd::NotRun;
     HttpResponse response;
+    // What is still to come of a long answer.
+    std::unique_ptr<BodySource> rest;
 };
 
 std::string_view pathOf(const HttpRequest &request)
@@ -63,7 +66,7 @@
     std::uint64_t nextCall = 1;
 
     asio::awaitable<HttpResponse> route(Call &call);
-    asio::awaitable<Attempt> attempt(Call &call, MemberRecord target);
+    asio::awaitable<Attempt> attempt(Call &call, const MemberRecord &target);
     bool mayRetry(Call &call, AttemptEnd end);
 };
 
@@ -79,9 +82,9 @@
     d->view = std::move(view);
 }
 
-asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request)
+asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request, ServerConnection &connection)
 {
-    Call call;
+    Call call{.connection = connection};
     call.view = d->view;
     if (!call.view || !call.view->config) {
         co_return notRunResponse(http::status::service_unavailable, "no-configuration", "this node has no configuration yet; come back or use another node");
@@ -108,6 +111,11 @@
 
 bool Ingress::Private::mayRetry(Call &call, AttemptEnd end)
 {
+    // Nobody waits for the answer, or a part of the body is gone for good.
+    const auto *body = call.connection.requestBody();
+    if (call.connection.cancellation().cancelled() || (body != nullptr && body->taken())) {
+        return false;
+    }
     if (call.tried.size() >= MaxAttempts || Clock::now() >= call.deadline) {
         return false;
     }
@@ -132,6 +140,9 @@
         Attempt result = co_await attempt(call, *target);
         if (result.end == AttemptEnd::Answered) {
             stripFields(result.response);
+            if (result.rest) {
+                co_await call.connection.sendStreamed(std::move(result.response), *result.rest);
+            }
             co_return std::move(result.response);
         }
         last = std::max(last, result.end);
@@ -148,20 +159,26 @@
         fmt::format("call {} was not run: no target of {} takes it now", call.id.value(), call.route->service.value()));
 }
 
-asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, MemberRecord target)
+asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, const MemberRecord &target)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - Clock::now());
     if (left.count() <= 0) {
         co_return Attempt{};
     }
-    HttpRequest request = call.request;
+    auto &request = call.request;
     request.set(CallHeaders::CallId, call.id.value());
     request.set(CallHeaders::Service, call.route->service.value());
     request.set(CallHeaders::TimeoutMs, std::to_string(left.count()));
     picker.begin(target.name);
-    auto response = co_await options.client.exchange(target.sidecar(), std::move(request), call.deadline);
-    picker.end(target.name);
     Attempt result;
+    HttpClient::Companions companions;
+    companions.cancellation = &call.connection.cancellation();
+    companions.requestBody = call.connection.requestBody();
+    companions.askFirst = true;
+    companions.answerBody = &result.rest;
+    const auto sidecar = target.sidecar();
+    auto response = co_await options.client.exchange(sidecar, request, call.deadline, companions);
+    picker.end(target.name);
     if (!response) {
         result.end = response.error().kind == ErrorKind::Unavailable ? AttemptEnd::NotRun : AttemptEnd::OutcomeUnknown;
         co_return result;
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -31,7 +31,7 @@
     void setView(std::shared_ptr<const RoutingView> view);
 
     // Handles one call from its request to its final answer.
-    asio::awaitable<HttpResponse> handle(HttpRequest request);
+    asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection);
 
 private:
     class Private;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -40,6 +40,10 @@
 
 constexpr Milliseconds DrainCheckInterval{10};
 
+// Bodies of calls and their answers pass through in parts, so that this
+// bounds time rather than memory.
+constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
+
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -90,7 +94,7 @@
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
-        , dataClient(dataContext, {})
+        , dataClient(dataContext, {.maxBodyBytes = MaxCallBodyBytes})
         , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
         , sidecar({.context = dataContext,
               .client = dataClient,
@@ -101,10 +105,14 @@
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
-                  .handler = [this](HttpRequest request, ServerConnection &) { return ingress.handle(std::move(request)); }})
-        , sidecarServer(dataContext, {.endpoint = self.sidecar(), .handler = [this](HttpRequest request, ServerConnection &connection) {
-                                          return sidecar.handle(std::move(request), connection);
-                                      }})
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
+        , sidecarServer(dataContext,
+              {.endpoint = self.sidecar(),
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
     {
     }
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -18,6 +18,27 @@
 // says little.
 constexpr int FailedProbesToLeave = 3;
 
+// A slot that has been taken; freed when the call ends, however it ends.
+class Slot
+{
+public:
+    explicit Slot(AdmissionController &admission)
+        : m_admission(admission)
+    {
+    }
+
+    ~Slot()
+    {
+        m_admission.leave();
+    }
+
+    Slot(const Slot &) = delete;
+    Slot &operator=(const Slot &) = delete;
+
+private:
+    AdmissionController &m_admission;
+};
+
 }
 
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
@@ -134,15 +155,23 @@
     if (!keep->admission.tryEnter()) {
         co_return notRunResponse(http::status::service_unavailable, "refused", "all slots of the target are taken");
     }
+    const Slot slot(keep->admission);
     const auto deadline = Clock::now() + Milliseconds(*timeoutHeader(request));
     const std::string callId(request[CallHeaders::CallId]);
     stripFields(request);
     request.set(CallHeaders::CallId, callId);
     request.keep_alive(true);
-    auto response = co_await keep->options.client.exchange(keep->options.target, std::move(request), deadline);
-    keep->admission.leave();
+    std::unique_ptr<BodySource> rest;
+    HttpClient::Companions companions;
+    companions.cancellation = &connection.cancellation();
+    companions.requestBody = connection.requestBody();
+    companions.answerBody = &rest;
+    auto response = co_await keep->options.client.exchange(keep->options.target, request, deadline, companions);
     if (response) {
         stripFields(*response);
+        if (rest) {
+            co_await connection.sendStreamed(std::move(*response), *rest);
+        }
         co_return std::move(*response);
     }
     if (response.error().kind == ErrorKind::Unavailable) {
