--- a/autotests/support/httptest.h
+++ b/autotests/support/httptest.h
@@ -122,6 +122,35 @@
         return m_closed ? std::optional(m_received) : std::nullopt;
     }
 
+    // Drops so many bytes; false if the server closed first.
+    bool skip(std::size_t count)
+    {
+        while (m_received.size() < count) {
+            count -= std::exchange(m_received, {}).size();
+            if (!receive()) {
+                return false;
+            }
+        }
+        m_received.erase(0, count);
+        return true;
+    }
+
+    // Drops all until the server closes, but for the last five bytes.
+    std::string skipToEnd()
+    {
+        while (receive()) {
+            const auto surplus = m_received.size() > 5 ? m_received.size() - 5 : 0;
+            m_skipped += surplus;
+            m_received.erase(0, surplus);
+        }
+        return m_received;
+    }
+
+    std::size_t skipped() const
+    {
+        return m_skipped;
+    }
+
     void close()
     {
         m_socket.close();
@@ -130,7 +159,7 @@
 private:
     bool receive()
     {
-        char part[4096];
+        char part[16384];
         const auto count = ::recv(m_socket.native_handle(), part, sizeof part, 0);
         if (count > 0) {
             m_received.append(part, static_cast<std::size_t>(count));
@@ -142,6 +171,7 @@
     asio::io_context m_context;
     Tcp::socket m_socket;
     std::string m_received;
+    std::size_t m_skipped = 0;
     bool m_closed = false;
 };
 
--- /dev/null
+++ b/autotests/unit/callpathtest.cpp
@@ -0,0 +1,350 @@
+#include "daemon/callmessages.h"
+#include "daemon/ingress.h"
+#include "daemon/sidecar.h"
+#include "heapcounter.h"
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string Address = testAddress(3);
+const Endpoint IngressEndpoint{Address, 8080};
+const Endpoint SidecarEndpoint{Address, 8081};
+const Endpoint RefusingEndpoint{Address, 8082};
+const Endpoint TargetEndpoint{Address, 9000};
+
+constexpr std::size_t LargeBytes = 32 * 1024 * 1024;
+
+// Gives a body of a length, or ends it early.
+class GeneratedBody : public BodySource
+{
+public:
+    GeneratedBody(std::size_t whole, std::size_t available, bool lengthKnown)
+        : m_whole(whole)
+        , m_left(available)
+        , m_lengthKnown(lengthKnown)
+        , m_cut(available < whole)
+    {
+    }
+
+    asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override
+    {
+        if (m_left == 0) {
+            co_return asio::error::eof;
+        }
+        const auto count = std::min(limit, m_left);
+        part.append(count, 'x');
+        m_left -= count;
+        co_return ErrorCode();
+    }
+
+    bool done() const override
+    {
+        return m_left == 0 && !m_cut;
+    }
+
+    bool taken() const override
+    {
+        return true;
+    }
+
+    std::optional<std::uint64_t> length() const override
+    {
+        return m_lengthKnown ? std::optional<std::uint64_t>(m_whole) : std::nullopt;
+    }
+
+private:
+    std::size_t m_whole;
+    std::size_t m_left;
+    bool m_lengthKnown;
+    bool m_cut;
+};
+
+MemberRecord member(const std::string &name, const Endpoint &sidecar)
+{
+    MemberRecord record;
+    record.name = NodeName(name);
+    record.dataCentre = DataCentre("rosario-a");
+    record.service = ServiceName("ventas");
+    record.address = sidecar.address;
+    record.sidecarPort = sidecar.port;
+    record.state = MemberState::Ready;
+    return record;
+}
+
+// Ingress, sidecar and target on one thread, each with its real sockets.
+struct Fixture
+{
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
+    HttpClient client{context, {}};
+    std::atomic<int> targetCalls = 0;
+    std::atomic<int> targetCancelled = 0;
+    std::atomic<bool> targetReady = false;
+    Ingress ingress{{.client = client, .node = NodeName("n"), .dataCentre = DataCentre("rosario-a")}};
+    Sidecar sidecar{{.context = context,
+        .client = client,
+        .service = ServiceName("ventas"),
+        .target = TargetEndpoint,
+        .healthPath = "/health",
+        .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        .stateChanged = [this](MemberState state) { targetReady = state == MemberState::Ready; }}};
+    HttpServer ingressServer{context,
+        {.endpoint = IngressEndpoint,
+            .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
+            .maxBodyBytes = 1U << 30U,
+            .streamBodies = true}};
+    HttpServer sidecarServer{context,
+        {.endpoint = SidecarEndpoint,
+            .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+            .maxBodyBytes = 1U << 30U,
+            .streamBodies = true}};
+    HttpServer refusingServer{context,
+        {.endpoint = RefusingEndpoint,
+            .handler = [](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> {
+                co_return notRunResponse(http::status::service_unavailable, "refused", "full");
+            },
+            .streamBodies = true}};
+    HttpServer target{context,
+        {.endpoint = TargetEndpoint,
+            .handler = [this](HttpRequest request, ServerConnection &connection) { return serve(std::move(request), connection); },
+            .maxBodyBytes = 1U << 30U,
+            .streamBodies = true}};
+    std::thread thread;
+
+    Fixture()
+    {
+        setMembers({member("a", SidecarEndpoint)});
+        for (auto *server : {&ingressServer, &sidecarServer, &refusingServer, &target}) {
+            BOOST_REQUIRE(server->listen().has_value());
+        }
+        sidecar.start();
+        thread = std::thread([this] { context.run(); });
+        while (!targetReady) {
+            std::this_thread::sleep_for(Milliseconds(2));
+        }
+    }
+
+    ~Fixture()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    void setMembers(const std::vector<MemberRecord> &members)
+    {
+        const std::vector<ConfigFile> files = {{FileName("all.ini"),
+            "[service ventas]\ndata-centres = rosario-a\nslots = 9\nconnections = 120\n"
+            "[route pedidos]\npath = /ventas\nmethods = GET, POST\nservice = ventas\nidempotent = no\ntimeout-ms = 30000\n"}};
+        const auto snapshot = ConfigSnapshot::validate(files);
+        BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
+        auto revision = std::make_shared<ConfigRevision>();
+        revision->snapshot = *snapshot;
+        const auto view = RoutingView::build(revision, members);
+        std::promise<void> done;
+        asio::post(context, [&] {
+            ingress.setView(view);
+            sidecar.setView(view);
+            done.set_value();
+        });
+        if (thread.joinable()) {
+            done.get_future().wait();
+        } else {
+            context.poll();
+        }
+    }
+
+    asio::awaitable<HttpResponse> serve(HttpRequest request, ServerConnection &connection)
+    {
+        const std::string path(request.target());
+        if (path == "/health") {
+            co_return makeResponse(http::status::ok, "text/plain", "ready");
+        }
+        ++targetCalls;
+        if (path == "/ventas/wait") {
+            asio::steady_timer timer(context);
+            while (!connection.cancellation().cancelled()) {
+                timer.expires_after(Milliseconds(2));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            ++targetCancelled;
+        }
+        if (path == "/ventas/fields") {
+            std::string names;
+            for (const auto &field : request) {
+                names += std::string(field.name_string()) + "=" + std::string(field.value()) + ";";
+            }
+            auto response = makeResponse(http::status::ok, "text/plain", names);
+            response.set("galenahill-outcome", "not-run");
+            co_return response;
+        }
+        if (path.rfind("/ventas/large", 0) == 0) {
+            GeneratedBody body(LargeBytes, path.find("cut") == std::string::npos ? LargeBytes : LargeBytes / 2, path.find("chunked") == std::string::npos);
+            auto response = makeResponse(http::status::ok, "text/plain", "");
+            co_await connection.sendStreamed(std::move(response), body);
+            co_return HttpResponse();
+        }
+        std::size_t count = request.body().size();
+        if (auto *rest = connection.requestBody()) {
+            std::string part;
+            while (!rest->done()) {
+                part.clear();
+                if (co_await rest->read(part, 16 * 1024)) {
+                    co_return makeResponse(http::status::bad_request, "text/plain", "cut off");
+                }
+                count += part.size();
+            }
+        }
+        co_return makeResponse(http::status::ok, "text/plain", "taken " + std::to_string(count) + ";");
+    }
+
+    // Requests in flight anywhere on the path.
+    std::size_t inFlight()
+    {
+        std::promise<std::size_t> result;
+        asio::post(context,
+            [&] { result.set_value(ingressServer.requestsInFlight() + sidecarServer.requestsInFlight() + target.requestsInFlight() + sidecar.inFlight()); });
+        return result.get_future().get();
+    }
+
+    bool becomesIdle()
+    {
+        const auto end = Clock::now() + Patience;
+        while (inFlight() > 0 && Clock::now() < end) {
+            std::this_thread::sleep_for(Milliseconds(2));
+        }
+        return inFlight() == 0;
+    }
+};
+
+std::string uploadHeader(std::size_t length)
+{
+    return "POST /ventas/upload HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+// Sends a large body and gives how many bytes of it the target took.
+std::string upload(RawCaller &caller)
+{
+    caller.send(uploadHeader(LargeBytes));
+    const std::string part(64 * 1024, 'x');
+    for (std::size_t sent = 0; sent < LargeBytes; sent += part.size()) {
+        caller.send(part);
+    }
+    caller.readTo("taken ");
+    return caller.readTo(";");
+}
+
+}
+
+// A caller closes while its call runs at the target. The close must travel
+// along: the ingress closes its connection to the sidecar, and the sidecar its
+// own to the target. Else the slot stays taken for an answer nobody reads.
+BOOST_FIXTURE_TEST_CASE(PassesACancellationOnToTheTarget, Fixture)
+{
+    RawCaller caller(IngressEndpoint);
+    caller.send("GET /ventas/wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (targetCalls == 0) {
+        std::this_thread::sleep_for(Milliseconds(2));
+    }
+    caller.close();
+    BOOST_TEST(becomesIdle());
+    BOOST_TEST(targetCancelled == 1);
+    BOOST_TEST(targetCalls == 1);
+}
+
+// Several callers send and fetch bodies that are together far larger than
+// what the node may hold. Each part is passed on before the next is read.
+BOOST_FIXTURE_TEST_CASE(HoldsOnlyPartsOfLargeBodies, Fixture)
+{
+    constexpr int Callers = 6;
+    const auto before = HeapCounter::restartPeak();
+    std::vector<std::thread> threads;
+    std::atomic<int> whole = 0;
+    for (int i = 0; i < Callers; ++i) {
+        threads.emplace_back([&] {
+            RawCaller caller(IngressEndpoint);
+            whole += upload(caller) == std::to_string(LargeBytes) + ";" ? 1 : 0;
+            caller.send("GET /ventas/large HTTP/1.1\r\nHost: h\r\n\r\n");
+            const auto header = caller.readTo("\r\n\r\n");
+            whole += header.find("Content-Length: " + std::to_string(LargeBytes)) != std::string::npos && caller.skip(LargeBytes) ? 1 : 0;
+            caller.send("GET /ventas/large-chunked HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            caller.readTo("Transfer-Encoding: chunked");
+            whole += caller.skipToEnd() == "0\r\n\r\n" ? 1 : 0;
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    const auto peak = HeapCounter::peakBytes - before;
+    BOOST_TEST_MESSAGE("peak bytes held for " << Callers << " callers: " << peak);
+    BOOST_TEST(whole == 3 * Callers);
+    BOOST_TEST(peak < 2 * 1024 * 1024 * Callers);
+}
+
+// The target dies in the middle of a long answer. What its caller has got by
+// then must not look like a whole answer.
+BOOST_FIXTURE_TEST_CASE(PassesACutOffAnswerOnAsCutOff, Fixture)
+{
+    for (const std::string path : {"/ventas/large-cut", "/ventas/large-chunked-cut"}) {
+        RawCaller caller(IngressEndpoint);
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        caller.readTo("\r\n\r\n");
+        BOOST_TEST(caller.skipToEnd() != "0\r\n\r\n");
+        BOOST_TEST(caller.skipped() < LargeBytes * 3 / 4);
+    }
+    BOOST_TEST(becomesIdle());
+}
+
+// One of two sidecars refuses. The ingress may go on to the other one only
+// because it asks before it sends a large body: once a part has been sent it
+// is gone, and the call would fail though a target had room.
+BOOST_FIXTURE_TEST_CASE(SendsALargeBodyOnlyToWhoTakesIt, Fixture)
+{
+    setMembers({member("a", SidecarEndpoint), member("b", RefusingEndpoint)});
+    for (int i = 0; i < 8; ++i) {
+        RawCaller caller(IngressEndpoint);
+        BOOST_TEST(upload(caller) == std::to_string(LargeBytes) + ";");
+    }
+    BOOST_TEST(targetCalls == 8);
+}
+
+// A caller forges the fields that nodes tell each other, or has a proxy drop
+// others by naming them in Connection; a target forges a refusal, upon which
+// the ingress would send the call once more.
+BOOST_FIXTURE_TEST_CASE(StripsForgedFields, Fixture)
+{
+    RawCaller caller(IngressEndpoint);
+    caller.send("GET /ventas/fields HTTP/1.1\r\nGALENAHILL-Call-Id: forged\r\nHost: h\r\nConnection: X-Hop, keep-alive\r\ngalenahill-service: forged\r\n"
+                "X-Hop: forged\r\nX-Own: kept\r\nGalenahill-Outcome: forged\r\ngalenaHILL-anything: forged\r\n\r\n");
+    const auto header = caller.readTo("\r\n\r\n");
+    BOOST_TEST(header.find("200 OK") != std::string::npos);
+    BOOST_TEST(header.find("utcome") == std::string::npos);
+    const auto fields = caller.readTo("X-Own=kept;");
+    BOOST_TEST(fields.find("forged") == std::string::npos);
+    BOOST_TEST(targetCalls == 1);
+}
+
+// Allocations are what a call's time on a busy node mostly depends on, and
+// unlike time they are the same on every machine. Counted are ingress,
+// sidecar, target and the three connections between.
+BOOST_FIXTURE_TEST_CASE(AllocatesLittlePerCall, Fixture)
+{
+    constexpr std::uint64_t Calls = 1000;
+    constexpr std::uint64_t MaxPerCall = 150;
+    RawCaller caller(IngressEndpoint);
+    const std::string request = "GET /ventas/a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n";
+    std::uint64_t before = 0;
+    for (std::uint64_t i = 0; i < Calls + 100; ++i) {
+        if (i == 100) {
+            before = HeapCounter::allocations;
+        }
+        caller.send(request);
+        caller.readTo("taken 0;");
+    }
+    const auto perCall = (HeapCounter::allocations - before) / Calls;
+    BOOST_TEST_MESSAGE("allocations per call: " << perCall);
+    BOOST_TEST(perCall <= MaxPerCall);
+}
