--- a/autotests/unit/callpathtest.cpp
+++ b/autotests/unit/callpathtest.cpp
@@ -84,7 +84,10 @@
     std::atomic<int> targetCalls = 0;
     std::atomic<int> targetCancelled = 0;
     std::atomic<bool> targetReady = false;
-    Ingress ingress{{.client = client, .node = NodeName("n"), .dataCentre = DataCentre("rosario-a")}};
+    Ingress ingress{{.client = client,
+        .node = NodeName("n"),
+        .dataCentre = DataCentre("rosario-a"),
+        .callEnded = [](const RouteDefinition &, CallEnd, std::chrono::microseconds) {}}};
     Sidecar sidecar{{.context = context,
         .client = client,
         .service = ServiceName("ventas"),
@@ -262,6 +265,7 @@
     constexpr int Callers = 6;
     const auto before = HeapCounter::restartPeak();
     std::vector<std::thread> threads;
+    threads.reserve(Callers);
     std::atomic<int> whole = 0;
     for (int i = 0; i < Callers; ++i) {
         threads.emplace_back([&] {
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -2,11 +2,14 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "core/callpolicy.h"
 #include "core/retrybudget.h"
 #include "core/routingview.h"
+#include "core/servicelevelmetrics.h"
 #include "core/targetpicker.h"
 #include "ports/logger.h"
 
+#include <functional>
 #include <memory>
 
 namespace Galenahill {
@@ -22,6 +25,9 @@
         NodeName node;
         DataCentre dataCentre;
         std::uint64_t seed = 1;
+        CallPolicy policy;
+        // A call of a route got its final answer.
+        std::function<void(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency)> callEnded;
     };
 
     explicit Ingress(Options options);
