--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -24,6 +24,7 @@
     CallId id;
     TimePoint deadline;
     HttpRequest request;
+    ServerConnection &connection;
     std::vector<NodeName> tried;
     // Attempts that may have run.
     std::uint32_t uncertain = 0;
@@ -45,6 +46,8 @@
 {
     AttemptEnd end = AttemptEnd::NotRun;
     HttpResponse response;
+    // What is still to come of a long answer.
+    std::unique_ptr<BodySource> rest;
 };
 
 CallEnd endOf(const HttpResponse &response)
@@ -87,8 +90,8 @@
 
     asio::awaitable<HttpResponse> admit(Call &call);
     asio::awaitable<HttpResponse> route(Call &call);
-    asio::awaitable<Attempt> attempt(Call &call, MemberRecord target);
-    HttpRequest sidecarRequest(const Call &call, TimePoint deadline) const;
+    asio::awaitable<Attempt> attempt(Call &call, const MemberRecord &target);
+    void prepare(Call &call, TimePoint deadline) const;
     TimePoint attemptDeadline(const Call &call) const;
     void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
     bool mayRepeat(const Call &call) const;
@@ -108,9 +111,9 @@
     d->view = std::move(view);
 }
 
-asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request)
+asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request, ServerConnection &connection)
 {
-    Call call;
+    Call call{.connection = connection};
     call.view = d->view;
     if (!call.view || !call.view->config) {
         co_return notRunResponse(http::status::service_unavailable, "no-configuration", "this node has no configuration yet; come back or use another node");
@@ -165,6 +168,11 @@
 
 bool Ingress::Private::mayRetry(Call &call, AttemptEnd end)
 {
+    // Nobody waits for the answer, or a part of the body is gone for good.
+    const auto *body = call.connection.requestBody();
+    if (call.connection.cancellation().cancelled() || (body != nullptr && body->taken())) {
+        return false;
+    }
     if (call.tried.size() >= MaxAttempts || Clock::now() >= call.deadline) {
         return false;
     }
@@ -215,6 +223,12 @@
         }
         ++retriesMade;
     }
+    if (last.rest) {
+        stripFields(last.response);
+        const HttpResponse sent(last.response.result(), last.response.version());
+        co_await call.connection.sendStreamed(std::move(last.response), *last.rest);
+        co_return sent;
+    }
     co_return finalAnswer(call, std::move(last), uncertain);
 }
 
@@ -224,9 +238,9 @@
     return leavesTime ? attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline) : call.deadline;
 }
 
-HttpRequest Ingress::Private::sidecarRequest(const Call &call, TimePoint deadline) const
+void Ingress::Private::prepare(Call &call, TimePoint deadline) const
 {
-    HttpRequest request = call.request;
+    auto &request = call.request;
     request.set(CallHeaders::CallId, call.id.value());
     request.set(CallHeaders::Service, call.route->service.value());
     request.set(CallHeaders::Route, call.route->name.value());
@@ -234,7 +248,6 @@
     if (call.retriedAbove || (call.route->idempotent && call.route->retries > 0)) {
         request.set(CallHeaders::RetriedAbove, "yes");
     }
-    return request;
 }
 
 void Ingress::Private::learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response)
@@ -261,18 +274,24 @@
     }
 }
 
-asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, MemberRecord target)
+asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, const MemberRecord &target)
 {
     const auto begin = Clock::now();
     const auto deadline = attemptDeadline(call);
     if (deadline - begin < Milliseconds(1)) {
         co_return Attempt{};
     }
-    auto request = sidecarRequest(call, deadline);
+    prepare(call, deadline);
     picker.begin(target.name);
-    auto response = co_await options.client.exchange(target.sidecar(), std::move(request), deadline);
-    picker.end(target.name);
     Attempt result;
+    HttpClient::Companions companions;
+    companions.cancellation = &call.connection.cancellation();
+    companions.requestBody = call.connection.requestBody();
+    companions.askFirst = true;
+    companions.answerBody = &result.rest;
+    const auto sidecar = target.sidecar();
+    auto response = co_await options.client.exchange(sidecar, call.request, deadline, companions);
+    picker.end(target.name);
     if (!response) {
         result.end = response.error().kind == ErrorKind::Unavailable ? AttemptEnd::NotRun : AttemptEnd::OutcomeUnknown;
     } else if (saysNotRun(*response)) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -43,6 +43,11 @@
 
 constexpr Milliseconds DrainCheckInterval{10};
 
+// Bodies of calls and their answers pass through in parts, so that this
+// bounds time rather than memory.
+constexpr std::uint64_t MaxControlBodyBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
+
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -87,7 +92,7 @@
               .highestKnown = [this] { return Revision(state->highestKnown); },
               .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
         , links(settings.linkFaults ? std::make_unique<LinkFilter>(self.incarnation) : nullptr)
-        , controlClient(controlContext, clientOptions())
+        , controlClient(controlContext, clientOptions(MaxControlBodyBytes))
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
               {.endpoint = self.control(),
@@ -107,7 +112,7 @@
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
-        , dataClient(dataContext, clientOptions())
+        , dataClient(dataContext, clientOptions(MaxCallBodyBytes))
         , ingress({.client = dataClient,
               .node = settings.name,
               .dataCentre = settings.dataCentre,
@@ -125,10 +130,14 @@
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
-                  .handler = [this](HttpRequest request, ServerConnection &) { return ingress.handle(std::move(request)); }})
-        , sidecarServer(dataContext, {.endpoint = self.sidecar(), .handler = [this](HttpRequest request, ServerConnection &connection) {
-                                          return sidecar.handle(std::move(request), connection);
-                                      }})
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
+        , sidecarServer(dataContext,
+              {.endpoint = self.sidecar(),
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
     {
     }
 
@@ -163,7 +172,7 @@
     std::thread dataThread;
 
     MemberRecord selfRecord() const;
-    HttpClient::Options clientOptions() const;
+    HttpClient::Options clientOptions(std::uint64_t maxBodyBytes) const;
     asio::awaitable<HttpResponse> handleControl(HttpRequest request);
     std::string counters() const;
     Result<void> listen();
@@ -205,9 +214,10 @@
     return record;
 }
 
-HttpClient::Options Node::Private::clientOptions() const
+HttpClient::Options Node::Private::clientOptions(std::uint64_t maxBodyBytes) const
 {
     HttpClient::Options options;
+    options.maxBodyBytes = maxBodyBytes;
     if (links) {
         options.reachable = [this](const Endpoint &endpoint) { return links->connects(endpoint.address); };
     }
