core: Refuse more copied mistakes, look routes up by path

Refused now, each with the remedy: POST or PATCH in an idempotent route (a read route copied for payments would run one twice after a lost answer), a path that ends with a slash (it stood over the same path without) or holds a pattern or dot segments, a method or data centre listed twice, an objective slower than the time limit or without a share, text behind a section's header, a section without keys whose name contains another's (the old look took it for that one), text that isn't UTF-8, lines above 4 KB, more than 16 MB in all files. A refusal names 50 faults and counts the rest.

A call's route was found by a look at every route. It is now looked up by path, then by the path's beginnings, so the time grows with the segments; a path beyond the longest configured one is cut first.

Before, the new cases of configvalidatortest were accepted or gave another message; IndexAgreesWithALookAtEveryRoute compares 5,000 random calls with the old way. "No idempotent POST" also refuses a search by POST that could be repeated; the loss is a retry, and no file can then double an order.

--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -1,6 +1,10 @@
+#include "core/configlimits.h"
 #include "core/configsnapshot.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <random>
+#include <set>
 
 using namespace Galenahill;
 
@@ -65,3 +69,139 @@
     other.replace(other.find("pedidos"), 7, "otra");
     BOOST_TEST(refuses(Service + Route + other, "POST is already taken by [route pedidos]"));
 }
+
+namespace {
+
+// The route example with one key's value changed.
+std::string routeWith(const std::string &key, const std::string &value)
+{
+    std::string text = Route;
+    const auto begin = text.find(key + " = ") + key.size() + 3;
+    return Service + text.replace(begin, text.find('\n', begin) - begin, value);
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(RefusesPathsThatMeanSomethingElse)
+{
+    BOOST_TEST(refuses(routeWith("path", "/ventas/"), "remove the slash at the end"));
+    for (const std::string path : {"/ventas/*", "/ventas/{id}", "/ventas/:id", "^/ventas", "/ventas$", "/(a|b)", "\"/ventas\""}) {
+        BOOST_TEST(refuses(routeWith("path", path), "path = " + path));
+    }
+    BOOST_TEST(refuses(routeWith("path", "/a/../b"), "without '.' and '..'"));
+    BOOST_TEST(refuses(routeWith("path", "/a//b"), "'//'"));
+    BOOST_TEST(refuses(routeWith("path", "/a?x=1"), "'?'"));
+    BOOST_TEST(refuses(routeWith("path", "http://10.0.0.1/ventas"), "begins with '/'"));
+    BOOST_TEST(faultsOf(routeWith("path", "/")).empty());
+}
+
+// A read route copied for orders keeps "idempotent = yes". The first lost
+// answer would run an order twice.
+BOOST_AUTO_TEST_CASE(RefusesIdempotentForMethodsThatAreNot)
+{
+    BOOST_TEST(refuses(routeWith("idempotent", "yes"), "POST calls are never run again"));
+    std::string text = routeWith("methods", "GET, PATCH");
+    text.replace(text.find("idempotent = no"), 15, "idempotent = yes");
+    BOOST_TEST(refuses(text, "PATCH calls are never run again"));
+    text.replace(text.find("PATCH"), 5, "PUT");
+    BOOST_TEST(faultsOf(text).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RefusesObjectivesThatCannotBeMissed)
+{
+    BOOST_TEST(refuses(Service + Route + "slo-availability = 99\nslo-latency-ms = 2000\n", "above timeout-ms = 1000"));
+    BOOST_TEST(refuses(Service + Route + "slo-latency-ms = 20\n", "needs slo-availability"));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesListsWithAnItemTwice)
+{
+    BOOST_TEST(refuses("[service x]\ndata-centres = a, b, a\nslots = 1\n", "a is listed twice"));
+    BOOST_TEST(refuses(routeWith("methods", "POST, POST"), "POST is listed twice"));
+    BOOST_TEST(refuses("[service x]\ndata-centres = \nslots = 1\n", "is no data centre's name"));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesDuplicatesAcrossFiles)
+{
+    const auto both = ConfigSnapshot::validate({{FileName("a.ini"), Service + Route}, {FileName("b.ini"), Service + Route}});
+    BOOST_REQUIRE(!both.has_value());
+    BOOST_TEST(both.error().message.find("b.ini [service ventas] also defined in a.ini") != std::string::npos);
+    BOOST_TEST(both.error().message.find("b.ini [route pedidos] also defined in a.ini") != std::string::npos);
+}
+
+// The INI reader drops what stands behind a header, and a section without keys
+// if the next one follows. The operator would believe both to be in force.
+BOOST_AUTO_TEST_CASE(RefusesWhatTheReaderWouldDrop)
+{
+    BOOST_TEST(refuses("[service ventas-2]\n" + Service, "[service ventas-2] has no keys"));
+    BOOST_TEST(refuses("[service x] slots = 6\ndata-centres = a\nslots = 1\n", "line 1: text behind [service x]"));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesHostileText)
+{
+    BOOST_TEST(refuses("; caf\xe9\n" + Service, "line 1: not UTF-8"));
+    BOOST_TEST(refuses(Service + "; " + std::string(5000, 'x') + "\n", "line 5: has 5002 bytes"));
+    BOOST_TEST(refuses(Service + "; \x7f\n", "binary byte"));
+    BOOST_TEST(refuses(std::string(ConfigLimits::MaxFileBytes + 1, ';'), "split it"));
+    BOOST_TEST(faultsOf("; señal, café\n" + Service).empty());
+    std::vector<ConfigFile> files;
+    for (int i = 0; i < 20; ++i) {
+        files.push_back({FileName(std::to_string(i)), fmt::format("[service s{}]\ndata-centres = a\nslots = 1\n", i)});
+        while (files.back().text.size() < 850000) {
+            files.back().text += "; " + std::string(4000, 'x') + "\n";
+        }
+    }
+    const auto total = ConfigSnapshot::validate(files);
+    BOOST_REQUIRE(!total.has_value());
+    BOOST_TEST(total.error().message.find("at most 16777216 are taken") != std::string::npos);
+}
+
+// Thousands of faults in one copied file: the first ones are named and the
+// rest counted, so that the message stays readable and the check short.
+BOOST_AUTO_TEST_CASE(BoundsTheFaultsNamed)
+{
+    std::string text;
+    for (int i = 0; i < 3000; ++i) {
+        text += fmt::format("[route r{0}]\npath = /{0}\nmethods = GET\nservice = venta{0}\nidempotent = no\ntimeout-ms = 1000\n", i);
+    }
+    const auto faults = faultsOf(Service + text);
+    BOOST_TEST(std::count(faults.begin(), faults.end(), '\n') == static_cast<int>(ConfigLimits::MaxFaults));
+    BOOST_TEST(faults.find("and 2950 more faults") != std::string::npos);
+}
+
+// The index must find the route that a look at every route would.
+BOOST_AUTO_TEST_CASE(IndexAgreesWithALookAtEveryRoute)
+{
+    std::mt19937 random(7);
+    const auto randomPath = [&] {
+        std::string path;
+        const auto segments = 1 + random() % 4;
+        for (std::size_t i = 0; i < segments; ++i) {
+            path += "/" + std::string(1 + random() % 2, static_cast<char>('a' + random() % 3));
+        }
+        return path;
+    };
+    std::string text = Service + "[route root]\npath = /\nmethods = PUT\nservice = ventas\nidempotent = no\ntimeout-ms = 1000\n";
+    std::set<std::string> paths;
+    for (int i = 0; i < 200; ++i) {
+        const auto path = randomPath();
+        if (paths.insert(path).second) {
+            const auto *methods = random() % 2 == 0 ? "GET" : "GET, PUT";
+            text += fmt::format("[route r{}]\npath = {}\nmethods = {}\nservice = ventas\nidempotent = no\ntimeout-ms = 1000\n", i, path, methods);
+        }
+    }
+    const auto snapshot = ConfigSnapshot::validate({{FileName("f.ini"), text}});
+    BOOST_REQUIRE(snapshot.has_value());
+    for (int i = 0; i < 5000; ++i) {
+        const auto path
+            = random() % 10 == 0 ? std::string(random() % 12, '/') : randomPath() + (random() % 4 == 0 ? "/" : "") + (random() % 3 == 0 ? randomPath() : "");
+        const std::string method = random() % 2 == 0 ? "GET" : "PUT";
+        const RouteDefinition *expected = nullptr;
+        for (const auto &route : (*snapshot)->routes()) {
+            const bool takes = std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+            if (expected == nullptr && takes && pathMatches(route.path, path)) {
+                expected = &route;
+            }
+        }
+        BOOST_TEST((*snapshot)->route(method, path) == expected, method << " " << path);
+    }
+}
--- a/src/core/configdocument.cpp
+++ b/src/core/configdocument.cpp
@@ -1,17 +1,36 @@
 #include "core/configdocument.h"
 
 #include "core/configlimits.h"
+#include "core/configtext.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <fmt/format.h>
+#include <set>
 #include <sstream>
 
 namespace Galenahill {
 
 namespace {
 
+// Says which line isn't UTF-8 or is over-long, or gives nothing.
+std::string unfitLine(std::string_view text)
+{
+    for (int number = 1; !text.empty(); ++number) {
+        const auto line = text.substr(0, text.find('\n'));
+        if (line.size() > ConfigLimits::MaxLineBytes) {
+            return fmt::format("line {}: has {} bytes, at most {} are taken; shorten it", number, line.size(), ConfigLimits::MaxLineBytes);
+        }
+        if (!isUtf8(line)) {
+            return fmt::format("line {}: not UTF-8; save the file as UTF-8", number);
+        }
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+    }
+    return {};
+}
+
 // Says what makes the text unfit for the INI reader, or gives nothing.
 std::string unfitText(const std::string &text)
 {
@@ -29,31 +48,35 @@
     if (const auto position = text.find('\r'); position != std::string::npos) {
         return fmt::format("line {}: carriage return found; save the file with Unix line ends", line(position));
     }
-    const auto control = std::find_if(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 && c != '\n' && c != '\t'; });
+    const auto control = std::find_if(text.begin(), text.end(), [](unsigned char c) { return (c < 0x20 && c != '\n' && c != '\t') || c == 0x7f; });
     if (control != text.end()) {
         return fmt::format("line {}: binary byte found; a configuration file is plain text", line(static_cast<std::size_t>(control - text.begin())));
     }
-    return {};
+    return unfitLine(text);
 }
 
-// The INI reader drops a section without keys silently. An operator who left
-// the keys out would see the file accepted and the section not in force, so
-// the headers are counted against the sections read.
-std::string emptySection(const std::string &text, const std::vector<ConfigSection> &sections)
+// The INI reader drops a section without keys silently, and all that stands
+// behind a section's closing bracket. An operator would see the file accepted
+// and the section or setting not in force, so the headers are looked at again.
+std::string faultyHeader(const std::string &text, const std::vector<ConfigSection> &sections)
 {
+    std::set<std::string> filled;
+    for (const auto &section : sections) {
+        filled.insert(section.name);
+    }
     std::istringstream stream(text);
-    std::string lineText;
-    int number = 0;
-    while (std::getline(stream, lineText)) {
-        ++number;
-        const auto open = lineText.find_first_not_of(" \t");
-        const auto close = lineText.find(']');
-        if (open == std::string::npos || lineText[open] != '[' || close == std::string::npos) {
+    std::string line;
+    for (int number = 1; std::getline(stream, line); ++number) {
+        boost::trim(line);
+        const auto close = line.find(']');
+        if (line.empty() || line.front() != '[' || close == std::string::npos) {
             continue;
         }
-        const auto name = lineText.substr(open + 1, close - open - 1);
-        const auto matches = [&](const ConfigSection &section) { return name.find(section.name) != std::string::npos; };
-        if (std::none_of(sections.begin(), sections.end(), matches)) {
+        const auto name = boost::trim_copy(line.substr(1, close - 1));
+        if (close + 1 != line.size()) {
+            return fmt::format("line {}: text behind [{}]; move it to a line of its own", number, name);
+        }
+        if (filled.count(name) == 0) {
             return fmt::format("line {}: [{}] has no keys; fill it or remove the section", number, name);
         }
     }
@@ -94,7 +117,7 @@
         }
         document.m_sections.push_back(std::move(section));
     }
-    if (const auto reason = emptySection(file.text, document.m_sections); !reason.empty()) {
+    if (const auto reason = faultyHeader(file.text, document.m_sections); !reason.empty()) {
         return failure(ErrorKind::Invalid, fmt::format("{}: {}", file.name.value(), reason));
     }
     return document;
--- a/src/core/configsnapshot.cpp
+++ b/src/core/configsnapshot.cpp
@@ -3,6 +3,7 @@
 #include "core/configvalidator.h"
 
 #include <algorithm>
+#include <functional>
 #include <unordered_map>
 
 namespace Galenahill {
@@ -14,8 +15,48 @@
     // Longest path first, so that the first match is the most specific.
     std::vector<RouteDefinition> routes;
     std::unordered_map<ServiceName, std::size_t> serviceIndex;
+    // Routes by path; the keys point into `routes`.
+    std::unordered_map<std::string_view, std::vector<const RouteDefinition *>> routesByPath;
+    std::size_t longestPath = 0;
+
+    void index();
+    const RouteDefinition *longestMatch(std::string_view path, const std::function<bool(const RouteDefinition &)> &takes) const;
 };
 
+void ConfigSnapshot::Private::index()
+{
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        serviceIndex.emplace(services[i].name, i);
+    }
+    for (const auto &route : routes) {
+        routesByPath[route.path].push_back(&route);
+        longestPath = std::max(longestPath, route.path.size());
+    }
+}
+
+// Looks the path up, then its beginnings, longest first, so that the time
+// grows with the path's segments and not with the number of routes. A path
+// beyond the longest configured one is cut first; a caller could else make
+// each call cost thousands of look-ups.
+const RouteDefinition *ConfigSnapshot::Private::longestMatch(std::string_view path, const std::function<bool(const RouteDefinition &)> &takes) const
+{
+    auto end = path.size();
+    if (end > longestPath) {
+        end = path.rfind('/', longestPath);
+    }
+    while (end != std::string_view::npos && !path.empty()) {
+        const auto prefix = path.substr(0, std::max<std::size_t>(end, 1));
+        if (const auto found = routesByPath.find(prefix); found != routesByPath.end()) {
+            const auto taking = std::find_if(found->second.begin(), found->second.end(), [&](const auto *route) { return takes(*route); });
+            if (taking != found->second.end()) {
+                return *taking;
+            }
+        }
+        end = end <= 1 ? std::string_view::npos : path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
 ConfigSnapshot::ConfigSnapshot()
     : d(std::make_unique<Private>())
 {
@@ -38,9 +79,7 @@
     snapshot->d->routes = std::move(definitions->routes);
     std::stable_sort(
         snapshot->d->routes.begin(), snapshot->d->routes.end(), [](const auto &left, const auto &right) { return left.path.size() > right.path.size(); });
-    for (std::size_t i = 0; i < snapshot->d->services.size(); ++i) {
-        snapshot->d->serviceIndex.emplace(snapshot->d->services[i].name, i);
-    }
+    snapshot->d->index();
     return std::shared_ptr<const ConfigSnapshot>(snapshot);
 }
 
@@ -62,16 +101,13 @@
 
 const RouteDefinition *ConfigSnapshot::route(std::string_view method, std::string_view path) const
 {
-    const auto takes = [&](const RouteDefinition &route) {
-        return pathMatches(route.path, path) && std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
-    };
-    const auto found = std::find_if(d->routes.begin(), d->routes.end(), takes);
-    return found == d->routes.end() ? nullptr : &*found;
+    return d->longestMatch(
+        path, [&](const RouteDefinition &route) { return std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end(); });
 }
 
 bool ConfigSnapshot::hasPath(std::string_view path) const
 {
-    return std::any_of(d->routes.begin(), d->routes.end(), [&](const auto &route) { return pathMatches(route.path, path); });
+    return d->longestMatch(path, [](const RouteDefinition &) { return true; }) != nullptr;
 }
 
 bool pathMatches(std::string_view prefix, std::string_view path)
--- a/src/core/configvalidator.cpp
+++ b/src/core/configvalidator.cpp
@@ -29,6 +29,13 @@
     return items;
 }
 
+// The name in "[service NAME]"; empty if there is none.
+std::string sectionName(const ConfigSection &section)
+{
+    const auto space = section.name.find(' ');
+    return space == std::string::npos ? std::string() : boost::trim_copy(section.name.substr(space));
+}
+
 bool isName(const std::string &text)
 {
     const auto allowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; };
@@ -39,24 +46,33 @@
 
 void ConfigValidator::fault(const FileName &file, const std::string &section, const std::string &text)
 {
-    m_faults.push_back(fmt::format("{} [{}] {}", file.value(), section, text));
+    fault(fmt::format("{} [{}] {}", file.value(), section, text));
+}
+
+void ConfigValidator::fault(std::string text)
+{
+    ++m_faultCount;
+    if (m_faults.size() < ConfigLimits::MaxFaults) {
+        m_faults.push_back(std::move(text));
+    }
 }
 
 void ConfigValidator::add(const ConfigFile &file)
 {
     if (!isName(file.name.value())) {
-        m_faults.push_back(fmt::format("\"{}\": not a file name; use letters, digits, '-', '_' and '.'", file.name.value()));
+        fault(fmt::format("\"{}\": not a file name; use letters, digits, '-', '_' and '.'", file.name.value()));
         return;
     }
+    m_totalBytes += file.text.size();
     const auto document = ConfigDocument::parse(file);
     if (!document) {
-        m_faults.push_back(document.error().message);
+        fault(document.error().message);
         return;
     }
     for (const auto &section : document->sections()) {
         const auto space = section.name.find(' ');
         const auto type = section.name.substr(0, space);
-        const auto name = space == std::string::npos ? std::string() : boost::trim_copy(section.name.substr(space));
+        const auto name = sectionName(section);
         if (type != "service" && type != "route") {
             fault(file.name, section.name, "no such kind of section; use [service NAME] or [route NAME]" + suggestion(type, {"service", "route"}));
             continue;
@@ -115,24 +131,31 @@
     return result;
 }
 
-void ConfigValidator::addService(const FileName &file, const ConfigSection &section)
+void ConfigValidator::readDataCentres(const FileName &file, const ConfigSection &section, ServiceDefinition &service)
 {
-    checkKeys(file, section, ServiceKeys);
-    ServiceDefinition service;
-    service.name = ServiceName(boost::trim_copy(section.name.substr(section.name.find(' '))));
-    service.file = file;
     const auto *dataCentres = section.find("data-centres");
     if (dataCentres == nullptr) {
         fault(file, section.name, "data-centres is missing; list the data centres that have targets, such as 'data-centres = rosario-a, rosario-b'");
-    } else {
-        for (const auto &item : listItems(*dataCentres)) {
-            if (!isName(item)) {
-                fault(
-                    file, section.name, fmt::format("data-centres = {}: \"{}\" is no data centre's name; separate names by single commas", *dataCentres, item));
-            }
-            service.dataCentres.emplace_back(item);
+        return;
+    }
+    for (const auto &item : listItems(*dataCentres)) {
+        if (!isName(item)) {
+            fault(file, section.name, fmt::format("data-centres: \"{}\" is no data centre's name; separate names by single commas", item));
+        }
+        if (std::count(service.dataCentres.begin(), service.dataCentres.end(), DataCentre(item)) > 0) {
+            fault(file, section.name, fmt::format("data-centres: {} is listed twice; remove one", item));
         }
+        service.dataCentres.emplace_back(item);
     }
+}
+
+void ConfigValidator::addService(const FileName &file, const ConfigSection &section)
+{
+    checkKeys(file, section, ServiceKeys);
+    ServiceDefinition service;
+    service.name = ServiceName(sectionName(section));
+    service.file = file;
+    readDataCentres(file, section, service);
     if (section.find("slots") == nullptr) {
         fault(file, section.name, "slots is missing; give the number of calls that one target runs at a time");
     }
@@ -144,36 +167,84 @@
     m_definitions.services.push_back(std::move(service));
 }
 
-void ConfigValidator::addRoute(const FileName &file, const ConfigSection &section)
+void ConfigValidator::readPath(const FileName &file, const ConfigSection &section, RouteDefinition &route)
 {
-    checkKeys(file, section, RouteKeys);
-    for (const std::string key : {"path", "methods", "service", "idempotent", "timeout-ms"}) {
-        if (section.find(key) == nullptr) {
-            fault(file, section.name, fmt::format("{} is missing; each route gives path, methods, service, idempotent and timeout-ms", key));
-            return;
-        }
-    }
-    RouteDefinition route;
-    route.name = RouteName(boost::trim_copy(section.name.substr(section.name.find(' '))));
-    route.file = file;
     route.path = *section.find("path");
-    route.service = ServiceName(*section.find("service"));
     const auto forbidden = [](unsigned char c) { return c <= ' ' || c == '?' || c == '#' || c > 126; };
     if (route.path.empty() || route.path.front() != '/' || std::any_of(route.path.begin(), route.path.end(), forbidden)
         || route.path.find("//") != std::string::npos) {
         fault(file, section.name, fmt::format("path = {}: give a path that begins with '/', without blanks, '?', '#' or '//'", route.path));
+    } else if (route.path.size() > 1 && route.path.back() == '/') {
+        // With the slash the route would take /x/y but not /x, and stand over
+        // a route for /x that looks the same.
+        fault(file, section.name, fmt::format("path = {}: remove the slash at the end; a path takes all that continues it after a slash", route.path));
+    } else if (route.path.find_first_of("*{}[]()^$\\|<>\"") != std::string::npos || route.path.find("/:") != std::string::npos) {
+        fault(file, section.name, fmt::format("path = {}: patterns aren't known; give the beginning of the path that all calls share", route.path));
+    } else if ((route.path + "/").find("/./") != std::string::npos || (route.path + "/").find("/../") != std::string::npos) {
+        fault(file, section.name, fmt::format("path = {}: write the path without '.' and '..'", route.path));
     }
-    route.methods = listItems(*section.find("methods"));
-    for (const auto &method : route.methods) {
+}
+
+void ConfigValidator::readMethods(const FileName &file, const ConfigSection &section, RouteDefinition &route)
+{
+    for (const auto &method : listItems(*section.find("methods"))) {
         if (std::find(KnownMethods.begin(), KnownMethods.end(), method) == KnownMethods.end()) {
             fault(file, section.name, fmt::format("methods: \"{}\" is no method; the methods are {}", method, fmt::join(KnownMethods, ", ")));
+        } else if (std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end()) {
+            fault(file, section.name, fmt::format("methods: {} is listed twice; remove one", method));
+        } else {
+            route.methods.push_back(method);
         }
     }
+}
+
+void ConfigValidator::readIdempotent(const FileName &file, const ConfigSection &section, RouteDefinition &route)
+{
     const auto &idempotent = *section.find("idempotent");
     if (idempotent != "yes" && idempotent != "no") {
         fault(file, section.name, fmt::format("idempotent = {}: write yes if a repeated call does no harm, else no", idempotent));
     }
     route.idempotent = idempotent == "yes";
+    // A read route copied for payments keeps its "yes", and one lost answer
+    // then runs a payment twice. HTTP doesn't promise that these methods can
+    // be repeated, so no file may say so.
+    for (const std::string method : {"POST", "PATCH"}) {
+        if (route.idempotent && std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end()) {
+            fault(file,
+                section.name,
+                fmt::format("idempotent = yes: {} calls are never run again; give {} a route of its own with 'idempotent = no'", method, method));
+        }
+    }
+}
+
+void ConfigValidator::checkObjectives(const ConfigSection &section, const RouteDefinition &route)
+{
+    if (route.sloLatency > route.timeout) {
+        fault(route.file,
+            section.name,
+            fmt::format("slo-latency-ms = {}: above timeout-ms = {}, so no call could miss it; lower it", route.sloLatency.count(), route.timeout.count()));
+    }
+    if (route.sloLatency.count() > 0 && route.sloAvailability == 0) {
+        fault(route.file, section.name, "slo-latency-ms: needs slo-availability, the share of calls that should be as fast; add it, such as 99.9");
+    }
+}
+
+void ConfigValidator::addRoute(const FileName &file, const ConfigSection &section)
+{
+    checkKeys(file, section, RouteKeys);
+    for (const std::string key : {"path", "methods", "service", "idempotent", "timeout-ms"}) {
+        if (section.find(key) == nullptr) {
+            fault(file, section.name, fmt::format("{} is missing; each route gives path, methods, service, idempotent and timeout-ms", key));
+            return;
+        }
+    }
+    RouteDefinition route;
+    route.name = RouteName(sectionName(section));
+    route.file = file;
+    route.service = ServiceName(*section.find("service"));
+    readPath(file, section, route);
+    readMethods(file, section, route);
+    readIdempotent(file, section, route);
     route.timeout = Milliseconds(number(file, section, "timeout-ms", ConfigLimits::MinTimeout.count(), ConfigLimits::MaxTimeout.count(), 1000));
     route.retries = static_cast<std::uint32_t>(number(file, section, "retries", 0, ConfigLimits::MaxRetries, 0));
     if (!route.idempotent && route.retries > 0) {
@@ -184,10 +255,11 @@
     }
     route.sloAvailability = percentage(file, section, "slo-availability");
     route.sloLatency = Milliseconds(number(file, section, "slo-latency-ms", 1, ConfigLimits::MaxTimeout.count(), 0));
+    checkObjectives(section, route);
     m_definitions.routes.push_back(std::move(route));
 }
 
-void ConfigValidator::checkDuplicates()
+void ConfigValidator::checkServiceNames()
 {
     std::map<ServiceName, FileName> services;
     for (const auto &service : m_definitions.services) {
@@ -196,20 +268,28 @@
             fault(service.file, "service " + service.name.value(), fmt::format("also defined in {}; remove one of the two", first->second.value()));
         }
     }
+}
+
+void ConfigValidator::checkRouteNames()
+{
     std::map<RouteName, FileName> names;
-    std::map<std::pair<std::string, std::string>, const RouteDefinition *> taken;
     for (const auto &route : m_definitions.routes) {
-        const auto section = "route " + route.name.value();
         const auto [first, added] = names.emplace(route.name, route.file);
         if (!added) {
-            fault(route.file, section, fmt::format("also defined in {}; remove or rename one of the two", first->second.value()));
-            continue;
+            fault(route.file, "route " + route.name.value(), fmt::format("also defined in {}; remove or rename one of the two", first->second.value()));
         }
+    }
+}
+
+void ConfigValidator::checkRouteCalls()
+{
+    std::map<std::pair<std::string, std::string>, const RouteDefinition *> taken;
+    for (const auto &route : m_definitions.routes) {
         for (const auto &method : route.methods) {
             const auto [other, free] = taken.emplace(std::pair(method, route.path), &route);
-            if (!free) {
+            if (!free && other->second->name != route.name) {
                 fault(route.file,
-                    section,
+                    "route " + route.name.value(),
                     fmt::format("path = {}: {} is already taken by [route {}] in {}; change the path or the methods",
                         route.path,
                         method,
@@ -226,23 +306,36 @@
     for (const auto &service : m_definitions.services) {
         names.push_back(service.name.value());
     }
+    std::sort(names.begin(), names.end());
     for (const auto &route : m_definitions.routes) {
-        if (std::find(names.begin(), names.end(), route.service.value()) == names.end()) {
-            fault(route.file,
-                "route " + route.name.value(),
-                fmt::format("service = {}: no such service{}; define [service {}] or name an existing one",
-                    route.service.value(),
-                    suggestion(route.service.value(), names),
-                    route.service.value()));
+        if (std::binary_search(names.begin(), names.end(), route.service.value())) {
+            continue;
         }
+        // Looking for the nearest of thousands of names takes long, so not for
+        // faults that aren't shown.
+        const bool shown = m_faults.size() < ConfigLimits::MaxFaults;
+        fault(route.file,
+            "route " + route.name.value(),
+            fmt::format("service = {}: no such service{}; define [service {}] or name an existing one",
+                route.service.value(),
+                shown ? suggestion(route.service.value(), names) : std::string(),
+                route.service.value()));
     }
 }
 
 Result<ConfigDefinitions> ConfigValidator::finish()
 {
-    checkDuplicates();
+    checkServiceNames();
+    checkRouteNames();
+    checkRouteCalls();
     checkReferences();
+    if (m_totalBytes > ConfigLimits::MaxTotalBytes) {
+        fault(fmt::format("all files: {} bytes together, at most {} are taken; remove what isn't needed", m_totalBytes, ConfigLimits::MaxTotalBytes));
+    }
     if (!m_faults.empty()) {
+        if (m_faultCount > m_faults.size()) {
+            m_faults.push_back(fmt::format("and {} more faults; mend these first", m_faultCount - m_faults.size()));
+        }
         return failure(ErrorKind::Invalid, fmt::format("{}", fmt::join(m_faults, "\n")));
     }
     return std::move(m_definitions);
--- a/src/core/configvalidator.h
+++ b/src/core/configvalidator.h
@@ -30,16 +30,26 @@
 private:
     void addService(const FileName &file, const ConfigSection &section);
     void addRoute(const FileName &file, const ConfigSection &section);
+    void readDataCentres(const FileName &file, const ConfigSection &section, ServiceDefinition &service);
+    void readPath(const FileName &file, const ConfigSection &section, RouteDefinition &route);
+    void readMethods(const FileName &file, const ConfigSection &section, RouteDefinition &route);
+    void readIdempotent(const FileName &file, const ConfigSection &section, RouteDefinition &route);
+    void checkObjectives(const ConfigSection &section, const RouteDefinition &route);
     void checkReferences();
-    void checkDuplicates();
+    void checkServiceNames();
+    void checkRouteNames();
+    void checkRouteCalls();
     void checkKeys(const FileName &file, const ConfigSection &section, const std::vector<std::string> &known);
     std::uint64_t number(
         const FileName &file, const ConfigSection &section, const std::string &key, std::uint64_t least, std::uint64_t most, std::uint64_t fallback);
     double percentage(const FileName &file, const ConfigSection &section, const std::string &key);
     void fault(const FileName &file, const std::string &section, const std::string &text);
+    void fault(std::string text);
 
     ConfigDefinitions m_definitions;
     std::vector<std::string> m_faults;
+    std::size_t m_faultCount = 0;
+    std::size_t m_totalBytes = 0;
 };
 
 }
--- a/src/core/nearestname.cpp
+++ b/src/core/nearestname.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Names are shorter. The comparison's time grows with the product of the
+// lengths, so a hostile word would hold up an acceptance.
+constexpr std::size_t MaxWordLength = 100;
+
 std::size_t editDistance(const std::string &left, const std::string &right)
 {
     std::vector<std::size_t> row(right.size() + 1);
@@ -30,7 +34,14 @@
     // Beyond a third of the word a suggestion is more likely wrong than right.
     std::size_t best = std::max<std::size_t>(2, word.size() / 3) + 1;
     std::string nearest;
+    if (word.size() > MaxWordLength) {
+        return {};
+    }
     for (const auto &candidate : candidates) {
+        const auto difference = std::max(word.size(), candidate.size()) - std::min(word.size(), candidate.size());
+        if (difference >= best) {
+            continue;
+        }
         const auto distance = editDistance(word, candidate);
         if (distance < best) {
             best = distance;
