--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -56,8 +56,10 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {
+        {"calls", runCalls},
         {"demo", runDemo},
         {"distribution", runDistribution},
+        {"faults", runFaults},
         {"slopes", runSlopes},
     };
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
--- a/src/core/nodesettings.cpp
+++ b/src/core/nodesettings.cpp
@@ -118,6 +118,15 @@
     return {};
 }
 
+std::string readLinkFaults(NodeSettings &settings, const std::string &value)
+{
+    if (value != "yes" && value != "no") {
+        return "give yes or no";
+    }
+    settings.linkFaults = value == "yes";
+    return {};
+}
+
 std::string readSeeds(NodeSettings &settings, const std::string &value)
 {
     std::vector<std::string> items;
@@ -170,6 +179,7 @@
                 {"watchers", {false, count([](S &s) -> std::uint32_t & { return s.watchers; }, 1, 16)}},
                 {"drop-percent", {false, count([](S &s) -> std::uint32_t & { return s.dropPercent; }, 0, 90)}},
             }},
+        {"testing", {{"link-faults", {false, readLinkFaults}}}},
     };
     return keys;
 }
