--- /dev/null
+++ b/completions/galenahillctl.bash
@@ -0,0 +1,25 @@
+# Completion of galenahillctl for bash; source it, or install it as
+# /usr/share/bash-completion/completions/galenahillctl. The options come from
+# the command's own help, so they can't differ from it.
+_galenahillctl()
+{
+    local word=${COMP_WORDS[COMP_CWORD]}
+    local commands="apply burn check diff history outcome remove show status"
+    local command="" each
+    for each in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
+        case " $commands " in
+        *" $each "*) command=$each && break ;;
+        esac
+    done
+    if [[ $word == -* ]]; then
+        mapfile -t COMPREPLY < <(compgen -W "$(galenahillctl $command --help 2>/dev/null | grep -o -e '--[a-z][a-z-]*=\{0,1\}' | sort -u)" -- "$word")
+        if [[ ${COMPREPLY[0]-} == *= ]]; then
+            compopt -o nospace 2>/dev/null || true
+        fi
+    elif [[ -z $command ]]; then
+        mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$word")
+    elif [[ $command == apply || $command == check || $command == diff ]]; then
+        mapfile -t COMPREPLY < <(compgen -f -- "$word")
+    fi
+}
+complete -o filenames -F _galenahillctl galenahillctl
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,8 @@
 #include "cli/commands.h"
 
 #include "cli/burncommand.h"
+#include "cli/diffcommand.h"
+#include "cli/localfile.h"
 #include "cli/nodeconnection.h"
 
 #include <boost/uuid/random_generator.hpp>
@@ -8,9 +10,7 @@
 #include <chrono>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <thread>
 
 namespace Galenahill {
@@ -21,21 +21,34 @@
 
 constexpr Milliseconds WaitInterval{200};
 
-Result<std::string> readFile(const std::string &path)
+// The revision in force when an apply id was made, which stands before the
+// id's first dash. An id without it counts as made before the first revision,
+// so it can be used while no change is forgotten.
+std::uint64_t begunAt(const std::string &id)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failure(ErrorKind::Invalid, path + ": can't be read; give the path of a configuration file");
+    return wholeNumber(id.substr(0, id.find('-'))).value_or(0);
+}
+
+Result<std::string> newApplyId(NodeConnection &node)
+{
+    const auto revision = node.call("revision", json::object());
+    if (!revision) {
+        return tl::unexpected(revision.error());
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return fmt::format("{}-{}", revision->at("revision").get<std::uint64_t>(), to_string(boost::uuids::random_generator()()));
 }
 
-std::string fileNameOf(const CommandOptions &options)
+void warnOfLeftOut(const json &result)
 {
-    const auto &path = options.arguments.front();
-    return options.name.empty() ? path.substr(path.rfind('/') + 1) : options.name;
+    for (const auto &change : result.at("left_out")) {
+        fmt::print(stderr,
+            "warning: {}: the change of revision {} by {} (apply {}) was accepted on an outdated store and isn't in force; look at the file and apply it "
+            "again\n",
+            change.at("file").get<std::string>(),
+            change.at("revision").get<std::uint64_t>(),
+            change.at("operator").get<std::string>(),
+            change.at("apply").get<std::string>());
+    }
 }
 
 // Prints JSON on request, else the text.
@@ -89,11 +102,17 @@
 
 Result<void> changeFile(const CommandOptions &options, json params)
 {
-    const auto id = options.applyId.empty() ? to_string(boost::uuids::random_generator()()) : options.applyId;
+    NodeConnection node(options.node);
+    const auto made = options.applyId.empty() ? newApplyId(node) : Result<std::string>(options.applyId);
+    if (!made) {
+        return failure(made.error().kind, "not accepted: " + made.error().message);
+    }
+    const auto &id = *made;
     params["apply"] = id;
+    params["begun_at"] = begunAt(id);
+    params["repeated"] = !options.applyId.empty();
     params["operator"] = options.operatorName;
     params["based_on"] = options.basedOn;
-    NodeConnection node(options.node);
     auto result = node.call("apply", params);
     if (!result) {
         const bool unknown = result.error().kind == ErrorKind::OutcomeUnknown;
@@ -103,6 +122,7 @@
                     : result.error().message);
     }
     (*result)["apply"] = id;
+    warnOfLeftOut(*result);
     const auto revision = result->at("revision").get<std::uint64_t>();
     if (options.wait) {
         if (const auto waited = waitInForce(options, revision); !waited) {
@@ -145,10 +165,28 @@
 
 Result<void> show(const CommandOptions &options)
 {
-    const auto result = NodeConnection(options.node).call("show", json::object());
+    json params = json::object();
+    if (!options.arguments.empty()) {
+        params["file"] = options.arguments.front();
+    }
+    if (!options.revision.empty()) {
+        const auto revision = wholeNumber(options.revision);
+        if (!revision) {
+            return failure(ErrorKind::Invalid, fmt::format("--revision={}: give a revision's number; 'galenahillctl history' lists them", options.revision));
+        }
+        params["revision"] = *revision;
+    }
+    const auto result = NodeConnection(options.node).call("show", params);
     if (!result) {
         return tl::unexpected(result.error());
     }
+    if (!options.arguments.empty()) {
+        auto text = result->at("files").front().at("text").get<std::string>();
+        if (text.ends_with('\n')) {
+            text.pop_back();
+        }
+        return print(options, *result, text);
+    }
     std::string text = fmt::format("; revision {}", result->at("revision").get<std::uint64_t>());
     for (const auto &file : result->at("files")) {
         text += fmt::format("\n; file {} ({})\n{}", file.at("name").get<std::string>(), file.at("hash").get<std::string>(), file.at("text").get<std::string>());
@@ -172,6 +210,10 @@
             node.at("state").get<std::string>(),
             revision);
     }
+    const auto asked = result->at("asked").get<std::size_t>();
+    const auto answered = result->at("answered").get<std::size_t>();
+    text += answered == asked ? fmt::format("\nall {} nodes answered", asked)
+                              : fmt::format("\n{} of {} nodes answered; this is a partial view", answered, asked);
     return print(options, *result, text);
 }
 
@@ -213,14 +255,22 @@
 const std::map<std::string, Command> &commands()
 {
     static const std::map<std::string, Command> all = {
-        {"apply", {"apply FILE", "Applies one whole file", 1, apply}},
-        {"burn", {"burn", "Shows how fast each route uses up its error budget", 0, burn}},
-        {"check", {"check FILE", "Says whether a file would be accepted now, and changes nothing", 1, check}},
-        {"history", {"history", "Lists the last accepted changes", 0, history}},
-        {"outcome", {"outcome ID", "Says whether the apply of that id was accepted", 1, outcome}},
-        {"remove", {"remove NAME", "Withdraws one file that nothing refers to", 1, removeFile}},
-        {"show", {"show", "Prints the files in force on the node", 0, show}},
-        {"status", {"status", "Lists the nodes with state and revision in force", 0, status}},
+        {"apply",
+            {.synopsis = "apply FILE",
+                .description = "Applies one whole file",
+                .arguments = 1,
+                .mostArguments = 1,
+                .options = {"name", "apply-id", "based-on", "operator", "wait", "wait-seconds"},
+                .run = apply}},
+        {"burn", {"burn", "Shows how fast each route uses up its error budget", 0, 0, {"plot"}, burn}},
+        {"check", {"check FILE", "Says whether a file would be accepted now, and changes nothing", 1, 1, {"name"}, check}},
+        {"diff", {"diff [FILE]", "Compares a file with the one in force, or two revisions", 0, 1, {"name", "revision"}, diff}},
+        {"history", {"history", "Lists the last accepted changes", 0, 0, {}, history}},
+        {"outcome", {"outcome ID", "Says whether the apply of that id was accepted", 1, 1, {}, outcome}},
+        {"remove",
+            {"remove NAME", "Withdraws one file that nothing refers to", 1, 1, {"apply-id", "based-on", "operator", "wait", "wait-seconds"}, removeFile}},
+        {"show", {"show [NAME]", "Prints the files in force on the node, or one of them", 0, 1, {"revision"}, show}},
+        {"status", {"status", "Lists the nodes with state and revision in force", 0, 0, {}, status}},
     };
     return all;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -20,6 +20,8 @@
     std::string applyId;
     std::string operatorName;
     std::string basedOn;
+    // One revision's number, or two as A..B.
+    std::string revision;
     // File for the plot of the burn command; empty: no plot.
     std::string plot;
     bool json = false;
@@ -33,6 +35,9 @@
     std::string synopsis;
     std::string description;
     std::size_t arguments = 0;
+    std::size_t mostArguments = 0;
+    // Options that it takes beside those that every command takes.
+    std::vector<std::string> options;
     std::function<Result<void>(const CommandOptions &)> run;
 };
 
--- /dev/null
+++ b/src/cli/diffcommand.cpp
@@ -0,0 +1,111 @@
+#include "cli/diffcommand.h"
+
+#include "cli/linediff.h"
+#include "cli/localfile.h"
+#include "cli/nodeconnection.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace Galenahill {
+
+using nlohmann::json;
+
+namespace {
+
+using Texts = std::map<std::string, std::string>;
+
+// The files of a revision, or those in force if it is empty.
+Result<Texts> readTexts(const CommandOptions &options, const std::string &revision)
+{
+    json params = json::object();
+    if (!revision.empty()) {
+        const auto number = wholeNumber(revision);
+        if (!number) {
+            return failure(
+                ErrorKind::Invalid, fmt::format("--revision={}: give one number, or two as A..B; 'galenahillctl history' lists them", options.revision));
+        }
+        params["revision"] = *number;
+    }
+    const auto result = NodeConnection(options.node).call("show", params);
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    Texts texts;
+    for (const auto &file : result->at("files")) {
+        texts[file.at("name")] = file.at("text");
+    }
+    return texts;
+}
+
+Result<void> print(const CommandOptions &options, const Texts &before, const Texts &after)
+{
+    std::set<std::string> names;
+    for (const auto *texts : {&before, &after}) {
+        for (const auto &[name, text] : *texts) {
+            names.insert(name);
+        }
+    }
+    json files = json::array();
+    std::string report;
+    for (const auto &name : names) {
+        const auto left = before.find(name);
+        const auto right = after.find(name);
+        const auto lines = lineDiff(left == before.end() ? "" : left->second, right == after.end() ? "" : right->second);
+        if (lines.empty()) {
+            continue;
+        }
+        const std::string kind = left == before.end() ? "added" : right == after.end() ? "removed" : "changed";
+        files.push_back({{"name", name}, {"kind", kind}, {"diff", lines}});
+        report += fmt::format("{}: {}\n{}", name, kind, lines);
+    }
+    if (options.json) {
+        fmt::print("{}\n", json({{"files", files}}).dump());
+    } else {
+        fmt::print("{}", report.empty() ? "no difference\n" : report);
+    }
+    return {};
+}
+
+// The local file against the same file of the revision; other files stay out.
+Result<void> diffFile(const CommandOptions &options, Texts present)
+{
+    const auto text = readFile(options.arguments.front());
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    const auto name = fileNameOf(options);
+    Texts before;
+    if (const auto found = present.find(name); found != present.end()) {
+        before.insert(*found);
+    }
+    return print(options, before, {{name, *text}});
+}
+
+}
+
+Result<void> diff(const CommandOptions &options)
+{
+    if (options.arguments.empty() && options.revision.empty()) {
+        return failure(ErrorKind::Invalid, "diff: give a FILE, or two revisions with --revision=A..B");
+    }
+    const auto dots = options.revision.find("..");
+    auto before = readTexts(options, options.revision.substr(0, dots));
+    if (!before && before.error().kind == ErrorKind::NotFound && options.revision.empty()) {
+        before = Texts();
+    }
+    if (!before) {
+        return tl::unexpected(before.error());
+    }
+    if (!options.arguments.empty()) {
+        return diffFile(options, std::move(*before));
+    }
+    const auto after = readTexts(options, dots == std::string::npos ? "" : options.revision.substr(dots + 2));
+    if (!after) {
+        return tl::unexpected(after.error());
+    }
+    return print(options, *before, *after);
+}
+
+}
--- /dev/null
+++ b/src/cli/diffcommand.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "cli/commands.h"
+
+namespace Galenahill {
+
+// Prints the lines that differ between a local file and the one in force, or
+// between two revisions.
+Result<void> diff(const CommandOptions &options);
+
+}
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,8 @@
 #include "cli/commands.h"
+#include "cli/manualpage.h"
 #include "core/nearestname.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -12,6 +14,7 @@
 using namespace Galenahill;
 
 constexpr int ExitUsage = 2;
+constexpr int MaxWaitSeconds = 3600;
 constexpr const char *Version = "0.1.0";
 constexpr const char *DefaultNode = "127.0.0.1:8082";
 
@@ -45,13 +48,42 @@
     return list + "\nOptions:";
 }
 
+// The name of the option whose table entry has that value.
+const char *optionName(const poptOption *table, int value)
+{
+    while (table->val != value) {
+        ++table;
+    }
+    return table->longName;
+}
+
 // Text of an option that popt owns, with a fallback.
 std::string textOr(const char *value, const std::string &fallback)
 {
     return value == nullptr ? fallback : value;
 }
 
-int run(const std::string &name, const CommandOptions &options)
+// The page of the command, or the list of commands and options.
+int printHelp(poptContext context, const poptOption *table, const std::string &command)
+{
+    if (command.empty()) {
+        poptPrintHelp(context, stdout, 0);
+        return 0;
+    }
+    std::vector<OptionHelp> options;
+    for (const auto *entry = table; entry->longName != nullptr; ++entry) {
+        options.push_back({entry->longName, entry->shortName, textOr(entry->argDescrip, ""), entry->descrip, entry->val == 0});
+    }
+    const auto page = manualPage(command, options);
+    if (!page) {
+        return usageError(page.error().message);
+    }
+    fmt::print("{}", *page);
+    return 0;
+}
+
+// Runs the command if it takes the options used and so many arguments.
+int run(const std::string &name, const CommandOptions &options, const std::vector<std::string> &used)
 {
     const auto command = commands().find(name);
     if (command == commands().end()) {
@@ -61,9 +93,15 @@
         }
         return usageError(fmt::format("{}: no such command{}", name, suggestion(name, names)));
     }
-    if (options.arguments.size() != command->second.arguments) {
+    if (options.arguments.size() < command->second.arguments || options.arguments.size() > command->second.mostArguments) {
         return usageError(fmt::format("usage: galenahillctl {}", command->second.synopsis));
     }
+    for (const auto &option : used) {
+        const auto &known = command->second.options;
+        if (std::find(known.begin(), known.end(), option) == known.end()) {
+            return usageError(fmt::format("--{}: not an option of '{}'", option, name));
+        }
+    }
     const auto result = command->second.run(options);
     if (result) {
         return 0;
@@ -86,23 +124,33 @@
     int wait = 0;
     int waitSeconds = 30;
     int showVersion = 0;
+    int showHelp = 0;
+    char *revision = nullptr;
+    // An option that only some commands take has a number of its own, which
+    // popt returns when it finds the option.
     const poptOption table[] = {
         {"node", 'n', POPT_ARG_STRING, &node, 0, "Control address of a node (default: $GALENAHILL_NODE, else 127.0.0.1:8082)", "IP:PORT"},
         {"json", 'j', POPT_ARG_NONE, &json, 0, "Print JSON", nullptr},
-        {"name", 0, POPT_ARG_STRING, &name, 0, "Name under which the file is applied (default: its base name)", "NAME"},
-        {"apply-id", 0, POPT_ARG_STRING, &applyId, 0, "Id of this apply; repeat it to repeat an apply safely", "ID"},
-        {"based-on", 0, POPT_ARG_STRING, &basedOn, 0, "Hash of the content that was edited; refused if another is in force", "HASH"},
-        {"operator", 0, POPT_ARG_STRING, &operatorName, 0, "Who applies (default: $USER)", "NAME"},
-        {"plot", 0, POPT_ARG_STRING, &plot, 0, "burn: write a plot as an HTML page", "FILE"},
-        {"wait", 'w', POPT_ARG_NONE, &wait, 0, "Wait until the revision is in force on every node", nullptr},
-        {"wait-seconds", 0, POPT_ARG_INT, &waitSeconds, 0, "Longest wait (default: 30)", "SECONDS"},
+        {"name", 0, POPT_ARG_STRING, &name, 1, "Name under which the file is applied (default: its base name)", "NAME"},
+        {"apply-id", 0, POPT_ARG_STRING, &applyId, 2, "Id of this apply; repeat it to repeat an apply safely", "ID"},
+        {"based-on", 0, POPT_ARG_STRING, &basedOn, 3, "Hash of the content that was edited; refused if another is in force", "HASH"},
+        {"operator", 0, POPT_ARG_STRING, &operatorName, 4, "Who applies (default: $USER)", "NAME"},
+        {"revision", 0, POPT_ARG_STRING, &revision, 8, "A revision's number; for diff also two as A..B", "N"},
+        {"plot", 0, POPT_ARG_STRING, &plot, 5, "burn: write a plot as an HTML page", "FILE"},
+        {"wait", 'w', POPT_ARG_NONE, &wait, 6, "Wait until the revision is in force on every node", nullptr},
+        {"wait-seconds", 0, POPT_ARG_INT, &waitSeconds, 7, "Longest wait (default: 30)", "SECONDS"},
         {"version", 'V', POPT_ARG_NONE, &showVersion, 0, "Print the version and exit", nullptr},
-        POPT_AUTOHELP POPT_TABLEEND,
+        {"help", '?', POPT_ARG_NONE, &showHelp, 0, "Print help on the command, or this list, and exit", nullptr},
+        POPT_TABLEEND,
     };
     poptContext context = poptGetContext("galenahillctl", argc, argv, table, 0);
     const auto help = commandList();
     poptSetOtherOptionHelp(context, help.c_str());
-    const int parsed = poptGetNextOpt(context);
+    std::vector<std::string> used;
+    int parsed = 0;
+    while ((parsed = poptGetNextOpt(context)) > 0) {
+        used.emplace_back(optionName(table, parsed));
+    }
     if (parsed < -1) {
         return usageError(fmt::format("{}: {}", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(parsed)));
     }
@@ -111,10 +159,13 @@
         return 0;
     }
     const char *commandName = poptGetArg(context);
-    if (commandName == nullptr) {
+    if (commandName == nullptr && showHelp == 0) {
         return usageError("give a command");
     }
-    const std::string command = commandName;
+    const std::string command = textOr(commandName, "");
+    if (showHelp != 0) {
+        return printHelp(context, table, command);
+    }
     CommandOptions options;
     while (const char *argument = poptGetArg(context)) {
         options.arguments.emplace_back(argument);
@@ -124,15 +175,19 @@
     if (!endpoint) {
         return usageError(fmt::format("--node={}: give IP:PORT of a node's control address", address));
     }
+    if (waitSeconds < 1 || waitSeconds > MaxWaitSeconds) {
+        return usageError(fmt::format("--wait-seconds={}: give 1 to {}", waitSeconds, MaxWaitSeconds));
+    }
     options.node = *endpoint;
     options.name = textOr(name, "");
     options.applyId = textOr(applyId, "");
     options.basedOn = textOr(basedOn, "");
     options.plot = textOr(plot, "");
+    options.revision = textOr(revision, "");
     options.operatorName = textOr(operatorName, textOr(std::getenv("USER"), "unknown"));
     options.json = json != 0;
     options.wait = wait != 0;
     options.waitTime = std::chrono::seconds(waitSeconds);
     poptFreeContext(context);
-    return run(command, options);
+    return run(command, options, used);
 }
--- a/src/core/configrepository.cpp
+++ b/src/core/configrepository.cpp
@@ -315,7 +315,10 @@
     }
     auto revision = ConfigRevision::fromBundle(std::move(*bundle));
     if (!revision) {
-        return tl::unexpected(revision.error());
+        const auto &error = revision.error();
+        const bool stillNamed = request.remove && error.kind == ErrorKind::Invalid;
+        return stillNamed ? failure(error.kind, fmt::format("{}: not removed, other files need it:\n{}", request.file.value(), error.message))
+                          : tl::unexpected(error);
     }
     if (const auto written = writeBlobs(*base, (*revision)->bundle); !written) {
         return tl::unexpected(written.error());
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -1,8 +1,8 @@
 #include "daemon/operatormethods.h"
 
-#include "adapters/http/blockinghttpclient.h"
 #include "adapters/rpc/rpcserver.h"
 #include "core/burnreport.h"
+#include "core/nearestname.h"
 #include "daemon/fleetquery.h"
 #include "daemon/metricstext.h"
 
@@ -71,6 +71,7 @@
     Result<json> check(const json &params);
     Result<json> show(const json &params);
     Result<json> status();
+    Result<json> revision();
     Result<json> outcome(const json &params);
     Result<json> history();
     Result<json> burn();
@@ -108,6 +109,7 @@
         {"apply", wrap([this](const json &params) { return apply(params); })},
         {"check", wrap([this](const json &params) { return check(params); })},
         {"show", wrap([this](const json &params) { return show(params); })},
+        {"revision", wrap([this](const json &) { return revision(); })},
         {"status", wrap([this](const json &) { return status(); })},
         {"outcome", wrap([this](const json &params) { return outcome(params); })},
         {"history", wrap([this](const json &) { return history(); })},
@@ -158,15 +160,28 @@
     return json{{"services", (*snapshot)->services().size()}, {"routes", (*snapshot)->routes().size()}};
 }
 
-Result<json> OperatorMethods::Private::show(const json & /*params*/)
+Result<json> OperatorMethods::Private::show(const json &params)
 {
     const auto current = options.state->revisions.current();
     if (!current) {
         return failure(ErrorKind::NotFound, "no configuration is in force; apply a file first");
     }
-    json result = {{"revision", current->revision().value()}, {"files", json::array()}};
-    for (const auto &file : current->bundle.files) {
-        result["files"].push_back({{"name", file.name.value()}, {"text", file.text}, {"hash", current->bundle.manifest.files.at(file.name).value()}});
+    const Revision revision(params.value("revision", current->revision().value()));
+    const auto bundle = revision == current->revision() ? Result<ConfigBundle>(current->bundle) : options.repository.earlier(revision);
+    if (!bundle) {
+        return tl::unexpected(bundle.error());
+    }
+    const auto wanted = params.value("file", "");
+    json result = {{"revision", bundle->manifest.revision.value()}, {"files", json::array()}};
+    std::vector<std::string> names;
+    for (const auto &file : bundle->files) {
+        names.push_back(file.name.value());
+        if (wanted.empty() || wanted == file.name.value()) {
+            result["files"].push_back({{"name", file.name.value()}, {"text", file.text}, {"hash", bundle->manifest.files.at(file.name).value()}});
+        }
+    }
+    if (!wanted.empty() && result["files"].empty()) {
+        return failure(ErrorKind::NotFound, wanted + ": no such file" + suggestion(wanted, names) + "; 'galenahillctl show' lists the files");
     }
     return result;
 }
@@ -174,24 +189,27 @@
 Result<json> OperatorMethods::Private::status()
 {
     json nodes = json::array();
-    for (const auto &member : options.state->members()) {
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    for (const auto &[member, body] : queryFleet(options.state->members(), "/status", StatusTimeout)) {
         json node = {{"node", member.name.value()},
             {"data_centre", member.dataCentre.value()},
             {"service", member.service.value()},
             {"state", toString(member.state)},
-            {"answered", false}};
-        if (member.state != MemberState::Gone) {
-            HttpRequest request(http::verb::get, "/status", 11);
-            request.set(http::field::host, toString(member.control()));
-            const auto answer = blockingExchange(member.control(), std::move(request), StatusTimeout);
-            if (answer && answer->result() == http::status::ok) {
-                node["answered"] = true;
-                node["revision"] = json::parse(answer->body()).at("revision");
-            }
+            {"answered", body.has_value()}};
+        if (body) {
+            node["revision"] = json::parse(*body).at("revision");
         }
+        asked += member.state != MemberState::Gone ? 1 : 0;
+        answered += body ? 1 : 0;
         nodes.push_back(std::move(node));
     }
-    return json{{"revision", options.state->revisions.revision().value()}, {"nodes", nodes}};
+    return json{{"revision", options.state->revisions.revision().value()}, {"asked", asked}, {"answered", answered}, {"nodes", nodes}};
+}
+
+Result<json> OperatorMethods::Private::revision()
+{
+    return json{{"revision", options.state->revisions.revision().value()}};
 }
 
 Result<json> OperatorMethods::Private::outcome(const json &params)
