--- /dev/null
+++ b/autotests/support/memberships.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "core/membership.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace Galenahill {
+
+// Several members joined by a network in memory that loses, duplicates,
+// crosses or cuts datagrams on demand. Time moves only by `run`.
+class Memberships
+{
+public:
+    // Member `first` and up are known to nobody at the start.
+    explicit Memberships(std::size_t count, std::size_t first = SIZE_MAX)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            incarnations.push_back(1000);
+            revisions.push_back(Revision(1));
+            members.emplace_back();
+            start(i);
+        }
+        const auto records = recordsOf(std::min(first, count));
+        for (std::size_t i = 0; i < std::min(first, count); ++i) {
+            members[i]->merge(records, now);
+        }
+    }
+
+    // Starts the member anew with its present incarnation number.
+    void start(std::size_t i)
+    {
+        Membership::Options options;
+        options.self.name = NodeName(name(i));
+        options.self.dataCentre = DataCentre("rosario-a");
+        options.self.service = ServiceName("tablero");
+        options.self.address = "10.0.0." + std::to_string(i);
+        options.self.controlPort = 1;
+        options.self.incarnation = incarnations[i];
+        options.self.state = MemberState::Ready;
+        options.seed = i + 1;
+        options.send = [this, i](const Endpoint &to, const GossipMessage &message) { send(i, to, message); };
+        options.changed = [] {};
+        options.revision = [this, i] { return revisions[i]; };
+        options.revisionHeard = [this, i](const Endpoint &, Revision revision) { hear(i, revision); };
+        members[i] = std::make_unique<Membership>(std::move(options));
+    }
+
+    void run(Milliseconds time)
+    {
+        const auto until = now + time;
+        while (now < until) {
+            now += Milliseconds(50);
+            for (std::size_t i = 0; i < members.size(); ++i) {
+                if (!stopped.contains(i)) {
+                    members[i]->tick(now);
+                }
+            }
+            deliver();
+        }
+    }
+
+    // Runs until the condition holds; gives the time, or the limit.
+    Milliseconds runUntil(const std::function<bool()> &holds, Milliseconds limit)
+    {
+        const auto begin = now;
+        while (!holds() && now - begin < limit) {
+            run(Milliseconds(50));
+        }
+        return std::chrono::duration_cast<Milliseconds>(now - begin);
+    }
+
+    // What one member knows of another; Gone also if it knows nothing.
+    MemberState stateSeenBy(std::size_t observer, std::size_t subject) const
+    {
+        for (const auto &record : members[observer]->records()) {
+            if (record.name.value() == name(subject)) {
+                return record.state;
+            }
+        }
+        return MemberState::Gone;
+    }
+
+    // Whether each running member knows all running ones as ready.
+    bool whole() const
+    {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            for (std::size_t j = 0; j < members.size() && !stopped.contains(i); ++j) {
+                if (!stopped.contains(j) && i != j && stateSeenBy(i, j) != MemberState::Ready) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    // Whether each running member but the subject itself sees it so.
+    bool allSee(std::size_t subject, MemberState state) const
+    {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            if (i != subject && !stopped.contains(i) && stateSeenBy(i, subject) != state) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool allHold(Revision revision) const
+    {
+        return std::all_of(revisions.begin(), revisions.end(), [&](Revision held) { return held >= revision; });
+    }
+
+    std::vector<MemberRecord> recordsOf(std::size_t count) const
+    {
+        std::vector<MemberRecord> records;
+        for (std::size_t i = 0; i < count; ++i) {
+            records.push_back(members[i]->self());
+        }
+        return records;
+    }
+
+    static std::string name(std::size_t i)
+    {
+        return "rosario-a-" + std::to_string(i);
+    }
+
+    std::vector<std::unique_ptr<Membership>> members;
+    std::vector<std::uint64_t> incarnations;
+    std::vector<Revision> revisions;
+    std::set<std::size_t> stopped;
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    double lossRatio = 0;
+    double duplicateRatio = 0;
+    // Takes the datagrams of a step in random order.
+    bool crossing = false;
+    // Whether a datagram between the two gets through.
+    std::function<bool(std::size_t, std::size_t)> connected = [](std::size_t, std::size_t) { return true; };
+    std::size_t datagrams = 0;
+    // Called with each datagram that is sent.
+    std::function<void(const GossipMessage &)> sent = [](const GossipMessage &) {};
+
+private:
+    struct Datagram
+    {
+        std::size_t from;
+        std::size_t to;
+        GossipMessage message;
+    };
+
+    void send(std::size_t from, const Endpoint &to, const GossipMessage &message)
+    {
+        ++datagrams;
+        sent(message);
+        const auto receiver = std::stoul(to.address.substr(7));
+        if (chance(lossRatio) || !connected(from, receiver)) {
+            return;
+        }
+        m_inFlight.push_back({from, receiver, message});
+        if (chance(duplicateRatio)) {
+            m_inFlight.push_back({from, receiver, message});
+        }
+    }
+
+    bool chance(double ratio)
+    {
+        return std::uniform_real_distribution<>(0, 1)(m_random) < ratio;
+    }
+
+    // Stands for the pull: a member that hears of a revision has it.
+    void hear(std::size_t i, Revision revision)
+    {
+        if (revision > revisions[i]) {
+            revisions[i] = revision;
+            m_taken.insert(i);
+        }
+    }
+
+    void deliver()
+    {
+        while (!m_inFlight.empty()) {
+            if (crossing) {
+                std::shuffle(m_inFlight.begin(), m_inFlight.end(), m_random);
+            }
+            const auto datagram = m_inFlight.front();
+            m_inFlight.pop_front();
+            if (!stopped.contains(datagram.to)) {
+                members[datagram.to]->receive({"10.0.0." + std::to_string(datagram.from), 1}, datagram.message, now);
+            }
+        }
+        const auto taken = std::exchange(m_taken, {});
+        for (const auto i : taken) {
+            members[i]->announceRevision(now);
+        }
+    }
+
+    std::mt19937_64 m_random{7};
+    std::deque<Datagram> m_inFlight;
+    std::set<std::size_t> m_taken;
+};
+
+}
--- a/src/adapters/codec/binarycodec.cpp
+++ b/src/adapters/codec/binarycodec.cpp
@@ -44,7 +44,7 @@
 Result<GossipMessage> decodeGossip(const std::string &bytes)
 {
     auto message = decodeValue<GossipMessage>(bytes, "datagram");
-    if (message && message->kind > GossipKind::News) {
+    if (message && message->kind > GossipKind::Introduce) {
         return failure(ErrorKind::Corrupt, "datagram of unknown kind; check that all nodes run the same version");
     }
     return message;
--- a/src/core/gossipmessage.h
+++ b/src/core/gossipmessage.h
@@ -15,16 +15,20 @@
     Ack,
     // Carries news only; not answered.
     News,
+    // Asks for News with the receiver's own record, which the sender lacks.
+    Introduce,
 };
 
 // One datagram between nodes. Each carries the sender's revision, so any
-// exchange shows a node that it is behind.
+// exchange shows a node that it is behind. The sender is known by the address
+// that the datagram came from; its whole record travels only on request.
 struct GossipMessage
 {
     GossipKind kind = GossipKind::News;
-    std::uint64_t sequence = 0;
-    // Record of the sender.
-    MemberRecord sender;
+    std::uint32_t sequence = 0;
+    // What the sender says of itself.
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Starting;
     // Only in a PingRequest: whom to ping.
     Endpoint subject;
     Revision revision;
@@ -34,7 +38,7 @@
 template <typename Inspector>
 auto inspect(Inspector &inspector, GossipMessage &message)
 {
-    return inspector(message.kind, message.sequence, message.sender, message.subject, message.revision, message.updates);
+    return inspector(message.kind, message.sequence, message.incarnation, message.state, message.subject, message.revision, message.updates);
 }
 
 }
--- a/src/core/memberrecord.cpp
+++ b/src/core/memberrecord.cpp
@@ -17,10 +17,20 @@
         return "suspect";
     case MemberState::Gone:
         return "gone";
+    case MemberState::Left:
+        return "left";
     }
     return "gone";
 }
 
+bool isPlausible(const MemberRecord &record)
+{
+    // Far above any wall clock in milliseconds, far below overflow.
+    constexpr std::uint64_t MaxIncarnation = std::uint64_t(1) << 48;
+    return !record.name.value().empty() && !record.address.empty() && record.controlPort != 0 && record.incarnation < MaxIncarnation
+        && record.state <= MemberState::Left;
+}
+
 bool supersedes(const MemberRecord &newer, const MemberRecord &older)
 {
     return std::tie(newer.incarnation, newer.state) > std::tie(older.incarnation, older.state);
--- a/src/core/memberrecord.h
+++ b/src/core/memberrecord.h
@@ -18,8 +18,10 @@
     Draining,
     // Another member got no answer; may be refuted by a higher incarnation.
     Suspect,
-    // Left or confirmed dead.
+    // Given up by other members; comes back by a higher incarnation.
     Gone,
+    // Said itself that it stops.
+    Left,
 };
 
 std::string toString(MemberState state);
@@ -66,6 +68,10 @@
         record.state);
 }
 
+// Whether a member can have said this of itself: it has a name, an address, a
+// known state, and an incarnation that a refutation can still top.
+bool isPlausible(const MemberRecord &record);
+
 // Whether the new record replaces the old one.
 bool supersedes(const MemberRecord &newer, const MemberRecord &older);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,5 +1,7 @@
 #include "core/membership.h"
 
+#include "core/rumourqueue.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -10,6 +12,13 @@
 
 namespace {
 
+// Highest value of a member's trouble score; see Private::trouble.
+constexpr std::int64_t MaxTrouble = 4;
+
+// Probe intervals without any datagram after which a member takes itself for
+// cut off.
+constexpr int IsolationIntervals = 3;
+
 // Rounds in which one update is passed on, for a fleet of that size. The
 // factor leaves room for lost datagrams.
 std::uint32_t retransmissions(std::size_t members)
@@ -17,6 +26,11 @@
     return 2 + static_cast<std::uint32_t>(std::ceil(3 * std::log10(static_cast<double>(members + 1))));
 }
 
+bool isOut(const MemberRecord &record)
+{
+    return record.state >= MemberState::Gone;
+}
+
 }
 
 class Membership::Private
@@ -26,11 +40,13 @@
     {
         MemberRecord record;
         TimePoint since;
+        // Highest revision heard from it.
+        Revision revision;
     };
 
     struct Probe
     {
-        std::uint64_t sequence = 0;
+        std::uint32_t sequence = 0;
         NodeName name;
         TimePoint sent;
         bool indirect = false;
@@ -39,18 +55,12 @@
     // A ping sent on behalf of another member.
     struct RelayedProbe
     {
-        std::uint64_t ownSequence = 0;
-        std::uint64_t requestSequence = 0;
+        std::uint32_t ownSequence = 0;
+        std::uint32_t requestSequence = 0;
         Endpoint requester;
         TimePoint sent;
     };
 
-    struct Rumour
-    {
-        MemberRecord record;
-        std::uint32_t left = 0;
-    };
-
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
@@ -60,31 +70,47 @@
     Options options;
     std::mt19937_64 random;
     std::map<NodeName, Member> members;
-    std::vector<Rumour> rumours;
+    RumourQueue rumours;
     std::vector<NodeName> probeOrder;
     std::optional<Probe> probe;
     std::vector<RelayedProbe> relayed;
-    std::uint64_t nextSequence = 1;
-    std::uint32_t revisionRounds = 0;
+    std::uint32_t nextSequence = 1;
+    // Rounds left of telling about the revision; the last goes to successors.
+    std::uint32_t roundsLeft = 0;
+    // Failed probes less successful ones, from zero to MaxTrouble: how likely
+    // it is that this node's own link or processor is the reason.
+    std::int64_t trouble = 0;
     TimePoint lastProbe;
     TimePoint lastGossip;
+    TimePoint lastRevive;
+    TimePoint lastTick;
+    TimePoint lastHeard;
 
+    Member *memberAt(const Endpoint &control);
     void take(const MemberRecord &record, TimePoint now);
     void refute(const MemberRecord &claim);
-    void tellIfBuried(const Endpoint &from, const MemberRecord &sender);
+    void checkSender(const Endpoint &from, const GossipMessage &message);
+    void acknowledged(std::uint32_t sequence);
     void spread(const MemberRecord &record);
     void sendTo(const Endpoint &endpoint, GossipMessage message);
-    std::vector<MemberRecord> nextUpdates();
-    std::vector<MemberRecord> randomPeers(std::size_t count, const NodeName &except);
+    std::vector<MemberRecord> randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted);
+    std::vector<MemberRecord> successorsWithout(Revision revision) const;
+    bool isolated(TimePoint now) const;
+    Milliseconds suspicionLimit() const;
+    void noticePause(TimePoint now);
     void startProbe(TimePoint now);
     void checkProbe(TimePoint now);
+    void probeGoneMember(TimePoint now);
     void expire(TimePoint now);
+    void purge(TimePoint now);
     void gossip(TimePoint now);
+    void tellRevision();
 };
 
 Membership::Membership(Options options)
     : d(std::make_unique<Private>(std::move(options)))
 {
+    d->spread(d->options.self);
 }
 
 Membership::~Membership() = default;
@@ -94,17 +120,31 @@
     return d->options.self;
 }
 
+bool Membership::isolated(TimePoint now) const
+{
+    return d->isolated(now);
+}
+
+Membership::Private::Member *Membership::Private::memberAt(const Endpoint &control)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const auto &entry) {
+        const auto &record = entry.second.record;
+        return record.controlPort == control.port && record.address == control.address;
+    });
+    return found == members.end() ? nullptr : &found->second;
+}
+
 void Membership::Private::spread(const MemberRecord &record)
 {
-    std::erase_if(rumours, [&](const Rumour &rumour) { return rumour.record.name == record.name; });
-    rumours.push_back({record, retransmissions(members.size())});
+    rumours.add(record, retransmissions(members.size()));
 }
 
 void Membership::Private::refute(const MemberRecord &claim)
 {
-    // Somebody says of us what isn't so, such as Gone after a pause. Without
-    // a higher incarnation the claim would win everywhere and our target
-    // would stay out of use.
+    // Somebody says of us what isn't so, such as Gone after a pause, or knows
+    // us from before a restart on a VM whose clock is behind. Without a higher
+    // incarnation the claim would win everywhere and our target would stay
+    // out of use.
     const bool alreadyAbove = options.self.incarnation > claim.incarnation;
     const bool same = options.self.incarnation == claim.incarnation && claim.state <= options.self.state;
     if (alreadyAbove || same) {
@@ -116,6 +156,11 @@
 
 void Membership::Private::take(const MemberRecord &record, TimePoint now)
 {
+    // A record from a damaged or hostile datagram: an incarnation that can't
+    // be topped would keep a member out for ever.
+    if (!isPlausible(record)) {
+        return;
+    }
     if (record.name == options.self.name) {
         refute(record);
         return;
@@ -124,43 +169,29 @@
     if (known != members.end() && !supersedes(record, known->second.record)) {
         return;
     }
-    const bool unknownAndGone = known == members.end() && record.state == MemberState::Gone;
-    if (unknownAndGone) {
+    const bool unknownAndOut = known == members.end() && isOut(record);
+    if (unknownAndOut) {
         return;
     }
-    members[record.name] = {record, now};
+    const auto revision = known == members.end() ? Revision() : known->second.revision;
+    members[record.name] = {record, now, revision};
     spread(record);
     options.changed();
 }
 
-std::vector<MemberRecord> Membership::Private::nextUpdates()
-{
-    std::vector<MemberRecord> updates;
-    // The least often sent first, so that fresh news isn't held up by old.
-    std::stable_sort(rumours.begin(), rumours.end(), [](const Rumour &left, const Rumour &right) { return left.left > right.left; });
-    for (auto &rumour : rumours) {
-        if (updates.size() == options.maxUpdates) {
-            break;
-        }
-        updates.push_back(rumour.record);
-        --rumour.left;
-    }
-    std::erase_if(rumours, [](const Rumour &rumour) { return rumour.left == 0; });
-    return updates;
-}
-
 void Membership::Private::sendTo(const Endpoint &endpoint, GossipMessage message)
 {
-    message.sender = options.self;
+    message.incarnation = options.self.incarnation;
+    message.state = options.self.state;
     message.revision = options.revision();
     options.send(endpoint, message);
 }
 
-std::vector<MemberRecord> Membership::Private::randomPeers(std::size_t count, const NodeName &except)
+std::vector<MemberRecord> Membership::Private::randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted)
 {
     std::vector<MemberRecord> candidates;
     for (const auto &[name, member] : members) {
-        if (name != except && member.record.state != MemberState::Gone) {
+        if (wanted(member)) {
             candidates.push_back(member.record);
         }
     }
@@ -169,48 +200,69 @@
     return chosen;
 }
 
-// A member that was paused too long counts as gone everywhere; nobody pings it
-// any more, so without this it would never learn what it has to refute.
-void Membership::Private::tellIfBuried(const Endpoint &from, const MemberRecord &sender)
+// Compares what the sender says of itself with what is known of it.
+void Membership::Private::checkSender(const Endpoint &from, const GossipMessage &message)
 {
-    const auto known = members.find(sender.name);
-    if (known != members.end() && known->second.record.state >= MemberState::Suspect && supersedes(known->second.record, sender)) {
-        sendTo(from, {.kind = GossipKind::News, .sequence = 0, .sender = {}, .subject = {}, .revision = {}, .updates = {known->second.record}});
+    const auto *known = memberAt(from);
+    if (known == nullptr) {
+        if (message.kind != GossipKind::Introduce && from != options.self.control()) {
+            sendTo(from, {.kind = GossipKind::Introduce});
+        }
+        return;
+    }
+    auto claimed = known->record;
+    claimed.incarnation = message.incarnation;
+    claimed.state = message.state;
+    if (supersedes(known->record, claimed)) {
+        // Given up while it was paused or cut off, or restarted with a clock
+        // behind; without this it would never learn what it has to refute.
+        sendTo(from, {.kind = GossipKind::News, .updates = {known->record}});
+    } else if (supersedes(claimed, known->record)) {
+        // The rest of its record may have changed with a restart.
+        sendTo(from, {.kind = GossipKind::Introduce});
+    }
+}
+
+void Membership::Private::acknowledged(std::uint32_t sequence)
+{
+    if (probe && probe->sequence == sequence) {
+        probe.reset();
+        trouble = std::max<std::int64_t>(0, trouble - 1);
+    }
+    const auto request = std::find_if(relayed.begin(), relayed.end(), [&](const auto &entry) { return entry.ownSequence == sequence; });
+    if (request != relayed.end()) {
+        sendTo(request->requester, {.kind = GossipKind::Ack, .sequence = request->requestSequence});
+        relayed.erase(request);
     }
 }
 
 void Membership::receive(const Endpoint &from, const GossipMessage &message, TimePoint now)
 {
-    d->take(message.sender, now);
-    d->tellIfBuried(from, message.sender);
+    d->lastHeard = now;
     for (const auto &record : message.updates) {
         d->take(record, now);
     }
-    if (message.sender.name != d->options.self.name) {
-        d->options.revisionHeard(message.sender, message.revision);
+    d->checkSender(from, message);
+    if (auto *sender = d->memberAt(from)) {
+        sender->revision = std::max(sender->revision, message.revision);
     }
+    d->options.revisionHeard(from, message.revision);
     switch (message.kind) {
     case GossipKind::Ping:
-        d->sendTo(from, {.kind = GossipKind::Ack, .sequence = message.sequence, .sender = {}, .subject = {}, .revision = {}, .updates = d->nextUpdates()});
+        d->sendTo(from, {.kind = GossipKind::Ack, .sequence = message.sequence, .updates = d->rumours.take(d->options.maxUpdates)});
         break;
     case GossipKind::PingRequest: {
         const auto sequence = d->nextSequence++;
         d->relayed.push_back({sequence, message.sequence, from, now});
-        d->sendTo(message.subject, {.kind = GossipKind::Ping, .sequence = sequence, .sender = {}, .subject = {}, .revision = {}, .updates = {}});
+        d->sendTo(message.subject, {.kind = GossipKind::Ping, .sequence = sequence});
         break;
     }
-    case GossipKind::Ack: {
-        if (d->probe && d->probe->sequence == message.sequence) {
-            d->probe.reset();
-        }
-        const auto request = std::find_if(d->relayed.begin(), d->relayed.end(), [&](const auto &entry) { return entry.ownSequence == message.sequence; });
-        if (request != d->relayed.end()) {
-            d->sendTo(request->requester,
-                {.kind = GossipKind::Ack, .sequence = request->requestSequence, .sender = {}, .subject = {}, .revision = {}, .updates = {}});
-            d->relayed.erase(request);
-        }
+    case GossipKind::Ack:
+        d->acknowledged(message.sequence);
+        break;
+    case GossipKind::Introduce:
+        d->sendTo(from, {.kind = GossipKind::News, .updates = {d->options.self}});
         break;
-    }
     case GossipKind::News:
         break;
     }
@@ -222,12 +274,11 @@
         const auto name = probeOrder.back();
         probeOrder.pop_back();
         const auto found = members.find(name);
-        if (found == members.end() || found->second.record.state == MemberState::Gone) {
+        if (found == members.end() || isOut(found->second.record)) {
             continue;
         }
         probe = Probe{nextSequence++, name, now, false};
-        sendTo(found->second.record.control(),
-            {.kind = GossipKind::Ping, .sequence = probe->sequence, .sender = {}, .subject = {}, .revision = {}, .updates = nextUpdates()});
+        sendTo(found->second.record.control(), {.kind = GossipKind::Ping, .sequence = probe->sequence, .updates = rumours.take(options.maxUpdates)});
         return;
     }
     for (const auto &[name, member] : members) {
@@ -248,14 +299,9 @@
     }
     if (!probe->indirect && now - probe->sent >= options.probeTimeout) {
         probe->indirect = true;
-        for (const auto &peer : randomPeers(options.indirectProbes, probe->name)) {
-            sendTo(peer.control(),
-                {.kind = GossipKind::PingRequest,
-                    .sequence = probe->sequence,
-                    .sender = {},
-                    .subject = found->second.record.control(),
-                    .revision = {},
-                    .updates = {}});
+        const auto helps = [&](const Member &member) { return member.record.name != probe->name && !isOut(member.record); };
+        for (const auto &peer : randomPeers(options.indirectProbes, helps)) {
+            sendTo(peer.control(), {.kind = GossipKind::PingRequest, .sequence = probe->sequence, .subject = found->second.record.control()});
         }
     }
     if (now - probe->sent >= options.probeInterval) {
@@ -264,15 +310,72 @@
             record.state = MemberState::Suspect;
             take(record, now);
         }
+        trouble = std::min(MaxTrouble, trouble + 1);
         probe.reset();
     }
 }
 
+// After a long partition both sides have given each other up, and nobody
+// probes across any more; with the store down they would stay apart for ever.
+// The answer to such a probe shows each side what it has to refute.
+void Membership::Private::probeGoneMember(TimePoint now)
+{
+    if (now - lastRevive < options.reviveInterval) {
+        return;
+    }
+    lastRevive = now;
+    const auto givenUp = [](const Member &member) { return member.record.state == MemberState::Gone; };
+    for (const auto &peer : randomPeers(1, givenUp)) {
+        sendTo(peer.control(), {.kind = GossipKind::Ping});
+    }
+}
+
+bool Membership::Private::isolated(TimePoint now) const
+{
+    return now - lastHeard > IsolationIntervals * options.probeInterval;
+}
+
+// A suspect's refutation takes longer to arrive in a larger fleet, and is
+// missed more often by a node whose own link or processor is in trouble.
+Milliseconds Membership::Private::suspicionLimit() const
+{
+    const auto size = std::max(1.0, std::log10(static_cast<double>(members.size() + 1)));
+    return std::chrono::duration_cast<Milliseconds>(options.suspicionTimeout * (size * static_cast<double>(1 + trouble)));
+}
+
+// A node that was paused (SIGSTOP, a stalled VM) wakes with all its timers
+// run out. Without starting them anew it would give up, in one step, members
+// whose answers wait in its socket.
+void Membership::Private::noticePause(TimePoint now)
+{
+    const bool paused = lastTick != TimePoint() && now - lastTick > 2 * options.probeInterval;
+    if (lastTick == TimePoint()) {
+        lastHeard = now;
+    }
+    lastTick = now;
+    if (!paused) {
+        return;
+    }
+    trouble = MaxTrouble;
+    probe.reset();
+    for (auto &[name, member] : members) {
+        member.since = now;
+    }
+}
+
 void Membership::Private::expire(TimePoint now)
 {
+    // A node that hears from nobody is itself cut off. If it gave the others
+    // up, its routing would empty and its calls fail though the targets run.
+    if (isolated(now)) {
+        for (auto &[name, member] : members) {
+            member.since = now;
+        }
+        return;
+    }
     std::vector<MemberRecord> dead;
     for (const auto &[name, member] : members) {
-        if (member.record.state == MemberState::Suspect && now - member.since >= options.suspicionTimeout) {
+        if (member.record.state == MemberState::Suspect && now - member.since >= suspicionLimit()) {
             dead.push_back(member.record);
         }
     }
@@ -280,33 +383,77 @@
         record.state = MemberState::Gone;
         take(record, now);
     }
-    std::erase_if(
-        members, [&](const auto &entry) { return entry.second.record.state == MemberState::Gone && now - entry.second.since >= options.goneRetention; });
+    purge(now);
+}
+
+void Membership::Private::purge(TimePoint now)
+{
+    std::erase_if(members, [&](const auto &entry) {
+        const auto &[record, since, revision] = entry.second;
+        return isOut(record) && now - since >= (record.state == MemberState::Left ? options.leftRetention : options.goneRetention);
+    });
     std::erase_if(relayed, [&](const auto &entry) { return now - entry.sent >= options.probeInterval; });
 }
 
+// The members next in the order of names, around its end, that weren't heard
+// to have the revision.
+std::vector<MemberRecord> Membership::Private::successorsWithout(Revision revision) const
+{
+    std::vector<MemberRecord> found;
+    auto next = members.upper_bound(options.self.name);
+    for (std::size_t step = 0; step < members.size() && found.size() < options.successors; ++step, ++next) {
+        if (next == members.end()) {
+            next = members.begin();
+        }
+        if (!isOut(next->second.record)) {
+            found.push_back(next->second.record);
+        }
+    }
+    std::erase_if(found, [&](const MemberRecord &record) { return members.at(record.name).revision >= revision; });
+    return found;
+}
+
+// Random rounds reach nearly all members. Those that they miss are reached
+// through the members before them in the order of names, for which more
+// random rounds would need several times the datagrams.
+void Membership::Private::tellRevision()
+{
+    const auto revision = options.revision();
+    const auto lacks = [&](const Member &member) { return !isOut(member.record) && member.revision < revision; };
+    --roundsLeft;
+    const auto peers = roundsLeft == 0 ? successorsWithout(revision) : randomPeers(options.fanOut, lacks);
+    for (const auto &peer : peers) {
+        sendTo(peer.control(), {.kind = GossipKind::News});
+    }
+}
+
 void Membership::Private::gossip(TimePoint now)
 {
-    if (now - lastGossip < options.gossipInterval || (rumours.empty() && revisionRounds == 0)) {
+    if (now - lastGossip < options.gossipInterval || (rumours.empty() && roundsLeft == 0)) {
         return;
     }
     lastGossip = now;
-    if (revisionRounds > 0) {
-        --revisionRounds;
+    if (roundsLeft > 0) {
+        tellRevision();
+    }
+    if (rumours.empty()) {
+        return;
     }
-    const auto updates = nextUpdates();
-    for (const auto &peer : randomPeers(options.fanOut, options.self.name)) {
-        sendTo(peer.control(), {.kind = GossipKind::News, .sequence = 0, .sender = {}, .subject = {}, .revision = {}, .updates = updates});
+    const auto updates = rumours.take(options.maxUpdates);
+    for (const auto &peer : randomPeers(options.fanOut, [](const Member &member) { return !isOut(member.record); })) {
+        sendTo(peer.control(), {.kind = GossipKind::News, .updates = updates});
     }
 }
 
 void Membership::tick(TimePoint now)
 {
+    d->noticePause(now);
     d->checkProbe(now);
     if (!d->probe && now - d->lastProbe >= d->options.probeInterval) {
         d->lastProbe = now;
         d->startProbe(now);
     }
+    d->probeGoneMember(now);
     d->expire(now);
     d->gossip(now);
 }
@@ -316,11 +463,16 @@
     for (const auto &record : records) {
         d->take(record, now);
     }
+    // The rumour of this member's start may have run out before it had
+    // anybody to tell.
+    d->spread(d->options.self);
 }
 
 void Membership::setState(MemberState state, TimePoint now)
 {
-    if (d->options.self.state == state) {
+    // The target's state goes on changing while the node stops; the others
+    // would take the node back and send it calls that it refuses.
+    if (d->options.self.state == state || d->options.self.state == MemberState::Left) {
         return;
     }
     d->options.self.state = state;
@@ -335,7 +487,7 @@
 
 void Membership::announceRevision(TimePoint now)
 {
-    d->revisionRounds = retransmissions(d->members.size());
+    d->roundsLeft = d->options.revisionRounds + 1;
     d->lastGossip = TimePoint();
     d->gossip(now);
 }
@@ -352,7 +504,7 @@
 std::vector<MemberRecord> Membership::live() const
 {
     auto records = this->records();
-    std::erase_if(records, [](const MemberRecord &record) { return record.state == MemberState::Gone; });
+    std::erase_if(records, [this](const MemberRecord &record) { return record.name != d->options.self.name && isOut(record); });
     return records;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -21,25 +21,36 @@
         Milliseconds probeInterval{1000};
         // Time for a direct answer before other members are asked to probe.
         Milliseconds probeTimeout{300};
-        // Time that a suspect has to refute before it counts as gone.
+        // Time that a suspect has to refute before it counts as gone, in a
+        // fleet of ten; grows with the fleet and with this node's own trouble.
         Milliseconds suspicionTimeout{4000};
         // Time between two rounds of sending fresh updates.
         Milliseconds gossipInterval{100};
-        // Time that a gone member is remembered, so that an old record of it
-        // that is still under way doesn't bring it back.
-        Milliseconds goneRetention{120000};
-        // Members that fresh updates go to per round.
+        // Time between two probes of members that count as gone.
+        Milliseconds reviveInterval{5000};
+        // Time that a member that left is remembered, so that an old record
+        // of it that is still under way doesn't bring it back.
+        Milliseconds leftRetention{120000};
+        // Time that a member that was given up is remembered: the time after
+        // which a partition still heals without the store.
+        Milliseconds goneRetention{7200000};
+        // Members that fresh updates and a new revision go to per round.
         std::uint32_t fanOut = 3;
+        // Rounds in which a new revision goes to random members.
+        std::uint32_t revisionRounds = 2;
+        // Next members in the order of names that hear of a new revision last.
+        std::uint32_t successors = 2;
         // Members asked for an indirect probe.
         std::uint32_t indirectProbes = 3;
-        // Bytes of updates in one datagram, counted by record size.
+        // Records in one datagram.
         std::uint32_t maxUpdates = 8;
 
         std::function<void(const Endpoint &, const GossipMessage &)> send;
         // The set of members or the state of one changed.
         std::function<void()> changed;
-        // A member was heard to have this revision in force.
-        std::function<void(const MemberRecord &, Revision)> revisionHeard;
+        // The member at this control address was heard to have this revision
+        // in force.
+        std::function<void(const Endpoint &, Revision)> revisionHeard;
         // The revision that this node has in force.
         std::function<Revision()> revision;
     };
@@ -56,7 +67,7 @@
     // Takes the list of members that a contact gave.
     void merge(const std::vector<MemberRecord> &records, TimePoint now);
 
-    // Changes what this member says of itself and its target.
+    // Changes what this member says of itself and its target. Left is final.
     void setState(MemberState state, TimePoint now);
 
     // Tells random members now that this node has a new revision, and goes on
@@ -71,6 +82,10 @@
     // The members that aren't gone, with this one.
     std::vector<MemberRecord> live() const;
 
+    // Whether nothing was heard from any member for some time though there
+    // are some: then the fault is more likely here than there.
+    bool isolated(TimePoint now) const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- /dev/null
+++ b/src/core/revisionpuller.cpp
@@ -0,0 +1,68 @@
+#include "core/revisionpuller.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+RevisionPuller::RevisionPuller(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void RevisionPuller::heard(const Endpoint &peer, Revision revision, TimePoint now)
+{
+    if (revision <= m_options.held()) {
+        return;
+    }
+    if (m_sources.size() < m_options.maxSources || m_sources.contains(peer)) {
+        m_sources[peer] = revision;
+    }
+    if (m_running.empty()) {
+        start(now);
+    }
+}
+
+// A member that fails is left out until it is heard again. Without the others
+// at hand, one that died after telling would hold this node up until the next
+// datagram that happens to show the revision.
+void RevisionPuller::ended(const Endpoint &peer, TimePoint now)
+{
+    m_running.erase(peer);
+    m_sources.erase(peer);
+    if (m_running.empty()) {
+        start(now);
+    }
+}
+
+// A frozen member accepts the connection and never answers; waiting for its
+// time limit would hold this node back for seconds.
+void RevisionPuller::tick(TimePoint now)
+{
+    const bool slow = !m_running.empty() && now - m_lastStart >= m_options.hedgeDelay;
+    if (slow && m_running.size() < m_options.maxRunning) {
+        start(now);
+    }
+}
+
+void RevisionPuller::start(TimePoint now)
+{
+    const auto held = m_options.held();
+    std::erase_if(m_sources, [&](const auto &source) { return source.second <= held; });
+    const Endpoint *best = nullptr;
+    Revision highest;
+    for (const auto &[peer, revision] : m_sources) {
+        if (!m_running.contains(peer) && revision > highest) {
+            best = &peer;
+            highest = revision;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    const auto peer = *best;
+    m_running[peer] = now;
+    m_lastStart = now;
+    m_options.pull(peer);
+}
+
+}
--- /dev/null
+++ b/src/core/rumourqueue.cpp
@@ -0,0 +1,34 @@
+#include "core/rumourqueue.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+void RumourQueue::add(const MemberRecord &record, std::uint32_t rounds)
+{
+    std::erase_if(m_rumours, [&](const Rumour &rumour) { return rumour.record.name == record.name; });
+    m_rumours.push_back({record, rounds});
+}
+
+std::vector<MemberRecord> RumourQueue::take(std::size_t most)
+{
+    std::vector<MemberRecord> records;
+    // The least often sent first, so that fresh news isn't held up by old.
+    std::stable_sort(m_rumours.begin(), m_rumours.end(), [](const Rumour &left, const Rumour &right) { return left.left > right.left; });
+    for (auto &rumour : m_rumours) {
+        if (records.size() == most) {
+            break;
+        }
+        records.push_back(rumour.record);
+        --rumour.left;
+    }
+    std::erase_if(m_rumours, [](const Rumour &rumour) { return rumour.left == 0; });
+    return records;
+}
+
+bool RumourQueue::empty() const
+{
+    return m_rumours.empty();
+}
+
+}
--- a/src/daemon/storekeeper.cpp
+++ b/src/daemon/contactkeeper.cpp
@@ -1,17 +1,14 @@
-#include "daemon/storekeeper.h"
+#include "daemon/contactkeeper.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <thread>
 
 namespace Galenahill {
 
 namespace {
 
 constexpr std::size_t MaxContacts = 16;
-constexpr Milliseconds WatchTime{20000};
 constexpr Milliseconds IdleInterval{500};
 constexpr Milliseconds ContactInterval{10000};
 
@@ -22,8 +19,12 @@
 // has heard of the others.
 constexpr Milliseconds FirstContactsDelay{1000};
 
-constexpr Milliseconds FirstBackoff{200};
-constexpr Milliseconds LongestBackoff{10000};
+// Time over which a fleet that starts at once spreads its first calls.
+constexpr Milliseconds StartSpread{1000};
+
+// Time between two looks at the head beside the watch; see
+// HeadWatcher::check.
+constexpr Milliseconds HeadCheckInterval{5000};
 
 std::string toJson(const std::vector<Endpoint> &contacts)
 {
@@ -52,7 +53,7 @@
 
 }
 
-class StoreKeeper::Private
+class ContactKeeper::Private
 {
 public:
     explicit Private(Options given)
@@ -69,9 +70,8 @@
 
     Options options;
     std::mt19937_64 random;
-    Milliseconds backoff{0};
-    ObjectVersion headVersion;
     TimePoint nextContacts;
+    TimePoint nextCheck;
 
     bool stopping() const
     {
@@ -83,9 +83,6 @@
         return "contacts/" + dataCentre.value();
     }
 
-    void pause(Milliseconds time);
-    void failed(const Error &error);
-    Milliseconds jittered(Milliseconds time);
     Result<Contacts> readContacts(const std::string &key);
     bool joinThroughAny(std::vector<Endpoint> contacts, std::size_t wanted);
     bool joinOnce();
@@ -93,41 +90,17 @@
     void keepContacts();
     void reconcileOwnContacts();
     void joinOtherDataCentre();
-    void readHeadOnce();
-    void watchHead();
-    void take(const ConfigRepository::Head &head);
+    void checkHead();
 };
 
-StoreKeeper::StoreKeeper(Options options)
+ContactKeeper::ContactKeeper(Options options)
     : d(std::make_unique<Private>(std::move(options)))
 {
 }
 
-StoreKeeper::~StoreKeeper() = default;
-
-void StoreKeeper::Private::pause(Milliseconds time)
-{
-    const auto until = Clock::now() + time;
-    while (!stopping() && Clock::now() < until) {
-        std::this_thread::sleep_for(std::min<Clock::duration>(Milliseconds(50), until - Clock::now()));
-    }
-}
-
-void StoreKeeper::Private::failed(const Error &error)
-{
-    // Doubling with full jitter: after an outage the whole fleet is waiting,
-    // and in step it would take the store down again.
-    backoff = std::clamp(backoff * 2, FirstBackoff, LongestBackoff);
-    options.log(LogLevel::Warning, "store-unavailable", {{"reason", error.message}, {"backoff_ms", backoff.count()}});
-    pause(jittered(backoff));
-}
-
-Milliseconds StoreKeeper::Private::jittered(Milliseconds time)
-{
-    return Milliseconds(std::uniform_int_distribution<std::int64_t>(time.count() / 4, time.count())(random));
-}
+ContactKeeper::~ContactKeeper() = default;
 
-Result<StoreKeeper::Private::Contacts> StoreKeeper::Private::readContacts(const std::string &key)
+Result<ContactKeeper::Private::Contacts> ContactKeeper::Private::readContacts(const std::string &key)
 {
     const auto object = options.store.read(key);
     if (object) {
@@ -139,7 +112,7 @@
     return tl::unexpected(object.error());
 }
 
-bool StoreKeeper::Private::joinThroughAny(std::vector<Endpoint> contacts, std::size_t wanted)
+bool ContactKeeper::Private::joinThroughAny(std::vector<Endpoint> contacts, std::size_t wanted)
 {
     std::shuffle(contacts.begin(), contacts.end(), random);
     std::size_t joined = 0;
@@ -155,7 +128,7 @@
 // Adds this node to the contacts while there is room, then joins through the
 // others. Registering comes first: of two nodes that start at once the later
 // writer sees the earlier one, so they can't miss each other.
-bool StoreKeeper::Private::joinOnce()
+bool ContactKeeper::Private::joinOnce()
 {
     const auto key = contactsKey(options.self.dataCentre);
     auto contacts = readContacts(key);
@@ -171,12 +144,27 @@
             return false;
         }
     }
-    endpoints.insert(endpoints.end(), options.seeds.begin(), options.seeds.end());
-    joinThroughAny(endpoints, ContactsJoined);
-    return true;
+    const bool registered = listed || std::find(endpoints.begin(), endpoints.end(), options.self.control()) != endpoints.end();
+    auto known = endpoints;
+    known.insert(known.end(), options.seeds.begin(), options.seeds.end());
+    if (joinThroughAny(known, ContactsJoined) || registered) {
+        return true;
+    }
+    // All contacts are dead, as after every VM was replaced during an outage
+    // of the store. While the list stays full of them no node finds another
+    // one; the conditional write lets one of several replacers win.
+    return options.store.write(key, toJson({options.self.control()}), contacts->version).has_value();
+}
+
+void ContactKeeper::Private::checkHead()
+{
+    if (Clock::now() >= nextCheck) {
+        nextCheck = Clock::now() + HeadCheckInterval;
+        options.checkHead();
+    }
 }
 
-std::vector<Endpoint> StoreKeeper::Private::liveControls() const
+std::vector<Endpoint> ContactKeeper::Private::liveControls() const
 {
     std::vector<Endpoint> live;
     for (const auto &member : options.state->members()) {
@@ -187,7 +175,7 @@
     return live;
 }
 
-void StoreKeeper::Private::keepContacts()
+void ContactKeeper::Private::keepContacts()
 {
     if (!options.state->keepsContacts || Clock::now() < nextContacts) {
         return;
@@ -197,7 +185,7 @@
     joinOtherDataCentre();
 }
 
-void StoreKeeper::Private::reconcileOwnContacts()
+void ContactKeeper::Private::reconcileOwnContacts()
 {
     const auto key = contactsKey(options.self.dataCentre);
     const auto contacts = readContacts(key);
@@ -229,7 +217,7 @@
 
 // Data centres register apart, so this is how they meet, at first and after
 // they were cut off from each other.
-void StoreKeeper::Private::joinOtherDataCentre()
+void ContactKeeper::Private::joinOtherDataCentre()
 {
     auto keys = options.store.list("contacts/");
     if (!keys) {
@@ -248,78 +236,19 @@
     }
 }
 
-void StoreKeeper::Private::take(const ConfigRepository::Head &head)
-{
-    headVersion = head.version;
-    const auto current = options.state->revisions.current();
-    if (head.version == ObjectVersion()) {
-        return;
-    }
-    if (current && head.manifest.revision < current->revision()) {
-        options.log(LogLevel::Error, "store-behind", {{"store_revision", head.manifest.revision.value()}, {"in_force", current->revision().value()}});
-        return;
-    }
-    if (current && current->bundle.manifest == head.manifest) {
-        return;
-    }
-    auto bundle = options.repository.readBundle(head.manifest, current.get());
-    if (!bundle) {
-        headVersion = ObjectVersion();
-        failed(bundle.error());
-        return;
-    }
-    auto revision = ConfigRevision::fromBundle(std::move(*bundle));
-    if (!revision) {
-        options.log(LogLevel::Error, "stored-revision-invalid", {{"revision", head.manifest.revision.value()}, {"reason", revision.error().message}});
-        return;
-    }
-    options.revisionFound(std::move(*revision));
-}
-
-void StoreKeeper::Private::readHeadOnce()
-{
-    const auto head = options.repository.readHead();
-    if (head) {
-        take(*head);
-    }
-}
-
-void StoreKeeper::Private::watchHead()
-{
-    // A watch that outlasted the contacts' turn would hold it up.
-    const auto untilContacts = std::chrono::duration_cast<Milliseconds>(nextContacts - Clock::now());
-    const auto limit = options.state->keepsContacts ? std::clamp(untilContacts, IdleInterval, WatchTime) : WatchTime;
-    const auto object = options.store.watch("config/head", headVersion, limit);
-    if (!object) {
-        if (object.error().kind != ErrorKind::NotFound) {
-            failed(object.error());
-        }
-        return;
-    }
-    backoff = Milliseconds(0);
-    auto manifest = Manifest::fromJson(object->value);
-    if (!manifest) {
-        failed(manifest.error());
-        return;
-    }
-    take({std::move(*manifest), object->version});
-}
-
-void StoreKeeper::run()
+void ContactKeeper::run()
 {
+    d->options.store.pauseUpTo(StartSpread);
     while (!d->stopping() && !d->joinOnce()) {
-        d->failed({ErrorKind::Unavailable, "no contact answered, or another node registered at once"});
+        const auto time = d->options.store.backOff();
+        d->options.log(LogLevel::Warning, "join-failed", {{"reason", "no contact answered, or another node registered at once"}, {"backoff_ms", time.count()}});
     }
-    d->backoff = Milliseconds(0);
-    d->nextContacts = Clock::now() + d->jittered(FirstContactsDelay);
-    d->readHeadOnce();
+    d->options.store.succeeded();
+    d->nextContacts = Clock::now() + FirstContactsDelay;
     while (!d->stopping()) {
         d->keepContacts();
-        if (d->options.state->watchesStore) {
-            d->watchHead();
-        } else {
-            d->pause(IdleInterval);
-        }
+        d->checkHead();
+        d->options.store.pause(IdleInterval);
     }
 }
 
--- a/src/daemon/storekeeper.h
+++ b/src/daemon/contactkeeper.h
@@ -1,25 +1,23 @@
 #pragma once
 
-#include "core/configrepository.h"
+#include "adapters/platform/budgetedstore.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
-#include "ports/objectstore.h"
 
 #include <functional>
 #include <memory>
 
 namespace Galenahill {
 
-// The node's standing work with the platform's store, on a thread of its own:
-// joining through the contacts, watching the head while this node holds that
-// role, and keeping the contacts.
-class StoreKeeper
+// Joins the fleet through the contacts in the store, and keeps the list of
+// contacts of this data centre while the node holds that role. On a thread of
+// its own, so that a slow watch and dead contacts don't hold each other up.
+class ContactKeeper
 {
 public:
     struct Options
     {
-        ObjectStore &store;
-        ConfigRepository &repository;
+        BudgetedStore &store;
         std::shared_ptr<NodeState> state;
         MemberRecord self;
         std::vector<Endpoint> seeds;
@@ -28,11 +26,12 @@
         // Asks a contact for its members and passes them on; false if it
         // didn't answer.
         std::function<bool(const Endpoint &contact)> joinThrough;
-        std::function<void(std::shared_ptr<const ConfigRevision>)> revisionFound;
+        // Looks at the store's head beside the watch; called at intervals.
+        std::function<void()> checkHead;
     };
 
-    explicit StoreKeeper(Options options);
-    ~StoreKeeper();
+    explicit ContactKeeper(Options options);
+    ~ContactKeeper();
 
     // Works until NodeState::stopping is set.
     void run();
--- a/src/daemon/controlactor.cpp
+++ b/src/daemon/controlactor.cpp
@@ -2,7 +2,9 @@
 
 #include "adapters/codec/binarycodec.h"
 #include "core/membership.h"
+#include "core/readinessgate.h"
 #include "core/rendezvous.h"
+#include "core/revisionpuller.h"
 #include "daemon/controlmessages.h"
 
 namespace Galenahill {
@@ -19,16 +21,19 @@
     explicit Private(ControlOptions given)
         : options(std::move(given))
         , membership(membershipOptions())
+        , puller({.pull = [this](const Endpoint &peer) { options.pull(peer); }, .held = [this] { return options.state->revisions.revision(); }})
     {
     }
 
     ControlOptions options;
     Membership membership;
-    bool pulling = false;
+    RevisionPuller puller;
+    ReadinessGate gate;
+    bool open = false;
     bool viewOutdated = true;
 
     Membership::Options membershipOptions();
-    void revisionHeard(const MemberRecord &member, Revision revision);
+    void revisionHeard(const Endpoint &member, Revision revision);
     void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision);
     void tick();
     void publish();
@@ -43,7 +48,8 @@
     membershipOptions.self = options.self;
     membershipOptions.seed = options.seed;
     if (options.prefer == GossipPreference::Bytes) {
-        membershipOptions.fanOut = 1;
+        membershipOptions.fanOut = 2;
+        membershipOptions.revisionRounds = 1;
         membershipOptions.gossipInterval = Milliseconds(200);
         membershipOptions.probeInterval = Milliseconds(2000);
     }
@@ -53,18 +59,16 @@
     membershipOptions.send = options.send;
     membershipOptions.changed = [this] { viewOutdated = true; };
     membershipOptions.revision = [this] { return options.state->revisions.revision(); };
-    membershipOptions.revisionHeard = [this](const MemberRecord &member, Revision revision) { revisionHeard(member, revision); };
+    membershipOptions.revisionHeard = [this](const Endpoint &member, Revision revision) { revisionHeard(member, revision); };
     return membershipOptions;
 }
 
-void ControlState::Private::revisionHeard(const MemberRecord &member, Revision revision)
+void ControlState::Private::revisionHeard(const Endpoint &member, Revision revision)
 {
     auto &highest = options.state->highestKnown;
     highest = std::max(highest.load(), revision.value());
-    if (revision > options.state->revisions.revision() && !pulling) {
-        pulling = true;
-        options.pull(member.control());
-    }
+    gate.memberHeard(member, revision);
+    puller.heard(member, revision, Clock::now());
 }
 
 void ControlState::Private::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision)
@@ -94,16 +98,21 @@
 {
     viewOutdated = false;
     const auto live = membership.live();
-    options.state->setMembers(membership.records());
+    options.state->setMembers(live);
     options.state->watchesStore = holdsRole("watch", options.watchers, membership.self(), live);
     options.state->keepsContacts = holdsRole("contacts", 1, membership.self(), live);
-    options.publishView(RoutingView::build(options.state->revisions.current(), live));
+    open = gate.open(options.state->revisions.revision(), live.size() - 1);
+    if (open) {
+        options.publishView(RoutingView::build(options.state->revisions.current(), membership.records()));
+    }
 }
 
 void ControlState::Private::tick()
 {
     membership.tick(Clock::now());
-    if (viewOutdated) {
+    puller.tick(Clock::now());
+    // A closed gate is looked at each time: what opens it comes by many ways.
+    if (viewOutdated || !open) {
         publish();
     }
 }
@@ -128,8 +137,10 @@
         [=](const TargetStateChanged &change) { d->membership.setState(change.state, Clock::now()); },
         [=](const MembersReceived &received) { d->membership.merge(received.members, Clock::now()); },
         [=](const RevisionReceived &received) { d->revisionReceived(received.revision); },
-        [=](const PullEnded &) { d->pulling = false; },
-        [=](const LeaveFleet &) { d->membership.setState(MemberState::Gone, Clock::now()); },
+        [=](const PullEnded &ended) { d->puller.ended(ended.peer, Clock::now()); },
+        [=](const StoreAnswered &answer) { d->gate.storeAnswered(answer.revision); },
+        [=](const StoreFailed &) { d->gate.storeFailed(); },
+        [=](const LeaveFleet &) { d->membership.setState(MemberState::Left, Clock::now()); },
     };
 }
 
--- a/src/daemon/controlmessages.h
+++ b/src/daemon/controlmessages.h
@@ -37,7 +37,18 @@
 
 struct PullEnded
 {
-    bool succeeded = false;
+    Endpoint peer;
+};
+
+// The store's head was read for the first time; zero if it has none.
+struct StoreAnswered
+{
+    Revision revision;
+};
+
+// The store's head could not be read.
+struct StoreFailed
+{
 };
 
 struct ControlTick
@@ -56,5 +67,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::MembersReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::RevisionReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::PullEnded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::StoreAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::StoreFailed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::ControlTick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Galenahill::LeaveFleet)
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -4,15 +4,17 @@
 #include "adapters/http/blockinghttpclient.h"
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "adapters/platform/budgetedstore.h"
 #include "adapters/platform/httpobjectstore.h"
 #include "adapters/udp/datagramsocket.h"
+#include "daemon/contactkeeper.h"
 #include "daemon/controlactor.h"
 #include "daemon/controlmessages.h"
 #include "daemon/controlservice.h"
+#include "daemon/headwatcher.h"
 #include "daemon/ingress.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
-#include "daemon/storekeeper.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -30,7 +32,7 @@
 
 namespace {
 
-constexpr Milliseconds JoinTimeout{1000};
+constexpr Milliseconds JoinTimeout{700};
 
 // Time between announcing the stop and refusing calls, so that most ingress
 // nodes have stopped sending before the first refusal.
@@ -48,6 +50,11 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
 }
 
+std::int64_t wallClockSeconds()
+{
+    return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now()));
+}
+
 // Bytes of a message on its connection.
 template <typename Message>
 std::uint64_t wireBytes(const Message &message)
@@ -84,7 +91,13 @@
         , repository({.store = store,
               .inForce = [this] { return state->revisions.current(); },
               .highestKnown = [this] { return Revision(state->highestKnown); },
-              .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
+              .now = wallClockSeconds})
+        , budgetedStore({.store = store, .budget = {.seed = self.incarnation ^ std::hash<std::string>{}(self.address)}, .stopping = state->stopping})
+        , standingRepository({.store = budgetedStore,
+              .inForce = [this] { return state->revisions.current(); },
+              .highestKnown = [this] { return Revision(state->highestKnown); },
+              .now = wallClockSeconds})
+        , headWatcher(headWatcherOptions())
         , controlClient(controlContext, {})
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
@@ -129,6 +142,10 @@
     asio::io_context dataContext{1};
     HttpObjectStore store;
     ConfigRepository repository;
+    BudgetedStore budgetedStore;
+    // For the node's standing work; operators' requests use the one above.
+    ConfigRepository standingRepository;
+    HeadWatcher headWatcher;
     HttpClient controlClient;
     RevisionExchange exchange;
     DatagramSocket datagrams;
@@ -153,7 +170,8 @@
     Result<void> listen();
     void startActors();
     ControlOptions controlOptions();
-    StoreKeeper::Options keeperOptions();
+    ContactKeeper::Options contactKeeperOptions();
+    HeadWatcher::Options headWatcherOptions();
     bool joinThrough(const Endpoint &contact);
     asio::awaitable<void> pull(Endpoint peer);
     void waitForCalls();
@@ -231,17 +249,27 @@
     return options;
 }
 
-StoreKeeper::Options Node::Private::keeperOptions()
+HeadWatcher::Options Node::Private::headWatcherOptions()
+{
+    return {.store = budgetedStore,
+        .repository = standingRepository,
+        .state = state,
+        .log = log,
+        .revisionFound = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); },
+        .storeAnswered = [this](Revision revision) { tell(StoreAnswered{revision}); },
+        .storeFailed = [this] { tell(StoreFailed{}); }};
+}
+
+ContactKeeper::Options Node::Private::contactKeeperOptions()
 {
-    return {.store = store,
-        .repository = repository,
+    return {.store = budgetedStore,
         .state = state,
         .self = self,
         .seeds = settings.seeds,
         .log = log,
         .seed = self.incarnation ^ std::hash<std::string>{}(self.address),
         .joinThrough = [this](const Endpoint &contact) { return joinThrough(contact); },
-        .revisionFound = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }};
+        .checkHead = [this] { headWatcher.check(); }};
 }
 
 bool Node::Private::joinThrough(const Endpoint &contact)
@@ -266,20 +294,20 @@
 asio::awaitable<void> Node::Private::pull(Endpoint peer)
 {
     auto revision = co_await exchange.pull(peer);
-    const bool succeeded = revision.has_value();
-    if (succeeded) {
+    if (revision) {
         tell(RevisionReceived{std::move(*revision)});
     } else {
         log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
     }
-    tell(PullEnded{succeeded});
+    tell(PullEnded{peer});
 }
 
 void Node::Private::startActors()
 {
     system = std::make_unique<caf::actor_system>(systemConfig);
     control = system->spawn(controlActor, controlOptions());
-    system->spawn<caf::detached>([this](caf::blocking_actor *) { StoreKeeper(keeperOptions()).run(); });
+    system->spawn<caf::detached>([this](caf::blocking_actor *) { headWatcher.run(); });
+    system->spawn<caf::detached>([this](caf::blocking_actor *) { ContactKeeper(contactKeeperOptions()).run(); });
 }
 
 Node::Node(Options options)
--- a/src/daemon/revisionexchange.h
+++ b/src/daemon/revisionexchange.h
@@ -19,7 +19,7 @@
         std::shared_ptr<NodeState> state;
         HttpClient &client;
         Logger log;
-        Milliseconds timeLimit{5000};
+        Milliseconds timeLimit{2000};
     };
 
     explicit RevisionExchange(Options options);
