--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -27,5 +27,11 @@
 // every invariant held.
 bool runDistribution(const ExperimentOptions &options);
 bool runDemo(const ExperimentOptions &options);
+bool runCalls(const ExperimentOptions &options);
+
+// Memory, time and bytes of a node's parts against fleet and configuration
+// size, in this process; docs/CAPACITY.md is worked out from them.
+bool runSlopes(const ExperimentOptions &options);
+bool runFaults(const ExperimentOptions &options);
 
 }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -55,7 +55,13 @@
         {"quick", 0, POPT_ARG_NONE, &quick, 0, "A shorter run", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {{"demo", runDemo}, {"distribution", runDistribution}};
+    const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {
+        {"calls", runCalls},
+        {"demo", runDemo},
+        {"distribution", runDistribution},
+        {"faults", runFaults},
+        {"slopes", runSlopes},
+    };
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
     poptSetOtherOptionHelp(context, "EXPERIMENT [OPTIONS]");
     const int parsed = poptGetNextOpt(context);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -13,6 +13,7 @@
 #include "daemon/controlservice.h"
 #include "daemon/headwatcher.h"
 #include "daemon/ingress.h"
+#include "daemon/linkfilter.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
 
@@ -98,13 +99,16 @@
               .highestKnown = [this] { return Revision(state->highestKnown); },
               .now = wallClockSeconds})
         , headWatcher(headWatcherOptions())
-        , controlClient(controlContext, {})
+        , links(settings.linkFaults ? std::make_unique<LinkFilter>(self.incarnation) : nullptr)
+        , controlClient(controlContext, clientOptions())
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
               {.endpoint = self.control(),
                   .received =
                       [this](const Endpoint &from, std::string bytes) {
-                          tell(DatagramReceived{from, std::move(bytes)});
+                          if (!links || links->passes(from.address)) {
+                              tell(DatagramReceived{from, std::move(bytes)});
+                          }
                       },
                   .dropPercent = settings.dropPercent})
         , controlService({.context = controlContext,
@@ -112,17 +116,25 @@
               .repository = repository,
               .exchange = exchange,
               .counters = [this] { return counters(); },
+              .metrics = metrics,
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
-              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
-        , dataClient(dataContext, {})
-        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
+              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
+        , dataClient(dataContext, clientOptions())
+        , ingress({.client = dataClient,
+              .node = settings.name,
+              .dataCentre = settings.dataCentre,
+              .seed = self.incarnation,
+              .policy = options.calls,
+              .callEnded
+              = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); }})
         , sidecar({.context = dataContext,
               .client = dataClient,
               .service = settings.service,
               .target = settings.target,
               .healthPath = settings.healthPath,
               .log = log,
+              .policy = options.calls,
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
@@ -137,6 +149,7 @@
     Logger log;
     std::shared_ptr<NodeState> state;
     MemberRecord self;
+    ServiceLevelMetrics metrics;
 
     asio::io_context controlContext{1};
     asio::io_context dataContext{1};
@@ -146,6 +159,7 @@
     // For the node's standing work; operators' requests use the one above.
     ConfigRepository standingRepository;
     HeadWatcher headWatcher;
+    std::unique_ptr<LinkFilter> links;
     HttpClient controlClient;
     RevisionExchange exchange;
     DatagramSocket datagrams;
@@ -166,6 +180,8 @@
     std::thread dataThread;
 
     MemberRecord selfRecord() const;
+    HttpClient::Options clientOptions() const;
+    asio::awaitable<HttpResponse> handleControl(HttpRequest request);
     std::string counters() const;
     Result<void> listen();
     void startActors();
@@ -207,6 +223,24 @@
     return record;
 }
 
+HttpClient::Options Node::Private::clientOptions() const
+{
+    HttpClient::Options options;
+    if (links) {
+        options.reachable = [this](const Endpoint &endpoint) { return links->connects(endpoint.address); };
+    }
+    return options;
+}
+
+asio::awaitable<HttpResponse> Node::Private::handleControl(HttpRequest request)
+{
+    if (links && request.target() == "/testing/links") {
+        const auto set = links->set(request.body());
+        co_return set ? makeResponse(http::status::ok, "text/plain", "") : makeErrorResponse(http::status::bad_request, "invalid", set.error().message);
+    }
+    co_return co_await controlService.handle(std::move(request));
+}
+
 std::string Node::Private::counters() const
 {
     const nlohmann::json json = {{"datagram_bytes", datagrams.bytes()},
@@ -214,7 +248,8 @@
         {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
         {"pull_bytes", controlClient.bytes()},
         {"join_bytes", joinBytes.load()},
-        {"store_calls", store.calls()}};
+        {"store_calls", store.calls()},
+        {"call_retries", ingress.retries()}};
     return json.dump();
 }
 
@@ -238,7 +273,11 @@
     options.prefer = settings.prefer;
     options.fanOut = settings.fanOut;
     options.watchers = settings.watchers;
-    options.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
+    options.send = [this](const Endpoint &to, const GossipMessage &message) {
+        if (!links || links->passes(to.address)) {
+            datagrams.send(to, encode(message));
+        }
+    };
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
             ingress.setView(view);
@@ -274,6 +313,9 @@
 
 bool Node::Private::joinThrough(const Endpoint &contact)
 {
+    if (links && !links->connects(contact.address)) {
+        return false;
+    }
     HttpRequest request(http::verb::get, "/members", 11);
     request.set(http::field::host, toString(contact));
     joinBytes += wireBytes(request);
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -2,6 +2,9 @@
 
 #include "adapters/http/blockinghttpclient.h"
 #include "adapters/rpc/rpcserver.h"
+#include "core/burnreport.h"
+#include "daemon/fleetquery.h"
+#include "daemon/metricstext.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -24,6 +27,31 @@
         {"removed", change.removed}};
 }
 
+json toJson(const BurnReport &report)
+{
+    json result = {{"nodes", report.nodes()}, {"missing", json::array()}, {"windows_minutes", json::array()}, {"routes", json::array()}};
+    for (const auto &node : report.missing()) {
+        result["missing"].push_back(node.value());
+    }
+    for (const auto window : ServiceLevelMetrics::Windows) {
+        result["windows_minutes"].push_back(window.count());
+    }
+    for (const auto &[name, burn] : report.routes()) {
+        auto windows = json::array();
+        for (std::size_t i = 0; i < burn.windows.size(); ++i) {
+            const auto &counts = burn.windows[i];
+            windows.push_back({{"calls", counts.calls},
+                {"failed", counts.failed},
+                {"slow", counts.slow},
+                {"availability_burn", burn.availabilityBurn(i)},
+                {"latency_burn", burn.latencyBurn(i)}});
+        }
+        result["routes"].push_back(
+            {{"route", name.value()}, {"slo_availability", burn.sloAvailability}, {"slo_latency_ms", burn.sloLatency.count()}, {"windows", windows}});
+    }
+    return result;
+}
+
 }
 
 class OperatorMethods::Private
@@ -45,6 +73,7 @@
     Result<json> status();
     Result<json> outcome(const json &params);
     Result<json> history();
+    Result<json> burn();
 };
 
 OperatorMethods::OperatorMethods(Options options)
@@ -82,6 +111,7 @@
         {"status", wrap([this](const json &) { return status(); })},
         {"outcome", wrap([this](const json &params) { return outcome(params); })},
         {"history", wrap([this](const json &) { return history(); })},
+        {"burn", wrap([this](const json &) { return burn(); })},
     };
 }
 
@@ -94,6 +124,10 @@
     request.text = params.value("text", "");
     request.operatorName = params.at("operator").get<std::string>();
     request.basedOn = ContentHash(params.value("based_on", ""));
+    if (params.contains("begun_at")) {
+        request.begunAt = Revision(params.at("begun_at").get<std::uint64_t>());
+    }
+    request.repeated = params.value("repeated", false);
     const auto outcome = options.repository.apply(request);
     if (!outcome) {
         return tl::unexpected(outcome.error());
@@ -101,7 +135,11 @@
     if (outcome->accepted) {
         options.accepted(outcome->accepted);
     }
-    return json{{"revision", outcome->revision.value()}, {"changed", outcome->changed}};
+    json result = {{"revision", outcome->revision.value()}, {"changed", outcome->changed}, {"left_out", json::array()}};
+    for (const auto &change : outcome->leftOut) {
+        result["left_out"].push_back(toJson(change));
+    }
+    return result;
 }
 
 Result<json> OperatorMethods::Private::check(const json &params)
@@ -165,6 +203,19 @@
     return toJson(*change);
 }
 
+Result<json> OperatorMethods::Private::burn()
+{
+    BurnReport report;
+    for (const auto &answer : queryFleet(options.state->members(), "/burn", StatusTimeout)) {
+        if (answer.body) {
+            report.add(reportsFromJson(*answer.body));
+        } else if (answer.member.state != MemberState::Gone) {
+            report.addMissing(answer.member.name);
+        }
+    }
+    return toJson(report);
+}
+
 Result<json> OperatorMethods::Private::history()
 {
     json changes = json::array();
