--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -19,11 +19,18 @@
     std::uint64_t seed = 1;
     std::vector<std::size_t> nodes;
     bool quick = false;
+    // Variants of the experiment to run; all if empty.
+    std::vector<std::string> variants;
 };
 
 // Each runs one experiment, prints one JSON object a line, and gives whether
 // every invariant held.
+bool runDistribution(const ExperimentOptions &options);
 bool runDemo(const ExperimentOptions &options);
 bool runFaults(const ExperimentOptions &options);
 
+// Memory, time and bytes of a node's parts against fleet and configuration
+// size, in this process; docs/CAPACITY.md is worked out from them.
+bool runSlopes(const ExperimentOptions &options);
+
 }
--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -7,8 +7,10 @@
 #include "reconciliation.h"
 #include "statuspoller.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
@@ -54,10 +56,10 @@
 
 // Applies until it is accepted, as an operator who repeats with one id; false
 // if it never is.
-bool applyLast(const Fleet &fleet, const NamedText &file, const std::string &id, std::vector<ApplyRecord> &records)
+bool applyLast(const Fleet &fleet, std::size_t first, const NamedText &file, const std::string &id, std::vector<ApplyRecord> &records)
 {
     for (int attempt = 0; attempt < LastApplyAttempts; ++attempt) {
-        const auto node = static_cast<std::size_t>(attempt) % fleet.size();
+        const auto node = (first + static_cast<std::size_t>(attempt)) % fleet.size();
         auto record = RacingOperators::apply(fleet.control(node), id, file.first, fmt::format("{}\n; {}\n", file.second, id));
         if (!record.error) {
             records.push_back(std::move(record));
@@ -72,7 +74,7 @@
 {
     std::vector<ApplyRecord> records;
     for (const auto &file : files) {
-        if (!applyLast(fleet, file, "first-" + file.first, records)) {
+        if (!applyLast(fleet, 0, file, "first-" + file.first, records)) {
             return false;
         }
     }
@@ -150,15 +152,13 @@
     RacingOperators operators({.nodes = controls(fleet), .files = files, .seed = options.seed});
     records.faults = player.play(schedule);
     records.applies = operators.stop();
-    const bool applied = applyLast(fleet, files.front(), "last", records.applies);
-    callers.join();
+    const bool applied = applyLast(fleet, options.seed, files.front(), "last", records.applies);
     records.heads = headHistory(fleet);
-    const auto last = std::max_element(
-        records.heads.begin(), records.heads.end(), [](const HeadValue &left, const HeadValue &right) { return left.revision < right.revision; });
-    if (last != records.heads.end()) {
+    const auto *last = lastHead(records);
+    if (last != nullptr) {
         fleet.waitForAll([&](const nlohmann::json &status) { return status.value("digest", "") == last->digest.value(); }, InForceLimit);
     }
-    std::this_thread::sleep_for(Milliseconds(500));
+    callers.join();
     records.live = liveNodes(fleet);
     records.samples = poller.stop();
     records.ledger = fleet.loggedRuns();
@@ -175,6 +175,24 @@
     return static_cast<std::size_t>(std::count_if(records.calls.begin(), records.calls.end(), [&](const CallRecord &call) { return call.outcome == outcome; }));
 }
 
+// Time from the acceptance of the last change to the last node's first answer
+// with it, in steps of the polling; -1 if a node never gave it.
+std::int64_t convergence(const FaultRunRecords &records)
+{
+    std::map<std::size_t, TimePoint> seen;
+    const auto *last = lastHead(records);
+    for (const auto &sample : records.samples) {
+        if (last != nullptr && sample.digest == last->digest) {
+            seen.emplace(sample.node, sample.answered);
+        }
+    }
+    auto latest = records.applies.back().ended;
+    for (const auto &[node, time] : seen) {
+        latest = std::max(latest, time);
+    }
+    return seen.size() < records.live.size() ? -1 : std::chrono::duration_cast<Milliseconds>(latest - records.applies.back().ended).count();
+}
+
 nlohmann::ordered_json describe(const FaultRunRecords &records, const std::vector<Violation> &violations)
 {
     nlohmann::ordered_json json;
@@ -199,6 +217,7 @@
     json["applies"] = records.applies.size();
     json["applies_accepted"] = std::count_if(records.applies.begin(), records.applies.end(), [](const ApplyRecord &apply) { return !apply.error; });
     json["heads"] = records.heads.size();
+    json["convergence_ms"] = convergence(records);
     json["status_samples"] = records.samples.size();
     return json;
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -17,12 +17,14 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/http/write.hpp>
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 #include <caf/blocking_actor.hpp>
 #include <caf/send.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <thread>
 
 namespace Galenahill {
@@ -47,6 +49,15 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
 }
 
+// Bytes of a message on its connection.
+template <typename Message>
+std::uint64_t wireBytes(const Message &message)
+{
+    std::ostringstream header;
+    header << message.base();
+    return static_cast<std::uint64_t>(header.tellp()) + message.body().size();
+}
+
 class QuietSystemConfig : public caf::actor_system_config
 {
 public:
@@ -85,17 +96,24 @@
                           if (!links || links->passes(from.address)) {
                               tell(DatagramReceived{from, std::move(bytes)});
                           }
-                      }})
+                      },
+                  .dropPercent = settings.dropPercent})
         , controlService({.context = controlContext,
               .state = state,
               .repository = repository,
               .exchange = exchange,
               .counters = [this] { return counters(); },
+              .metrics = metrics,
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
         , dataClient(dataContext, clientOptions())
-        , ingress({.client = dataClient, .node = settings.name, .dataCentre = settings.dataCentre, .seed = self.incarnation})
+        , ingress({.client = dataClient,
+              .node = settings.name,
+              .dataCentre = settings.dataCentre,
+              .seed = self.incarnation,
+              .callEnded
+              = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); }})
         , sidecar({.context = dataContext,
               .client = dataClient,
               .service = settings.service,
@@ -116,6 +134,7 @@
     Logger log;
     std::shared_ptr<NodeState> state;
     MemberRecord self;
+    ServiceLevelMetrics metrics;
 
     asio::io_context controlContext{1};
     asio::io_context dataContext{1};
@@ -136,6 +155,8 @@
     QuietSystemConfig systemConfig;
     std::unique_ptr<caf::actor_system> system;
     caf::actor control;
+    // Bytes of asking contacts for their members.
+    std::atomic<std::uint64_t> joinBytes = 0;
     std::thread controlThread;
     std::thread dataThread;
 
@@ -202,8 +223,12 @@
 
 std::string Node::Private::counters() const
 {
-    const nlohmann::json json
-        = {{"datagram_bytes", datagrams.bytes()}, {"control_http_bytes", controlServer.bytes() + controlClient.bytes()}, {"store_calls", store.calls()}};
+    const nlohmann::json json = {{"datagram_bytes", datagrams.bytes()},
+        {"datagrams", datagrams.datagrams()},
+        {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
+        {"pull_bytes", controlClient.bytes()},
+        {"join_bytes", joinBytes.load()},
+        {"store_calls", store.calls()}};
     return json.dump();
 }
 
@@ -229,6 +254,9 @@
             datagrams.send(to, encode(message));
         }
     };
+    options.prefer = settings.prefer;
+    options.fanOut = settings.fanOut;
+    options.watchers = settings.watchers;
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
             ingress.setView(view);
@@ -259,10 +287,12 @@
     }
     HttpRequest request(http::verb::get, "/members", 11);
     request.set(http::field::host, toString(contact));
+    joinBytes += wireBytes(request);
     const auto answer = blockingExchange(contact, std::move(request), JoinTimeout, &state->stopping);
     if (!answer || answer->result() != http::status::ok) {
         return false;
     }
+    joinBytes += wireBytes(*answer);
     auto members = decodeMembers(answer->body());
     if (!members) {
         log(LogLevel::Warning, "members-refused", {{"from", toString(contact)}, {"reason", members.error().message}});
