--- a/bench/faultplayer.cpp
+++ b/bench/faultplayer.cpp
@@ -29,6 +29,11 @@
     }
 }
 
+bool kills(const PlannedFault &fault)
+{
+    return fault.kind != "target-kill" && fault.kind.find("-kill") != std::string::npos;
+}
+
 struct Moment
 {
     Milliseconds at{0};
@@ -114,7 +119,7 @@
 
 void FaultPlayer::begin(const PlannedFault &fault)
 {
-    if (fault.kind == "platform-restore") {
+    if (fault.kind == "platform-restore" || fault.kind == "restore-herd-kill") {
         platform("/admin/restore");
     } else if (fault.kind.rfind("platform-", 0) == 0) {
         platform("/admin/fault", nlohmann::json({{"mode", fault.kind.substr(std::string("platform-").size())}, {"delay_ms", 1500}}).dump());
@@ -124,7 +129,7 @@
         loseOnAllLinks(LossyLink);
     }
     for (const auto node : fault.nodes) {
-        if (fault.kind == "herd-kill" || fault.kind == "node-kill") {
+        if (kills(fault)) {
             m_fleet.nodeProcess(node)->signal(SIGKILL);
         } else if (fault.kind == "node-pause" || fault.kind == "herd-pause") {
             m_fleet.nodeProcess(node)->signal(SIGSTOP);
@@ -150,7 +155,7 @@
         loseOnAllLinks(0);
     }
     for (const auto node : fault.nodes) {
-        if (fault.kind == "herd-kill" || fault.kind == "node-kill" || fault.kind == NodeStopFault) {
+        if (kills(fault) || fault.kind == NodeStopFault) {
             m_fleet.startNode(node);
         } else if (fault.kind == "node-pause" || fault.kind == "herd-pause") {
             m_fleet.nodeProcess(node)->signal(SIGCONT);
--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -139,6 +139,12 @@
     return last;
 }
 
+// Frequent applies race; rare ones leave the store for long as a fault left it.
+Milliseconds applyInterval(std::uint64_t seed)
+{
+    return Milliseconds(seed % 2 == 0 ? 1000 : 5000);
+}
+
 // The whole run between the first applies and the stop; false if the last
 // change was never accepted.
 bool record(Fleet &fleet, const ExperimentOptions &options, const std::vector<NamedText> &files, FaultRunRecords &records)
@@ -149,7 +155,7 @@
     StatusPoller poller(fleet);
     records.begin = Clock::now();
     std::thread callers([&] { records.calls = sendCalls(fleet, options.seed, lastEnd(schedule) + CallsAfterFaults); });
-    RacingOperators operators({.nodes = controls(fleet), .files = files, .seed = options.seed});
+    RacingOperators operators({.nodes = controls(fleet), .files = files, .interval = applyInterval(options.seed), .seed = options.seed});
     records.faults = player.play(schedule);
     records.applies = operators.stop();
     const bool applied = applyLast(fleet, options.seed, files.front(), "last", records.applies);
@@ -226,11 +232,12 @@
 
 bool runFaults(const ExperimentOptions &options)
 {
+    // Orders take long enough that some are always in flight.
     Fleet fleet({.programs = options.programs,
         .folder = options.folder,
         .nodes = Nodes,
         .dataCentres = {"rosario-a", "rosario-b", "cordoba-a", "cordoba-b"},
-        .services = {{.name = "tablero"}, {.name = "ventas"}, {.name = "taller"}},
+        .services = {{.name = "tablero"}, {.name = "ventas", .serviceMicroseconds = 40000}, {.name = "taller", .serviceMicroseconds = 20000}},
         .logRuns = true,
         .settings = "[testing]\nlink-faults = yes\n"});
     const auto begin = Clock::now();
--- a/bench/faultschedule.cpp
+++ b/bench/faultschedule.cpp
@@ -36,6 +36,8 @@
         {"platform-stall-watches", Scope::Platform, Milliseconds(5000)},
         {"platform-restore", Scope::Platform, Milliseconds(1000)},
         {"herd-kill", Scope::Herd, Milliseconds(2500)},
+        {"fleet-kill", Scope::AllNodes, Milliseconds(2500)},
+        {"restore-herd-kill", Scope::Herd, Milliseconds(2500)},
         {"node-kill", Scope::OneNode, Milliseconds(2500)},
         {"node-pause", Scope::OneNode, Milliseconds(7000)},
         {"herd-pause", Scope::Herd, Milliseconds(6500)},
