--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -56,6 +56,7 @@
         POPT_AUTOHELP POPT_TABLEEND,
     };
     const std::map<std::string, std::function<bool(const ExperimentOptions &)>> experiments = {
+        {"calls", runCalls},
         {"demo", runDemo},
         {"distribution", runDistribution},
         {"faults", runFaults},
--- a/src/core/nodesettings.cpp
+++ b/src/core/nodesettings.cpp
@@ -109,21 +109,21 @@
     return {};
 }
 
-std::string readLinkFaults(NodeSettings &settings, const std::string &value)
+std::string readPreference(NodeSettings &settings, const std::string &value)
 {
-    if (value != "yes" && value != "no") {
-        return "give yes or no";
+    if (value != "time" && value != "bytes") {
+        return "give time or bytes";
     }
-    settings.linkFaults = value == "yes";
+    settings.prefer = value == "time" ? GossipPreference::Time : GossipPreference::Bytes;
     return {};
 }
 
-std::string readPreference(NodeSettings &settings, const std::string &value)
+std::string readLinkFaults(NodeSettings &settings, const std::string &value)
 {
-    if (value != "time" && value != "bytes") {
-        return "give time or bytes";
+    if (value != "yes" && value != "no") {
+        return "give yes or no";
     }
-    settings.prefer = value == "time" ? GossipPreference::Time : GossipPreference::Bytes;
+    settings.linkFaults = value == "yes";
     return {};
 }
 
--- a/src/core/nodesettings.h
+++ b/src/core/nodesettings.h
@@ -49,7 +49,6 @@
     // Share of datagrams that the node drops before sending, in percent. For
     // experiments with a lossy network only.
     std::uint32_t dropPercent = 0;
-
     // Lets a harness play cut and lossy links; never set it where callers are
     // served.
     bool linkFaults = false;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -112,6 +112,7 @@
               .node = settings.name,
               .dataCentre = settings.dataCentre,
               .seed = self.incarnation,
+              .policy = options.calls,
               .callEnded
               = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); }})
         , sidecar({.context = dataContext,
@@ -120,6 +121,7 @@
               .target = settings.target,
               .healthPath = settings.healthPath,
               .log = log,
+              .policy = options.calls,
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
@@ -249,14 +251,14 @@
     options.seed = self.incarnation ^ std::hash<NodeName>{}(self.name);
     options.state = state;
     options.log = log;
+    options.prefer = settings.prefer;
+    options.fanOut = settings.fanOut;
+    options.watchers = settings.watchers;
     options.send = [this](const Endpoint &to, const GossipMessage &message) {
         if (!links || links->passes(to.address)) {
             datagrams.send(to, encode(message));
         }
     };
-    options.prefer = settings.prefer;
-    options.fanOut = settings.fanOut;
-    options.watchers = settings.watchers;
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
             ingress.setView(view);
