autotests: Refuse parts of a revision

Cause: with ConfigBundle::verify switched off no test failed, so nothing showed that a node takes a revision whole or not at all.

Change: a test that gives a bundle with a file missing, of an earlier text and one too many. bench: faults lets the poller see the last state, tells each fall of a revision once, and doesn't wait for the operators' next turn.

Conclusion: the safeguard has its test.

--- /dev/null
+++ b/autotests/unit/configbundletest.cpp
@@ -0,0 +1,66 @@
+#include "core/configbundle.h"
+#include "core/contenthash.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string Service = "[service ventas]\ndata-centres = rosario-a\nslots = 6\nconnections = 120\n";
+const std::string Route = "[route pedidos]\npath = /ventas\nmethods = POST\nservice = ventas\nidempotent = no\ntimeout-ms = 3000\n";
+
+ConfigBundle wholeBundle()
+{
+    ConfigBundle bundle;
+    bundle.manifest.revision = Revision(2);
+    bundle.files = {{FileName("routes.ini"), Route}, {FileName("services.ini"), Service}};
+    for (const auto &file : bundle.files) {
+        bundle.manifest.files.emplace(file.name, contentHash(file.text));
+    }
+    return bundle;
+}
+
+bool isCorrupt(const ConfigBundle &bundle)
+{
+    const auto revision = ConfigRevision::fromBundle(bundle);
+    return !revision && revision.error().kind == ErrorKind::Corrupt;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheWholeRevision)
+{
+    BOOST_TEST(ConfigRevision::fromBundle(wholeBundle()).has_value());
+}
+
+// A peer or the store gives a revision of which one file is missing, damaged
+// or of another revision. Each part alone would be a valid configuration, so
+// only holding it against the manifest tells that it isn't the whole; served,
+// callers would get "no route" for what was accepted.
+BOOST_AUTO_TEST_CASE(RefusesPartsOfARevision)
+{
+    auto missing = wholeBundle();
+    missing.files.erase(missing.files.begin());
+    BOOST_TEST(isCorrupt(missing));
+
+    auto older = wholeBundle();
+    older.files[0].text += "; an earlier text\n";
+    BOOST_TEST(isCorrupt(older));
+
+    auto added = wholeBundle();
+    added.files.push_back({FileName("zinc.ini"), Route});
+    BOOST_TEST(isCorrupt(added));
+}
+
+// The manifest and the files agree, but a route names a service that no file
+// defines, as a store written by hand could hold. The node keeps what it has.
+BOOST_AUTO_TEST_CASE(RefusesAWholeRevisionThatIsInvalid)
+{
+    auto bundle = wholeBundle();
+    bundle.files.pop_back();
+    bundle.manifest.files.erase(FileName("services.ini"));
+    const auto revision = ConfigRevision::fromBundle(bundle);
+    BOOST_REQUIRE(!revision.has_value());
+    BOOST_TEST((revision.error().kind == ErrorKind::Invalid));
+}
--- a/bench/faultchecks.cpp
+++ b/bench/faultchecks.cpp
@@ -85,7 +85,8 @@
             violations.push_back(
                 {"revision-never-falls", fmt::format("node {} serves {} after {}", sample.node, sample.revision.value(), served.value()), sample.answered});
         }
-        served = std::max(served, sample.revision);
+        // Each fall is told once.
+        served = sample.revision;
     }
     return violations;
 }
--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -165,6 +165,8 @@
         fleet.waitForAll([&](const nlohmann::json &status) { return status.value("digest", "") == last->digest.value(); }, InForceLimit);
     }
     callers.join();
+    // The poller's next round sees what this wait saw.
+    std::this_thread::sleep_for(5 * StatusPoller::Step);
     records.live = liveNodes(fleet);
     records.samples = poller.stop();
     records.ledger = fleet.loggedRuns();
--- a/bench/racingoperators.cpp
+++ b/bench/racingoperators.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/nodeconnection.h"
 
+#include <algorithm>
 #include <atomic>
 #include <fmt/format.h>
 #include <mutex>
@@ -90,7 +91,10 @@
     for (std::size_t turn = 1; !stopping; ++turn) {
         // All operators wait for the same moment, so their applies race.
         const auto passed = (Clock::now() - begin) / options.interval;
-        std::this_thread::sleep_until(begin + (passed + 1) * options.interval);
+        const auto next = begin + (passed + 1) * options.interval;
+        while (!stopping && Clock::now() < next) {
+            std::this_thread::sleep_for(std::min<Clock::duration>(Milliseconds(50), next - Clock::now()));
+        }
         if (stopping) {
             break;
         }
