--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -7,8 +7,10 @@
 #include "reconciliation.h"
 #include "statuspoller.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
@@ -54,10 +56,10 @@
 
 // Applies until it is accepted, as an operator who repeats with one id; false
 // if it never is.
-bool applyLast(const Fleet &fleet, const NamedText &file, const std::string &id, std::vector<ApplyRecord> &records)
+bool applyLast(const Fleet &fleet, std::size_t first, const NamedText &file, const std::string &id, std::vector<ApplyRecord> &records)
 {
     for (int attempt = 0; attempt < LastApplyAttempts; ++attempt) {
-        const auto node = static_cast<std::size_t>(attempt) % fleet.size();
+        const auto node = (first + static_cast<std::size_t>(attempt)) % fleet.size();
         auto record = RacingOperators::apply(fleet.control(node), id, file.first, fmt::format("{}\n; {}\n", file.second, id));
         if (!record.error) {
             records.push_back(std::move(record));
@@ -72,7 +74,7 @@
 {
     std::vector<ApplyRecord> records;
     for (const auto &file : files) {
-        if (!applyLast(fleet, file, "first-" + file.first, records)) {
+        if (!applyLast(fleet, 0, file, "first-" + file.first, records)) {
             return false;
         }
     }
@@ -137,6 +139,12 @@
     return last;
 }
 
+// Frequent applies race; rare ones leave the store for long as a fault left it.
+Milliseconds applyInterval(std::uint64_t seed)
+{
+    return Milliseconds(seed % 2 == 0 ? 1000 : 5000);
+}
+
 // The whole run between the first applies and the stop; false if the last
 // change was never accepted.
 bool record(Fleet &fleet, const ExperimentOptions &options, const std::vector<NamedText> &files, FaultRunRecords &records)
@@ -147,18 +155,18 @@
     StatusPoller poller(fleet);
     records.begin = Clock::now();
     std::thread callers([&] { records.calls = sendCalls(fleet, options.seed, lastEnd(schedule) + CallsAfterFaults); });
-    RacingOperators operators({.nodes = controls(fleet), .files = files, .seed = options.seed});
+    RacingOperators operators({.nodes = controls(fleet), .files = files, .interval = applyInterval(options.seed), .seed = options.seed});
     records.faults = player.play(schedule);
     records.applies = operators.stop();
-    const bool applied = applyLast(fleet, files.front(), "last", records.applies);
-    callers.join();
+    const bool applied = applyLast(fleet, options.seed, files.front(), "last", records.applies);
     records.heads = headHistory(fleet);
-    const auto last = std::max_element(
-        records.heads.begin(), records.heads.end(), [](const HeadValue &left, const HeadValue &right) { return left.revision < right.revision; });
-    if (last != records.heads.end()) {
+    const auto *last = lastHead(records);
+    if (last != nullptr) {
         fleet.waitForAll([&](const nlohmann::json &status) { return status.value("digest", "") == last->digest.value(); }, InForceLimit);
     }
-    std::this_thread::sleep_for(Milliseconds(500));
+    callers.join();
+    // The poller's next round sees what this wait saw.
+    std::this_thread::sleep_for(5 * StatusPoller::Step);
     records.live = liveNodes(fleet);
     records.samples = poller.stop();
     records.ledger = fleet.loggedRuns();
@@ -175,6 +183,24 @@
     return static_cast<std::size_t>(std::count_if(records.calls.begin(), records.calls.end(), [&](const CallRecord &call) { return call.outcome == outcome; }));
 }
 
+// Time from the acceptance of the last change to the last node's first answer
+// with it, in steps of the polling; -1 if a node never gave it.
+std::int64_t convergence(const FaultRunRecords &records)
+{
+    std::map<std::size_t, TimePoint> seen;
+    const auto *last = lastHead(records);
+    for (const auto &sample : records.samples) {
+        if (last != nullptr && sample.digest == last->digest) {
+            seen.emplace(sample.node, sample.answered);
+        }
+    }
+    auto latest = records.applies.back().ended;
+    for (const auto &[node, time] : seen) {
+        latest = std::max(latest, time);
+    }
+    return seen.size() < records.live.size() ? -1 : std::chrono::duration_cast<Milliseconds>(latest - records.applies.back().ended).count();
+}
+
 nlohmann::ordered_json describe(const FaultRunRecords &records, const std::vector<Violation> &violations)
 {
     nlohmann::ordered_json json;
@@ -199,6 +225,7 @@
     json["applies"] = records.applies.size();
     json["applies_accepted"] = std::count_if(records.applies.begin(), records.applies.end(), [](const ApplyRecord &apply) { return !apply.error; });
     json["heads"] = records.heads.size();
+    json["convergence_ms"] = convergence(records);
     json["status_samples"] = records.samples.size();
     return json;
 }
@@ -207,11 +234,12 @@
 
 bool runFaults(const ExperimentOptions &options)
 {
+    // Orders take long enough that some are always in flight.
     Fleet fleet({.programs = options.programs,
         .folder = options.folder,
         .nodes = Nodes,
         .dataCentres = {"rosario-a", "rosario-b", "cordoba-a", "cordoba-b"},
-        .services = {{.name = "tablero"}, {.name = "ventas"}, {.name = "taller"}},
+        .services = {{.name = "tablero"}, {.name = "ventas", .serviceMicroseconds = 40000}, {.name = "taller", .serviceMicroseconds = 20000}},
         .logRuns = true,
         .settings = "[testing]\nlink-faults = yes\n"});
     const auto begin = Clock::now();
