daemon: Collect contents, answer requests that don't parse

- The keepers of contacts run BlobCollector every 2.5 to 10 minutes; several at once do no harm.
The collector's decisions are unit-tested; the timer in the daemon was not run to its first round.
- jsoncpp throws Json::RuntimeError on a request that nests too deep, and libjsonrpccpp passes it on. rpcservertest saw it come out of RpcServer::handle ("Exceeded stackLimit in readValue()"); it is now answered as a JSON-RPC parse error. 3,000 damaged requests get an answer.
- A node whose status doesn't read no longer hides the others' in `status`.
- galenahillctl says "isn't as expected" (7) for an answer without the fields it needs, where it ended by an exception.

--- /dev/null
+++ b/autotests/unit/rpcservertest.cpp
@@ -0,0 +1,51 @@
+#include "adapters/rpc/rpcserver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string Request = R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"a"}})";
+
+RpcServer server()
+{
+    return RpcServer({{"echo", [](const std::string &params) -> Result<std::string> { return params; }},
+        {"refuse", [](const std::string &) -> Result<std::string> { return failure(ErrorKind::Conflict, "taken"); }}});
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(CarriesResultsAndErrorKinds)
+{
+    auto rpc = server();
+    BOOST_TEST(rpc.handle(Request).find(R"("result":{"text":"a"})") != std::string::npos);
+    auto refused = Request;
+    refused.replace(refused.find("echo"), 4, "refuse");
+    BOOST_TEST(rpc.handle(refused).find(std::to_string(rpcErrorCode(ErrorKind::Conflict))) != std::string::npos);
+    BOOST_TEST((rpcErrorKind(rpcErrorCode(ErrorKind::Corrupt)) == ErrorKind::Corrupt));
+    BOOST_TEST((rpcErrorKind(-32601) == ErrorKind::Unavailable));
+}
+
+// Anything may be posted to the control port. What isn't a request must get an
+// error back, and must not end the node by an exception or a deep recursion.
+BOOST_AUTO_TEST_CASE(SurvivesDamagedRequests)
+{
+    auto rpc = server();
+    for (const std::string text : {"", "{", "null", "7", "[]", "{\"jsonrpc\":\"2.0\"}", "\xff\xfe", "{\"method\":[]}"}) {
+        BOOST_TEST(!rpc.handle(text).empty(), text);
+    }
+    for (const std::size_t depth : {500U, 2000U, 100000U}) {
+        BOOST_TEST(!rpc.handle(std::string(depth, '[')).empty());
+        BOOST_TEST(!rpc.handle(R"({"jsonrpc":"2.0","id":1,"method":"echo","params":)" + std::string(depth, '[') + std::string(depth, ']') + "}").empty());
+    }
+    std::mt19937 random(1);
+    for (int i = 0; i < 3000; ++i) {
+        auto text = Request;
+        for (auto changes = 1 + random() % 4; changes > 0; --changes) {
+            text[random() % text.size()] = static_cast<char>(random() % 256);
+        }
+        BOOST_TEST(!rpc.handle(text).empty(), text);
+    }
+}
--- a/src/adapters/rpc/rpcserver.cpp
+++ b/src/adapters/rpc/rpcserver.cpp
@@ -14,6 +14,8 @@
 
 constexpr int FirstErrorCode = -32050;
 
+const std::string ParseError = R"({"error":{"code":-32700,"message":"the request doesn't parse; send one JSON-RPC 2.0 object"},"id":null,"jsonrpc":"2.0"})";
+
 std::string toText(const Json::Value &value)
 {
     Json::StreamWriterBuilder builder;
@@ -70,9 +72,16 @@
 
 std::string RpcServer::handle(const std::string &request)
 {
-    std::string answer;
-    d->protocol->HandleRequest(request, answer);
-    return answer;
+    // jsoncpp throws on text that nests too deep, and libjsonrpccpp lets that
+    // pass; the caller would get no answer and the connection's handler would
+    // end by the exception.
+    try {
+        std::string answer;
+        d->protocol->HandleRequest(request, answer);
+        return answer;
+    } catch (const std::exception &) {
+        return ParseError;
+    }
 }
 
 int rpcErrorCode(ErrorKind kind)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <popt.h>
 
@@ -102,12 +103,17 @@
             return usageError(fmt::format("--{}: not an option of '{}'", option, name));
         }
     }
-    const auto result = command->second.run(options);
-    if (result) {
-        return 0;
+    try {
+        const auto result = command->second.run(options);
+        if (result) {
+            return 0;
+        }
+        fmt::print(stderr, "{}\n", result.error().message);
+        return exitCode(result.error().kind);
+    } catch (const nlohmann::json::exception &error) {
+        fmt::print(stderr, "the node's answer isn't as expected ({}); use a galenahillctl of the node's version\n", error.what());
+        return exitCode(ErrorKind::Corrupt);
     }
-    fmt::print(stderr, "{}\n", result.error().message);
-    return exitCode(result.error().kind);
 }
 
 }
--- a/src/core/blobcollector.h
+++ b/src/core/blobcollector.h
@@ -24,7 +24,7 @@
         ObjectStore &store;
         ConfigRepository &repository;
         // Store calls that one round may spend on contents.
-        std::size_t callsPerRound = 20;
+        std::size_t callsPerRound = 40;
     };
 
     explicit BlobCollector(Options options);
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -192,16 +192,18 @@
     std::size_t asked = 0;
     std::size_t answered = 0;
     for (const auto &[member, body] : queryFleet(options.state->members(), "/status", StatusTimeout)) {
-        json node = {{"node", member.name.value()},
-            {"data_centre", member.dataCentre.value()},
-            {"service", member.service.value()},
-            {"state", toString(member.state)},
-            {"answered", body.has_value()}};
-        if (body) {
-            node["revision"] = json::parse(*body).at("revision");
+        json node = {
+            {"node", member.name.value()}, {"data_centre", member.dataCentre.value()}, {"service", member.service.value()}, {"state", toString(member.state)}};
+        // A node of another version may answer otherwise; that must not hide
+        // the others.
+        const auto status = json::parse(body.value_or(""), nullptr, false);
+        const bool readable = status.is_object() && status.contains("revision");
+        if (readable) {
+            node["revision"] = status["revision"];
         }
+        node["answered"] = readable;
         asked += member.state != MemberState::Gone ? 1 : 0;
-        answered += body ? 1 : 0;
+        answered += readable ? 1 : 0;
         nodes.push_back(std::move(node));
     }
     return json{{"revision", options.state->revisions.revision().value()}, {"asked", asked}, {"answered", answered}, {"nodes", nodes}};
--- a/src/daemon/storekeeper.cpp
+++ b/src/daemon/storekeeper.cpp
@@ -1,5 +1,7 @@
 #include "daemon/storekeeper.h"
 
+#include "core/blobcollector.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -15,6 +17,10 @@
 constexpr Milliseconds IdleInterval{500};
 constexpr Milliseconds ContactInterval{10000};
 
+// Contents that no kept revision names cost room only, so a round costs the
+// store a call or two each few minutes.
+constexpr Milliseconds CollectionInterval{600000};
+
 // Contacts that a starting node takes members from.
 constexpr std::size_t ContactsJoined = 2;
 
@@ -58,6 +64,7 @@
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
+        , collector({.store = options.store, .repository = options.repository})
     {
     }
 
@@ -72,6 +79,8 @@
     Milliseconds backoff{0};
     ObjectVersion headVersion;
     TimePoint nextContacts;
+    TimePoint nextCollection;
+    BlobCollector collector;
 
     bool stopping() const
     {
@@ -91,6 +100,7 @@
     bool joinOnce();
     std::vector<Endpoint> liveControls() const;
     void keepContacts();
+    void collectBlobs();
     void reconcileOwnContacts();
     void joinOtherDataCentre();
     void readHeadOnce();
@@ -197,6 +207,20 @@
     joinOtherDataCentre();
 }
 
+// Falls to the keepers of contacts, whose role is the same for all nodes that
+// know the same members; the collector allows for several at once.
+void StoreKeeper::Private::collectBlobs()
+{
+    if (!options.state->keepsContacts || Clock::now() < nextCollection) {
+        return;
+    }
+    nextCollection = Clock::now() + jittered(CollectionInterval);
+    const auto removed = collector.run();
+    if (removed && *removed > 0) {
+        options.log(LogLevel::Info, "contents-collected", {{"removed", *removed}});
+    }
+}
+
 void StoreKeeper::Private::reconcileOwnContacts()
 {
     const auto key = contactsKey(options.self.dataCentre);
@@ -312,9 +336,11 @@
     }
     d->backoff = Milliseconds(0);
     d->nextContacts = Clock::now() + d->jittered(FirstContactsDelay);
+    d->nextCollection = Clock::now() + d->jittered(CollectionInterval);
     d->readHeadOnce();
     while (!d->stopping()) {
         d->keepContacts();
+        d->collectBlobs();
         if (d->options.state->watchesStore) {
             d->watchHead();
         } else {
