--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -312,6 +312,7 @@
 ContactKeeper::Options Node::Private::contactKeeperOptions()
 {
     return {.store = budgetedStore,
+        .repository = repository,
         .state = state,
         .self = self,
         .seeds = settings.seeds,
