--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -37,5 +37,6 @@
 // Memory, time and bytes of a node's parts against fleet and configuration
 // size, in this process; docs/CAPACITY.md is worked out from them.
 bool runSlopes(const ExperimentOptions &options);
+bool runFaults(const ExperimentOptions &options);
 
 }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -60,6 +60,7 @@
         {"datapath", runDatapath},
         {"demo", runDemo},
         {"distribution", runDistribution},
+        {"faults", runFaults},
         {"slopes", runSlopes},
     };
     poptContext context = poptGetContext("galenahillbench", argc, argv, table, 0);
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -8,9 +8,10 @@
 {
 public:
     Private(asio::io_context &context, Options given)
-        : options(given)
+        : options(std::move(given))
         , pool(std::make_shared<ConnectionPool>(context,
-              ConnectionPool::Options{.maxIdlePerEndpoint = given.maxIdlePerEndpoint, .maxPerEndpoint = given.maxPerEndpoint, .maxIdleAge = given.maxIdleAge}))
+              ConnectionPool::Options{
+                  .maxIdlePerEndpoint = options.maxIdlePerEndpoint, .maxPerEndpoint = options.maxPerEndpoint, .maxIdleAge = options.maxIdleAge}))
     {
     }
 
@@ -19,7 +20,7 @@
 };
 
 HttpClient::HttpClient(asio::io_context &context, Options options)
-    : d(std::make_shared<Private>(context, options))
+    : d(std::make_shared<Private>(context, std::move(options)))
 {
 }
 
@@ -40,6 +41,9 @@
     if (givenUp()) {
         co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": given up before it was sent");
     }
+    if (keep->options.reachable && !keep->options.reachable(endpoint)) {
+        co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": the link is cut for a test");
+    }
     auto connection = pool.takeIdle(*connections);
     if (!connection) {
         auto connected = co_await pool.connect(connections, deadline);
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -59,7 +59,7 @@
 
 private:
     template <typename Serializer>
-    asio::awaitable<ErrorCode> writeNext(Serializer &serializer);
+    ErrorCode writeNext(Serializer &serializer);
     asio::awaitable<ErrorCode> waitWritable();
     ErrorCode reasonOf(const ErrorCode &error) const;
 
@@ -91,7 +91,10 @@
     boost::beast::http::serializer<Message::is_request::value, typename Message::body_type, typename Message::fields_type> serializer(message);
     ErrorCode error;
     while (!error && !serializer.is_done()) {
-        error = co_await writeNext(serializer);
+        error = writeNext(serializer);
+        if (error == asio::error::would_block) {
+            error = co_await waitWritable();
+        }
     }
     co_return error;
 }
@@ -103,27 +106,27 @@
     serializer.split(true);
     ErrorCode error;
     while (!error && !serializer.is_header_done()) {
-        error = co_await writeNext(serializer);
+        error = writeNext(serializer);
+        if (error == asio::error::would_block) {
+            error = co_await waitWritable();
+        }
     }
     co_return error;
 }
 
 template <typename Serializer>
-asio::awaitable<ErrorCode> TcpChannel::writeNext(Serializer &serializer)
+ErrorCode TcpChannel::writeNext(Serializer &serializer)
 {
     ErrorCode failed;
     ErrorCode error;
     std::size_t count = 0;
     serializer.next(failed, [&](ErrorCode &, const auto &buffers) { count = socket.write_some(buffers, error); });
     if (failed) {
-        co_return failed;
+        return failed;
     }
     m_bytes += count;
     serializer.consume(count);
-    if (error == asio::error::would_block) {
-        error = co_await waitWritable();
-    }
-    co_return error;
+    return error;
 }
 
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,6 +10,7 @@
 #include "daemon/controlmessages.h"
 #include "daemon/controlservice.h"
 #include "daemon/ingress.h"
+#include "daemon/linkfilter.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
 #include "daemon/storekeeper.h"
@@ -46,6 +47,8 @@
 // bounds time rather than memory.
 constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
 
+constexpr std::uint64_t MaxControlBodyBytes = std::uint64_t(64) << 20;
+
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -89,13 +92,16 @@
               .inForce = [this] { return state->revisions.current(); },
               .highestKnown = [this] { return Revision(state->highestKnown); },
               .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
-        , controlClient(controlContext, {})
+        , links(settings.linkFaults ? std::make_unique<LinkFilter>(self.incarnation) : nullptr)
+        , controlClient(controlContext, clientOptions(MaxControlBodyBytes))
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
               {.endpoint = self.control(),
                   .received =
                       [this](const Endpoint &from, std::string bytes) {
-                          tell(DatagramReceived{from, std::move(bytes)});
+                          if (!links || links->passes(from.address)) {
+                              tell(DatagramReceived{from, std::move(bytes)});
+                          }
                       },
                   .dropPercent = settings.dropPercent})
         , controlService({.context = controlContext,
@@ -106,8 +112,8 @@
               .metrics = metrics,
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
-              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return controlService.handle(std::move(request)); }})
-        , dataClient(dataContext, {.maxBodyBytes = MaxCallBodyBytes})
+              {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
+        , dataClient(dataContext, clientOptions(MaxCallBodyBytes))
         , ingress({.client = dataClient,
               .node = settings.name,
               .dataCentre = settings.dataCentre,
@@ -146,6 +152,7 @@
     asio::io_context dataContext{1};
     HttpObjectStore store;
     ConfigRepository repository;
+    std::unique_ptr<LinkFilter> links;
     HttpClient controlClient;
     RevisionExchange exchange;
     DatagramSocket datagrams;
@@ -166,6 +173,8 @@
     std::thread dataThread;
 
     MemberRecord selfRecord() const;
+    HttpClient::Options clientOptions(std::uint64_t maxBodyBytes) const;
+    asio::awaitable<HttpResponse> handleControl(HttpRequest request);
     std::string counters() const;
     Result<void> listen();
     void startActors();
@@ -206,6 +215,25 @@
     return record;
 }
 
+HttpClient::Options Node::Private::clientOptions(std::uint64_t maxBodyBytes) const
+{
+    HttpClient::Options options;
+    options.maxBodyBytes = maxBodyBytes;
+    if (links) {
+        options.reachable = [this](const Endpoint &endpoint) { return links->connects(endpoint.address); };
+    }
+    return options;
+}
+
+asio::awaitable<HttpResponse> Node::Private::handleControl(HttpRequest request)
+{
+    if (links && request.target() == "/testing/links") {
+        const auto set = links->set(request.body());
+        co_return set ? makeResponse(http::status::ok, "text/plain", "") : makeErrorResponse(http::status::bad_request, "invalid", set.error().message);
+    }
+    co_return co_await controlService.handle(std::move(request));
+}
+
 std::string Node::Private::counters() const
 {
     const nlohmann::json json = {{"datagram_bytes", datagrams.bytes()},
@@ -213,7 +241,8 @@
         {"control_http_bytes", controlServer.bytes() + controlClient.bytes()},
         {"pull_bytes", controlClient.bytes()},
         {"join_bytes", joinBytes.load()},
-        {"store_calls", store.calls()}};
+        {"store_calls", store.calls()},
+        {"call_retries", ingress.retries()}};
     return json.dump();
 }
 
@@ -237,7 +266,11 @@
     options.prefer = settings.prefer;
     options.fanOut = settings.fanOut;
     options.watchers = settings.watchers;
-    options.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
+    options.send = [this](const Endpoint &to, const GossipMessage &message) {
+        if (!links || links->passes(to.address)) {
+            datagrams.send(to, encode(message));
+        }
+    };
     options.publishView = [this](std::shared_ptr<const RoutingView> view) {
         asio::post(dataContext, [this, view = std::move(view)] {
             ingress.setView(view);
@@ -263,6 +296,9 @@
 
 bool Node::Private::joinThrough(const Endpoint &contact)
 {
+    if (links && !links->connects(contact.address)) {
+        return false;
+    }
     HttpRequest request(http::verb::get, "/members", 11);
     request.set(http::field::host, toString(contact));
     joinBytes += wireBytes(request);
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -6,6 +6,8 @@
 //   GET  /load     slots taken, as JSON
 //   GET  /ledger   ids of the calls that ran, one line each, in order
 //   POST /admin    {"drain": B, "service_us": N, "slots": N, "cold_ms": N, "freeze": B, "misreport": B}
+// With --log-runs each entry also goes to standard error as "ran ID MICROSECONDS"
+// by the steady clock, so that the ledger outlives the process.
 // A call beyond the slots counts as an overrun. It waits in the backlog, if
 // there is one, and runs even if its caller has gone; without room it is
 // refused with 503. "cold_ms" makes it a cold one for that time, which refuses
@@ -33,6 +35,7 @@
     // Calls that wait for a slot at the most.
     std::uint32_t backlog = 0;
     std::uint32_t connections = 4096;
+    bool logRuns = false;
 };
 
 // Calls that start later than this after a drain was ordered are late.
@@ -164,6 +167,9 @@
     }
     const std::string id(request["Request-Id"]);
     m_ledger += id + "\n";
+    if (m_options.logRuns) {
+        fmt::print(stderr, "ran {} {}\n", id, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
+    }
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
     timer.expires_after(m_options.serviceTime);
@@ -209,6 +215,7 @@
     int coldStart = 0;
     int backlog = 0;
     int connections = 4096;
+    int logRuns = 0;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP number to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
@@ -217,6 +224,7 @@
         {"cold-start-ms", 'c', POPT_ARG_INT, &coldStart, 0, "Time from the start to ready", "MILLISECONDS"},
         {"backlog", 0, POPT_ARG_INT, &backlog, 0, "Calls that wait for a slot at the most", "N"},
         {"connections", 0, POPT_ARG_INT, &connections, 0, "Connections accepted at a time", "N"},
+        {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each execution to standard error", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     poptContext context = poptGetContext("targetstandin", argc, argv, table, 0);
@@ -232,5 +240,6 @@
     options.coldStart = Galenahill::Milliseconds(coldStart);
     options.backlog = static_cast<std::uint32_t>(backlog);
     options.connections = static_cast<std::uint32_t>(connections);
+    options.logRuns = logRuns != 0;
     return Galenahill::run(options);
 }
