--- a/autotests/unit/callpathtest.cpp
+++ b/autotests/unit/callpathtest.cpp
@@ -94,6 +94,7 @@
         .target = TargetEndpoint,
         .healthPath = "/health",
         .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        .policy = {.adaptive = false},
         .stateChanged = [this](MemberState state) { targetReady = state == MemberState::Ready; }}};
     HttpServer ingressServer{context,
         {.endpoint = IngressEndpoint,
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -38,7 +38,7 @@
     {
         m_taken = true;
         auto &exchange = *m_exchange;
-        exchange.m_connection->channel.deadline.set(Clock::now() + exchange.m_options.partTimeout);
+        exchange.m_connection->channel.deadline.set(Clock::now() + exchange.m_partTimeout);
         const auto error = co_await exchange.m_reader->readBody(part, limit);
         exchange.m_connection->channel.deadline.clear();
         if (!error && done()) {
@@ -70,7 +70,9 @@
 ClientExchange::ClientExchange(std::shared_ptr<ConnectionPool> pool, std::unique_ptr<ClientConnection> connection, const HttpClient::Options &options)
     : m_pool(std::move(pool))
     , m_connection(std::move(connection))
-    , m_options(options)
+    , m_maxBodyBytes(options.maxBodyBytes)
+    , m_bufferedBodyBytes(options.bufferedBodyBytes)
+    , m_partTimeout(options.partTimeout)
 {
 }
 
@@ -200,7 +202,7 @@
 {
     ErrorCode error;
     do {
-        m_reader.emplace(m_connection->channel, MaxAnswerHeaderBytes, m_options.maxBodyBytes);
+        m_reader.emplace(m_connection->channel, MaxAnswerHeaderBytes, m_maxBodyBytes);
         if (m_head) {
             m_reader->skipBody();
         }
@@ -215,7 +217,7 @@
     const auto length = reader.contentLength();
     auto &body = response.body();
     ErrorCode error;
-    while (!error && !reader.done() && !(streamed && body.size() >= m_options.bufferedBodyBytes)) {
+    while (!error && !reader.done() && !(streamed && body.size() >= m_bufferedBodyBytes)) {
         const auto step = length ? std::min<std::uint64_t>(*length - body.size(), PartBytes) : ReadAheadBytes;
         error = co_await reader.readBody(body, step);
     }
--- a/src/adapters/http/clientexchange.h
+++ b/src/adapters/http/clientexchange.h
@@ -34,7 +34,9 @@
 
     std::shared_ptr<ConnectionPool> m_pool;
     std::unique_ptr<ClientConnection> m_connection;
-    HttpClient::Options m_options;
+    std::uint64_t m_maxBodyBytes;
+    std::size_t m_bufferedBodyBytes;
+    Milliseconds m_partTimeout;
     std::optional<MessageReader<false>> m_reader;
     bool m_head = false;
     bool m_sent = false;
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -249,9 +249,11 @@
         co_return RequestFault{http::status::expectation_failed, "the only expectation met is 100-continue"};
     }
     request.erase(http::field::expect);
-    const auto bodyError = co_await readBody(request);
-    if (bodyError) {
-        co_return faultOf(bodyError);
+    if (!exchange.reader.done()) {
+        const auto bodyError = co_await readBody(request);
+        if (bodyError) {
+            co_return faultOf(bodyError);
+        }
     }
     co_return std::nullopt;
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -91,7 +91,7 @@
     asio::awaitable<HttpResponse> admit(Call &call);
     asio::awaitable<HttpResponse> route(Call &call);
     asio::awaitable<Attempt> attempt(Call &call, const MemberRecord &target);
-    void prepare(Call &call, TimePoint deadline) const;
+    void setSidecarFields(Call &call, TimePoint deadline) const;
     TimePoint attemptDeadline(const Call &call) const;
     void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
     bool mayRepeat(const Call &call) const;
@@ -238,7 +238,7 @@
     return leavesTime ? attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline) : call.deadline;
 }
 
-void Ingress::Private::prepare(Call &call, TimePoint deadline) const
+void Ingress::Private::setSidecarFields(Call &call, TimePoint deadline) const
 {
     auto &request = call.request;
     request.set(CallHeaders::CallId, call.id.value());
@@ -281,7 +281,7 @@
     if (deadline - begin < Milliseconds(1)) {
         co_return Attempt{};
     }
-    prepare(call, deadline);
+    setSidecarFields(call, deadline);
     picker.begin(target.name);
     Attempt result;
     HttpClient::Companions companions;
@@ -301,6 +301,10 @@
     } else {
         result.end = response->result() == http::status::service_unavailable ? AttemptEnd::Shed : AttemptEnd::Answered;
     }
+    if (call.connection.cancellation().cancelled()) {
+        // The caller ended it; that says nothing about the target.
+        co_return result;
+    }
     learn(target, result, response);
     if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::OutcomeUnknown) {
         attempts.observed(call.route->name, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -18,6 +18,10 @@
 constexpr Milliseconds ReadyProbeInterval{250};
 constexpr Milliseconds ProbeTimeout{1000};
 
+// Connections to the target that are kept open, so that calls which come after
+// a pause don't wait for new ones.
+constexpr std::size_t WarmConnections = 4;
+
 // Unanswered probes in a row before a target counts as not ready, and probes
 // that it answered with "not ready"; one alone says little.
 constexpr int LostProbesToLeave = 3;
@@ -113,6 +117,9 @@
         request.set(http::field::host, toString(options.target));
         const auto answer = co_await options.client.exchange(options.target, std::move(request), Clock::now() + ProbeTimeout);
         probed(answer);
+        if (state == MemberState::Ready) {
+            co_await options.client.warm(options.target, WarmConnections, Clock::now() + ProbeTimeout);
+        }
         const bool settled = state == MemberState::Ready && lostProbes == 0 && refusedProbes == 0;
         ErrorCode error;
         timer.expires_after(settled ? ReadyProbeInterval : StartingProbeInterval);
@@ -159,6 +166,9 @@
 {
     const auto *service = view && view->config ? view->config->snapshot->service(d->options.service) : nullptr;
     d->admission.setSlots(service == nullptr ? 0 : service->slots);
+    if (service != nullptr) {
+        d->options.client.limitConnections(d->options.target, service->connections);
+    }
 }
 
 std::string Sidecar::Private::refusal(const HttpRequest &request) const
