--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -239,7 +239,7 @@
         .folder = options.folder,
         .nodes = Nodes,
         .dataCentres = {"rosario-a", "rosario-b", "cordoba-a", "cordoba-b"},
-        .services = {{.name = "tablero"}, {.name = "ventas", .serviceMicroseconds = 40000}, {.name = "taller", .serviceMicroseconds = 20000}},
+        .services = {{.name = "tablero"}, {.name = "ventas", .serviceMicroseconds = 100000}, {.name = "taller", .serviceMicroseconds = 60000}},
         .logRuns = true,
         .settings = "[testing]\nlink-faults = yes\n"});
     const auto begin = Clock::now();
