--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -87,6 +87,10 @@
         givenUp(entered, now);
         return;
     }
+    if (end == End::Cancelled) {
+        hold(now + CancelTime);
+        return;
+    }
     --m_inFlight;
     switch (end) {
     case End::Answered:
@@ -102,6 +106,7 @@
         m_ramping = true;
         break;
     case End::GivenUp:
+    case End::Cancelled:
     case End::NotSent:
         break;
     }
@@ -114,14 +119,18 @@
     // target that answered anybody since the call began isn't stalled: a
     // route with too short a timeout doesn't lower the limit for the others.
     const bool stalled = m_lastAnswer <= entered;
-    m_held.push_back(now + (stalled ? StallHold : CancelTime));
-    std::sort(m_held.begin(), m_held.end());
+    hold(now + (stalled ? StallHold : CancelTime));
     if (stalled) {
         m_ramping = false;
         m_limit = std::max(1.0, m_limit * StallReduction);
     }
 }
 
+void AdmissionController::hold(TimePoint until)
+{
+    m_held.insert(std::upper_bound(m_held.begin(), m_held.end(), until), until);
+}
+
 void AdmissionController::answered(const RouteName &route, Microseconds latency, TimePoint now)
 {
     m_typical = m_typical.count() == 0 ? latency : m_typical + (latency - m_typical) / TypicalWeight;
--- a/src/core/admissioncontroller.h
+++ b/src/core/admissioncontroller.h
@@ -22,6 +22,9 @@
         Shed,
         // The call was given up before an answer; the target may still run it.
         GivenUp,
+        // The caller closed its connection; says nothing about the target,
+        // which may need a moment to stop running the call.
+        Cancelled,
         // The connection broke before an answer, as when the target restarts.
         Broken,
         // The call didn't reach the target.
@@ -46,6 +49,9 @@
     bool tryEnter(TimePoint now);
     void leave(const RouteName &route, TimePoint entered, End end, TimePoint now);
 
+    // Frees the slots of given-up calls whose time has come.
+    void releaseHeld(TimePoint now);
+
     // Calls in flight, with given-up ones whose slots are still held.
     std::uint32_t inFlight() const;
     std::uint32_t limit() const;
@@ -61,9 +67,8 @@
 private:
     void answered(const RouteName &route, std::chrono::microseconds latency, TimePoint now);
     void givenUp(TimePoint entered, TimePoint now);
+    void hold(TimePoint until);
     void reduce(double factor, TimePoint now);
-    void releaseHeld(TimePoint now);
-
     CallPolicy m_policy;
     std::uint32_t m_slots = 0;
     std::uint32_t m_inFlight = 0;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -4,16 +4,18 @@
 #include "adapters/http/blockinghttpclient.h"
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
+#include "adapters/platform/budgetedstore.h"
 #include "adapters/platform/httpobjectstore.h"
 #include "adapters/udp/datagramsocket.h"
+#include "daemon/contactkeeper.h"
 #include "daemon/controlactor.h"
 #include "daemon/controlmessages.h"
 #include "daemon/controlservice.h"
+#include "daemon/headwatcher.h"
 #include "daemon/ingress.h"
 #include "daemon/linkfilter.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
-#include "daemon/storekeeper.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -31,7 +33,7 @@
 
 namespace {
 
-constexpr Milliseconds JoinTimeout{1000};
+constexpr Milliseconds JoinTimeout{700};
 
 // Time between announcing the stop and refusing calls, so that most ingress
 // nodes have stopped sending before the first refusal.
@@ -43,12 +45,22 @@
 
 constexpr Milliseconds DrainCheckInterval{10};
 
+// Bodies of calls and their answers pass through in parts, so that this
+// bounds time rather than memory.
+constexpr std::uint64_t MaxControlBodyBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
+
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
 }
 
+std::int64_t wallClockSeconds()
+{
+    return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now()));
+}
+
 // Bytes of a message on its connection.
 template <typename Message>
 std::uint64_t wireBytes(const Message &message)
@@ -85,9 +97,15 @@
         , repository({.store = store,
               .inForce = [this] { return state->revisions.current(); },
               .highestKnown = [this] { return Revision(state->highestKnown); },
-              .now = [] { return static_cast<std::int64_t>(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())); }})
+              .now = wallClockSeconds})
+        , budgetedStore({.store = store, .budget = {.seed = self.incarnation ^ std::hash<std::string>{}(self.address)}, .stopping = state->stopping})
+        , standingRepository({.store = budgetedStore,
+              .inForce = [this] { return state->revisions.current(); },
+              .highestKnown = [this] { return Revision(state->highestKnown); },
+              .now = wallClockSeconds})
+        , headWatcher(headWatcherOptions())
         , links(settings.linkFaults ? std::make_unique<LinkFilter>(self.incarnation) : nullptr)
-        , controlClient(controlContext, clientOptions())
+        , controlClient(controlContext, clientOptions(MaxControlBodyBytes))
         , exchange({.state = state, .client = controlClient, .log = log})
         , datagrams(controlContext,
               {.endpoint = self.control(),
@@ -107,7 +125,7 @@
               .accepted = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }})
         , controlServer(controlContext,
               {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
-        , dataClient(dataContext, clientOptions())
+        , dataClient(dataContext, clientOptions(MaxCallBodyBytes))
         , ingress({.client = dataClient,
               .node = settings.name,
               .dataCentre = settings.dataCentre,
@@ -125,10 +143,14 @@
               .stateChanged = [this](MemberState newState) { tell(TargetStateChanged{newState}); }})
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
-                  .handler = [this](HttpRequest request, ServerConnection &) { return ingress.handle(std::move(request)); }})
-        , sidecarServer(dataContext, {.endpoint = self.sidecar(), .handler = [this](HttpRequest request, ServerConnection &connection) {
-                                          return sidecar.handle(std::move(request), connection);
-                                      }})
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
+        , sidecarServer(dataContext,
+              {.endpoint = self.sidecar(),
+                  .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+                  .maxBodyBytes = MaxCallBodyBytes,
+                  .streamBodies = true})
     {
     }
 
@@ -142,6 +164,10 @@
     asio::io_context dataContext{1};
     HttpObjectStore store;
     ConfigRepository repository;
+    BudgetedStore budgetedStore;
+    // For the node's standing work; operators' requests use the one above.
+    ConfigRepository standingRepository;
+    HeadWatcher headWatcher;
     std::unique_ptr<LinkFilter> links;
     HttpClient controlClient;
     RevisionExchange exchange;
@@ -163,13 +189,14 @@
     std::thread dataThread;
 
     MemberRecord selfRecord() const;
-    HttpClient::Options clientOptions() const;
+    HttpClient::Options clientOptions(std::uint64_t maxBodyBytes) const;
     asio::awaitable<HttpResponse> handleControl(HttpRequest request);
     std::string counters() const;
     Result<void> listen();
     void startActors();
     ControlOptions controlOptions();
-    StoreKeeper::Options keeperOptions();
+    ContactKeeper::Options contactKeeperOptions();
+    HeadWatcher::Options headWatcherOptions();
     bool joinThrough(const Endpoint &contact);
     asio::awaitable<void> pull(Endpoint peer);
     void waitForCalls();
@@ -205,9 +232,10 @@
     return record;
 }
 
-HttpClient::Options Node::Private::clientOptions() const
+HttpClient::Options Node::Private::clientOptions(std::uint64_t maxBodyBytes) const
 {
     HttpClient::Options options;
+    options.maxBodyBytes = maxBodyBytes;
     if (links) {
         options.reachable = [this](const Endpoint &endpoint) { return links->connects(endpoint.address); };
     }
@@ -270,17 +298,27 @@
     return options;
 }
 
-StoreKeeper::Options Node::Private::keeperOptions()
+HeadWatcher::Options Node::Private::headWatcherOptions()
+{
+    return {.store = budgetedStore,
+        .repository = standingRepository,
+        .state = state,
+        .log = log,
+        .revisionFound = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); },
+        .storeAnswered = [this](Revision revision) { tell(StoreAnswered{revision}); },
+        .storeFailed = [this] { tell(StoreFailed{}); }};
+}
+
+ContactKeeper::Options Node::Private::contactKeeperOptions()
 {
-    return {.store = store,
-        .repository = repository,
+    return {.store = budgetedStore,
         .state = state,
         .self = self,
         .seeds = settings.seeds,
         .log = log,
         .seed = self.incarnation ^ std::hash<std::string>{}(self.address),
         .joinThrough = [this](const Endpoint &contact) { return joinThrough(contact); },
-        .revisionFound = [this](auto revision) { tell(RevisionReceived{std::move(revision)}); }};
+        .checkHead = [this] { headWatcher.check(); }};
 }
 
 bool Node::Private::joinThrough(const Endpoint &contact)
@@ -308,20 +346,20 @@
 asio::awaitable<void> Node::Private::pull(Endpoint peer)
 {
     auto revision = co_await exchange.pull(peer);
-    const bool succeeded = revision.has_value();
-    if (succeeded) {
+    if (revision) {
         tell(RevisionReceived{std::move(*revision)});
     } else {
         log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
     }
-    tell(PullEnded{succeeded});
+    tell(PullEnded{peer});
 }
 
 void Node::Private::startActors()
 {
     system = std::make_unique<caf::actor_system>(systemConfig);
     control = system->spawn(controlActor, controlOptions());
-    system->spawn<caf::detached>([this](caf::blocking_actor *) { StoreKeeper(keeperOptions()).run(); });
+    system->spawn<caf::detached>([this](caf::blocking_actor *) { headWatcher.run(); });
+    system->spawn<caf::detached>([this](caf::blocking_actor *) { ContactKeeper(contactKeeperOptions()).run(); });
 }
 
 Node::Node(Options options)
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -89,7 +89,7 @@
     void wake(QueueTicket ticket, bool admitted);
     void admitWaiting();
     asio::awaitable<void> admitWhenReleased();
-    asio::awaitable<HttpResponse> passOn(HttpRequest request, SidecarCall call);
+    asio::awaitable<HttpResponse> passOn(HttpRequest request, SidecarCall call, ServerConnection &connection);
     HttpRequest targetRequest(HttpRequest request, const SidecarCall &call) const;
 };
 
@@ -251,6 +251,7 @@
 
 void Sidecar::Private::admitWaiting()
 {
+    admission.releaseHeld(Clock::now());
     while (queue.size() > 0 && admission.tryEnter(Clock::now())) {
         const auto ticket = *queue.pop();
         queue.started(waiters.at(ticket.value())->route);
@@ -271,7 +272,7 @@
 {
     queue.ended(call.route);
     admission.leave(call.route, call.entered, end, Clock::now());
-    if (end == AdmissionController::End::GivenUp) {
+    if (end == AdmissionController::End::GivenUp || end == AdmissionController::End::Cancelled) {
         asio::co_spawn(options.context, admitWhenReleased(), asio::detached);
     }
     admitWaiting();
@@ -291,14 +292,28 @@
     return request;
 }
 
-asio::awaitable<HttpResponse> Sidecar::Private::passOn(HttpRequest request, SidecarCall call)
+asio::awaitable<HttpResponse> Sidecar::Private::passOn(HttpRequest request, SidecarCall call, ServerConnection &connection)
 {
     using End = AdmissionController::End;
     auto forwarded = targetRequest(std::move(request), call);
-    auto response = co_await options.client.exchange(options.target, std::move(forwarded), call.deadline);
+    std::unique_ptr<BodySource> rest;
+    HttpClient::Companions companions;
+    companions.cancellation = &connection.cancellation();
+    companions.requestBody = connection.requestBody();
+    companions.answerBody = &rest;
+    auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
     if (response) {
-        leave(call, response->result() == http::status::service_unavailable ? End::Shed : End::Answered);
+        const auto end = response->result() == http::status::service_unavailable ? End::Shed : End::Answered;
         stripFields(*response);
+        if (rest) {
+            reportLoad(*response);
+            co_await connection.sendStreamed(std::move(*response), *rest);
+            leave(call, end);
+            co_return std::move(*response);
+        }
+        // The load is told without this call: told with it, a target with one
+        // slot would never seem to have room.
+        leave(call, end);
         reportLoad(*response);
         co_return std::move(*response);
     }
@@ -306,7 +321,8 @@
         leave(call, End::NotSent);
         co_return refuse("the target can't be reached");
     }
-    leave(call, Clock::now() >= call.deadline ? End::GivenUp : End::Broken);
+    const bool late = Clock::now() >= call.deadline;
+    leave(call, connection.cancellation().cancelled() ? End::Cancelled : late ? End::GivenUp : End::Broken);
     auto unknown = outcomeUnknownResponse(response.error().message);
     reportLoad(unknown);
     co_return unknown;
@@ -331,7 +347,7 @@
         keep->leave(call, AdmissionController::End::NotSent);
         co_return keep->refuse("the caller has gone");
     }
-    co_return co_await keep->passOn(std::move(request), std::move(call));
+    co_return co_await keep->passOn(std::move(request), std::move(call), connection);
 }
 
 void Sidecar::drain()
