--- a/src/daemon/contactkeeper.cpp
+++ b/src/daemon/contactkeeper.cpp
@@ -1,5 +1,7 @@
 #include "daemon/contactkeeper.h"
 
+#include "core/blobcollector.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -12,6 +14,10 @@
 constexpr Milliseconds IdleInterval{500};
 constexpr Milliseconds ContactInterval{10000};
 
+// Contents that no kept revision names cost room only, so a round costs the
+// store a call or two each few minutes.
+constexpr Milliseconds CollectionInterval{600000};
+
 // Contacts that a starting node takes members from.
 constexpr std::size_t ContactsJoined = 2;
 
@@ -59,6 +65,7 @@
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
+        , collector({.store = options.store, .repository = options.repository})
     {
     }
 
@@ -72,6 +79,8 @@
     std::mt19937_64 random;
     TimePoint nextContacts;
     TimePoint nextCheck;
+    TimePoint nextCollection;
+    BlobCollector collector;
 
     bool stopping() const
     {
@@ -88,6 +97,8 @@
     bool joinOnce();
     std::vector<Endpoint> liveControls() const;
     void keepContacts();
+    void collectBlobs();
+    Milliseconds collectionPause();
     void reconcileOwnContacts();
     void joinOtherDataCentre();
     void checkHead();
@@ -185,6 +196,25 @@
     joinOtherDataCentre();
 }
 
+Milliseconds ContactKeeper::Private::collectionPause()
+{
+    return Milliseconds(std::uniform_int_distribution<std::int64_t>(CollectionInterval.count() / 2, CollectionInterval.count())(random));
+}
+
+// Falls to the keepers of contacts, whose role is the same for all nodes that
+// know the same members; the collector allows for several at once.
+void ContactKeeper::Private::collectBlobs()
+{
+    if (!options.state->keepsContacts || Clock::now() < nextCollection) {
+        return;
+    }
+    nextCollection = Clock::now() + collectionPause();
+    const auto removed = collector.run();
+    if (removed && *removed > 0) {
+        options.log(LogLevel::Info, "contents-collected", {{"removed", *removed}});
+    }
+}
+
 void ContactKeeper::Private::reconcileOwnContacts()
 {
     const auto key = contactsKey(options.self.dataCentre);
@@ -245,9 +275,11 @@
     }
     d->options.store.succeeded();
     d->nextContacts = Clock::now() + FirstContactsDelay;
+    d->nextCollection = Clock::now() + d->collectionPause();
     while (!d->stopping()) {
         d->keepContacts();
         d->checkHead();
+        d->collectBlobs();
         d->options.store.pause(IdleInterval);
     }
 }
--- a/src/daemon/contactkeeper.h
+++ b/src/daemon/contactkeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/platform/budgetedstore.h"
+#include "core/configrepository.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
 
@@ -18,6 +19,7 @@
     struct Options
     {
         BudgetedStore &store;
+        ConfigRepository &repository;
         std::shared_ptr<NodeState> state;
         MemberRecord self;
         std::vector<Endpoint> seeds;
