--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -44,9 +44,6 @@
     if (givenUp()) {
         co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": given up before it was sent");
     }
-    if (keep->options.reachable && !keep->options.reachable(endpoint)) {
-        co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": the link is cut for a test");
-    }
     auto connection = pool.takeIdle(*connections);
     if (!connection) {
         auto connected = co_await pool.connect(connections, deadline);
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -38,9 +38,6 @@
         std::size_t bufferedBodyBytes = 64 * 1024;
         // Time for each part of a streamed body to be sent or to arrive.
         Milliseconds partTimeout{10000};
-        // Whether connections to the endpoint can be made; for playing cut
-        // links. Null: always.
-        std::function<bool(const Endpoint &)> reachable;
     };
 
     // What goes along with an exchange.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -47,9 +47,9 @@
 
 // Bodies of calls and their answers pass through in parts, so that this
 // bounds time rather than memory.
-constexpr std::uint64_t MaxControlBodyBytes = 64 * 1024 * 1024;
 constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
 
+// A whole revision in one answer.
 constexpr std::uint64_t MaxControlBodyBytes = std::uint64_t(64) << 20;
 
 std::uint64_t wallClockIncarnation()
