core: Refuse a file of comments only; test the head's size limit

A file without any section was accepted and defined nothing, which an operator who commented all out hardly means; the refusal names remove.

--- a/autotests/unit/configrepositorytest.cpp
+++ b/autotests/unit/configrepositorytest.cpp
@@ -279,3 +279,29 @@
     BOOST_REQUIRE(!outcome.has_value());
     BOOST_TEST((outcome.error().kind == ErrorKind::OutcomeUnknown));
 }
+
+// The head grows with the number of files, and a value above the platform's
+// limit would be refused by the store after the contents were written. The
+// apply is refused before, with what to do.
+BOOST_FIXTURE_TEST_CASE(RefusesFilesBeyondTheHeadsSize, Fixture)
+{
+    constexpr std::size_t MostBytes = 1000 * 1000;
+    constexpr std::size_t QuotesAndCommas = 6;
+    Manifest manifest;
+    manifest.revision = Revision(1);
+    std::size_t bytes = manifest.toJson().size();
+    while (bytes < MostBytes - 150) {
+        const auto name = std::to_string(100000 + manifest.files.size());
+        const auto text = "[service s" + name + "]\ndata-centres = a\nslots = 1\n";
+        const auto [file, added] = manifest.files.emplace(FileName(name + std::string(90, 'x')), contentHash(text));
+        store.objects["config/blob/" + file->second.value()] = {text, ObjectVersion(++store.lastVersion)};
+        bytes += file->first.value().size() + file->second.value().size() + QuotesAndCommas;
+    }
+    store.objects["config/head"] = {manifest.toJson(), ObjectVersion(++store.lastVersion)};
+    const auto before = store.objects.size();
+    const auto outcome = apply("1", "one-more.ini", ServiceText);
+    BOOST_REQUIRE(!outcome.has_value());
+    BOOST_TEST((outcome.error().kind == ErrorKind::Invalid));
+    BOOST_TEST(outcome.error().message.find("too many files") != std::string::npos);
+    BOOST_TEST(store.objects.size() == before);
+}
--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -48,6 +48,7 @@
 BOOST_AUTO_TEST_CASE(RefusesCopiedMistakes)
 {
     BOOST_TEST(refuses("", "the file is empty"));
+    BOOST_TEST(refuses("; nothing yet\n", "has comments only"));
     BOOST_TEST(refuses("\xEF\xBB\xBF" + Service, "byte order mark"));
     BOOST_TEST(refuses("[service a]\r\nslots = 1\r\n", "carriage return"));
     BOOST_TEST(refuses(Service + std::string("\0", 1), "binary byte"));
--- a/src/core/configdocument.cpp
+++ b/src/core/configdocument.cpp
@@ -117,6 +117,10 @@
         }
         document.m_sections.push_back(std::move(section));
     }
+    if (document.m_sections.empty() && file.text.find('[') == std::string::npos) {
+        return failure(ErrorKind::Invalid,
+            fmt::format("{}: the file has comments only; give at least one section, or use 'galenahillctl remove' to withdraw it", file.name.value()));
+    }
     if (const auto reason = faultyHeader(file.text, document.m_sections); !reason.empty()) {
         return failure(ErrorKind::Invalid, fmt::format("{}: {}", file.name.value(), reason));
     }
