headwatcher: Test a stalled watch and a start with the store out

Both run on the store in memory. Seen failing: with the look beside the watch off StalledWatchIsMadeUpForByALook finds nothing; with a failed first read taken for an answer StartWithTheStoreOutGoesOnAsking never gets the revision.

--- /dev/null
+++ b/autotests/unit/headwatchertest.cpp
@@ -0,0 +1,81 @@
+#include "daemon/headwatcher.h"
+#include "fakeobjectstore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string ServiceText = "[service ventas]\ndata-centres = rosario-a\nslots = 6\nconnections = 120\n";
+
+struct Fixture
+{
+    FakeObjectStore store;
+    std::shared_ptr<NodeState> state = std::make_shared<NodeState>();
+    std::vector<Revision> found;
+    std::optional<Revision> answered;
+    std::size_t failures = 0;
+    BudgetedStore budgeted{{.store = store, .budget = {}, .stopping = state->stopping}};
+    ConfigRepository repository{{.store = budgeted,
+        .inForce = [this] { return state->revisions.current(); },
+        .highestKnown = [] { return Revision(); },
+        .now = [] { return std::int64_t(1); }}};
+    HeadWatcher watcher{{.store = budgeted,
+        .repository = repository,
+        .state = state,
+        .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        .revisionFound =
+            [this](auto revision) {
+                found.push_back(revision->revision());
+                state->revisions.offer(revision);
+            },
+        .storeAnswered = [this](Revision revision) { answered = revision; },
+        .storeFailed = [this] { ++failures; }}};
+
+    void apply()
+    {
+        BOOST_REQUIRE(repository.apply({.id = ApplyId("1"), .file = FileName("s.ini"), .text = ServiceText, .operatorName = "ana", .basedOn = {}}).has_value());
+    }
+};
+
+}
+
+// The platform lets the watch stall: it neither answers nor ends. The node
+// would serve the old revision until the watch's time limit, beyond what
+// operators are promised; the look beside the watch finds the new one.
+BOOST_FIXTURE_TEST_CASE(StalledWatchIsMadeUpForByALook, Fixture)
+{
+    apply();
+    watcher.check();
+    BOOST_TEST(found.empty());
+    state->watchesStore = true;
+    watcher.check();
+    BOOST_REQUIRE(found.size() == 1U);
+    BOOST_TEST(found.front().value() == 1U);
+    const auto calls = store.calls;
+    watcher.check();
+    BOOST_TEST(store.calls == calls + 1);
+    BOOST_TEST(found.size() == 1U);
+}
+
+// The store is out when the node starts, then comes back. The node must say
+// so, so that it can open by what several members say, and go on asking.
+BOOST_FIXTURE_TEST_CASE(StartWithTheStoreOutGoesOnAsking, Fixture)
+{
+    apply();
+    store.before = [this](const std::string &, const std::string &) -> std::optional<Error> {
+        return failures < 2 ? std::optional(Error{ErrorKind::Unavailable, "out"}) : std::nullopt;
+    };
+    std::thread running([this] { watcher.run(); });
+    const auto until = Clock::now() + Milliseconds(20000);
+    while (Clock::now() < until && !state->revisions.current()) {
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    state->stopping = true;
+    running.join();
+    BOOST_TEST(failures == 2U);
+    BOOST_TEST(answered.value_or(Revision()).value() == 1U);
+    BOOST_TEST(state->revisions.revision().value() == 1U);
+}
