calls: Wait for the readiness gate in the fault tests; mend the merge

Cause: after the merge of the readiness gate, callfaultstest began its load while nodes with the revision in force still refused calls as not run for up to a second (160 of 1,200 in configurationSwap, all 503 and at the start).

--- a/autotests/processes/callfaultstest.cpp
+++ b/autotests/processes/callfaultstest.cpp
@@ -50,6 +50,28 @@
         BOOST_REQUIRE_MESSAGE(started, started.error().message);
         apply("services.ini", Services);
         apply("routes.ini", Routes);
+        waitForCalls();
+    }
+
+    // A fresh node serves the revision, but takes no calls before it knows
+    // that no higher one exists; until then it refuses them as not run.
+    void waitForCalls()
+    {
+        const auto limit = Clock::now() + ReadyLimit;
+        bool taken = false;
+        while (!taken && Clock::now() < limit) {
+            LoadGenerator::Options options;
+            for (std::size_t node = 0; node < Nodes; ++node) {
+                options.ingresses.push_back(fleet.ingress(node));
+            }
+            options.kinds = {{.method = "GET", .path = "/tablero/cola"}};
+            options.rate = Rate;
+            options.calls = 100;
+            options.idPrefix = "first" + std::to_string(++runs);
+            const auto records = LoadGenerator(options).run();
+            taken = std::all_of(records.begin(), records.end(), [](const auto &record) { return record.outcome == CallOutcome::Answered; });
+        }
+        BOOST_REQUIRE_MESSAGE(taken, "not all nodes take calls after the limit");
     }
 
     void apply(const std::string &name, const std::string &text)
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -30,9 +30,6 @@
         // server may be about to close them.
         Milliseconds maxIdleAge{20000};
         std::uint64_t maxBodyBytes = 64 * 1024 * 1024;
-        // Whether connections to the endpoint can be made; for playing cut
-        // links. Null: always.
-        std::function<bool(const Endpoint &)> reachable;
         // Answers up to this length are read whole even if the rest could be
         // streamed.
         std::size_t bufferedBodyBytes = 64 * 1024;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -50,8 +50,6 @@
 constexpr std::uint64_t MaxControlBodyBytes = 64 * 1024 * 1024;
 constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
 
-constexpr std::uint64_t MaxControlBodyBytes = std::uint64_t(64) << 20;
-
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
