bench: Measure the data path without the cold-start ramp

One of 80,000 calls failed in a run with the ramp on; with it off none did, in one run each. A refusal of the cold sidecar is the likely cause, but the failed answer was not looked at.

--- a/bench/datapath.cpp
+++ b/bench/datapath.cpp
@@ -118,6 +118,8 @@
         .target = targetEndpoint,
         .healthPath = "/health",
         .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        // A cold sidecar refuses some of the first calls; here each must count.
+        .policy = {.adaptive = false},
         .stateChanged = [&](MemberState state) { ready = state == MemberState::Ready; }});
     HttpServer target(targetReactor.context, {.endpoint = targetEndpoint, .handler = [](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> {
                                                   co_return makeResponse(http::status::ok, "text/plain", "done");
