daemon: Write the revision in force back to a store that is older

A watcher that found the store behind only logged it. Ruled out: waiting for the next apply (that is the fault); writing over a head that has changes of its own (the next apply joins both histories). Change: ConfigRepository::writeBack, conditional on the head's version, called by watchers within half a second; also for a store that lost its head. With it off OlderStoreGetsTheRevisionInForceBack failed (head at 1 instead of 2). A fleet lost within about a second of the restore still takes the change along; nothing of the system has a disk.

--- a/autotests/unit/headwatchertest.cpp
+++ b/autotests/unit/headwatchertest.cpp
@@ -60,6 +60,57 @@
     BOOST_TEST(found.size() == 1U);
 }
 
+// The store is restored from a backup, and no apply follows. Were the whole
+// fleet to restart then, it would serve the backup and the accepted change
+// would be gone; so a watcher writes the revision in force back.
+BOOST_FIXTURE_TEST_CASE(OlderStoreGetsTheRevisionInForceBack, Fixture)
+{
+    state->watchesStore = true;
+    const auto accept = [this](const std::string &id, const std::string &text) {
+        const auto outcome = repository.apply({.id = ApplyId(id), .file = FileName("s.ini"), .text = text, .operatorName = "ana", .basedOn = {}});
+        BOOST_REQUIRE(outcome.has_value());
+        state->revisions.offer(outcome->accepted);
+    };
+    accept("1", ServiceText);
+    const auto backup = store.objects;
+    accept("2", ServiceText + "; later\n");
+    for (const auto &restored : {backup, decltype(backup)()}) {
+        store.objects = restored;
+        watcher.check();
+        const auto head = repository.readHead();
+        BOOST_REQUIRE(head.has_value());
+        BOOST_TEST(head->manifest.revision.value() == 2U);
+        BOOST_TEST(repository.readBundle(head->manifest, nullptr).has_value());
+    }
+}
+
+// An apply was accepted on the restored store before any watcher mended it.
+// Writing the revision in force over it would drop that change.
+BOOST_FIXTURE_TEST_CASE(OlderStoreWithChangesOfItsOwnIsLeftToTheNextApply, Fixture)
+{
+    state->watchesStore = true;
+    apply();
+    watcher.check();
+    const auto backup = store.objects;
+    for (const std::string id : {"2", "3"}) {
+        const auto outcome
+            = repository.apply({.id = ApplyId(id), .file = FileName("s.ini"), .text = ServiceText + "; " + id + "\n", .operatorName = "ana", .basedOn = {}});
+        BOOST_REQUIRE_MESSAGE(outcome.has_value(), outcome.error().message);
+        state->revisions.offer(outcome->accepted);
+    }
+    store.objects = backup;
+    ConfigRepository elsewhere(
+        {.store = store, .inForce = [] { return nullptr; }, .highestKnown = [] { return Revision(); }, .now = [] { return std::int64_t(1); }});
+    const auto other = elsewhere.apply({.id = ApplyId("other"),
+        .file = FileName("t.ini"),
+        .text = "[service taller]\ndata-centres = rosario-a\nslots = 6\n",
+        .operatorName = "ben",
+        .basedOn = {}});
+    BOOST_REQUIRE(other.has_value());
+    watcher.check();
+    BOOST_TEST(elsewhere.readHead()->manifest.change(ApplyId("other")).has_value());
+}
+
 // The store is out when the node starts, then comes back. The node must say
 // so, so that it can open by what several members say, and go on asking.
 BOOST_FIXTURE_TEST_CASE(StartWithTheStoreOutGoesOnAsking, Fixture)
--- a/src/core/configrepository.cpp
+++ b/src/core/configrepository.cpp
@@ -352,6 +352,42 @@
     return notAccepted(request, {ErrorKind::Unavailable, "other operators' applies kept coming first; apply again"});
 }
 
+bool ConfigRepository::isMerelyOlder(const Manifest &stored, const Manifest &inForce) const
+{
+    if (stored.revision >= inForce.revision) {
+        return false;
+    }
+    const auto merged = mergeHistories(inForce, stored);
+    return merged.taken.empty() && merged.leftOut.empty();
+}
+
+// Until the store has it again, the revision in force lives in the nodes'
+// memory alone: were they all to restart now, they would serve what the store
+// has, and accepted changes would be gone.
+Result<bool> ConfigRepository::writeBack()
+{
+    auto head = readHead();
+    if (!head) {
+        return tl::unexpected(head.error());
+    }
+    Base base;
+    base.head = std::move(*head);
+    base.current = m_options.inForce();
+    base.diverged = true;
+    if (!base.current || !isMerelyOlder(base.head.manifest, base.current->bundle.manifest)) {
+        return false;
+    }
+    const auto &bundle = base.current->bundle;
+    if (const auto written = writeBlobs(base, bundle); !written) {
+        return tl::unexpected(written.error());
+    }
+    const auto written = m_options.store.write(HeadKey, bundle.manifest.toJson(), base.head.version);
+    if (!written) {
+        return tl::unexpected(written.error());
+    }
+    return true;
+}
+
 // Whether the head was written; false if another writer was first.
 Result<bool> ConfigRepository::writeHead(const Base &base, const ConfigBundle &bundle, const ApplyRequest &request)
 {
--- a/src/core/configrepository.h
+++ b/src/core/configrepository.h
@@ -86,6 +86,11 @@
     // settled; a repeat with the same id settles it.
     Result<ApplyOutcome> apply(const ApplyRequest &request);
 
+    // Writes the revision in force back to a store whose head is merely older,
+    // such as after a restore, and gives whether it did. A head that has
+    // changes of its own is left to the next apply, which joins both.
+    Result<bool> writeBack();
+
     // The accepted change of that id; NotFound if it isn't among the last
     // Manifest::MaxChanges.
     Result<AppliedChange> outcome(const ApplyId &id);
@@ -112,6 +117,7 @@
     Result<ConfigBundle> changedBundle(const Base &base, const ApplyRequest &request);
     Result<void> writeBlobs(const Base &base, const ConfigBundle &bundle);
     Result<void> writeBlob(const std::string &key, const std::string &text);
+    bool isMerelyOlder(const Manifest &stored, const Manifest &inForce) const;
     Result<bool> writeHead(const Base &base, const ConfigBundle &bundle, const ApplyRequest &request);
     Result<bool> settle(const Base &base, const std::string &head, const ApplyRequest &request, Error error);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -3,7 +3,6 @@
 #include "core/rumourqueue.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <optional>
 #include <random>
@@ -19,13 +18,6 @@
 // cut off.
 constexpr int IsolationIntervals = 3;
 
-// Rounds in which one update is passed on, for a fleet of that size. The
-// factor leaves room for lost datagrams.
-std::uint32_t retransmissions(std::size_t members)
-{
-    return 2 + static_cast<std::uint32_t>(std::ceil(3 * std::log10(static_cast<double>(members + 1))));
-}
-
 bool isOut(const MemberRecord &record)
 {
     return record.state >= MemberState::Gone;
@@ -91,7 +83,6 @@
     void refute(const MemberRecord &claim);
     void checkSender(const Endpoint &from, const GossipMessage &message);
     void acknowledged(std::uint32_t sequence);
-    void spread(const MemberRecord &record);
     void sendTo(const Endpoint &endpoint, GossipMessage message);
     std::vector<MemberRecord> randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted);
     std::vector<MemberRecord> successorsWithout(Revision revision) const;
@@ -110,7 +101,7 @@
 Membership::Membership(Options options)
     : d(std::make_unique<Private>(std::move(options)))
 {
-    d->spread(d->options.self);
+    d->rumours.add(d->options.self, d->members.size());
 }
 
 Membership::~Membership() = default;
@@ -134,11 +125,6 @@
     return found == members.end() ? nullptr : &found->second;
 }
 
-void Membership::Private::spread(const MemberRecord &record)
-{
-    rumours.add(record, retransmissions(members.size()));
-}
-
 void Membership::Private::refute(const MemberRecord &claim)
 {
     // Somebody says of us what isn't so, such as Gone after a pause, or knows
@@ -151,7 +137,7 @@
         return;
     }
     options.self.incarnation = claim.incarnation + 1;
-    spread(options.self);
+    rumours.add(options.self, members.size());
 }
 
 void Membership::Private::take(const MemberRecord &record, TimePoint now)
@@ -175,7 +161,7 @@
     }
     const auto revision = known == members.end() ? Revision() : known->second.revision;
     members[record.name] = {record, now, revision};
-    spread(record);
+    rumours.add(record, members.size());
     options.changed();
 }
 
@@ -465,7 +451,7 @@
     }
     // The rumour of this member's start may have run out before it had
     // anybody to tell.
-    d->spread(d->options.self);
+    d->rumours.add(d->options.self, d->members.size());
 }
 
 void Membership::setState(MemberState state, TimePoint now)
@@ -479,7 +465,7 @@
     // A later state of the same incarnation would win over an earlier one
     // whatever the order of arrival; each change needs its own incarnation.
     ++d->options.self.incarnation;
-    d->spread(d->options.self);
+    d->rumours.add(d->options.self, d->members.size());
     d->lastGossip = TimePoint();
     d->gossip(now);
     d->options.changed();
--- a/src/core/rumourqueue.cpp
+++ b/src/core/rumourqueue.cpp
@@ -1,13 +1,25 @@
 #include "core/rumourqueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Galenahill {
 
-void RumourQueue::add(const MemberRecord &record, std::uint32_t rounds)
+namespace {
+
+// Rounds in which one update is passed on. The factor leaves room for lost
+// datagrams.
+std::uint32_t rounds(std::size_t fleetSize)
+{
+    return 2 + static_cast<std::uint32_t>(std::ceil(3 * std::log10(static_cast<double>(fleetSize + 1))));
+}
+
+}
+
+void RumourQueue::add(const MemberRecord &record, std::size_t fleetSize)
 {
     std::erase_if(m_rumours, [&](const Rumour &rumour) { return rumour.record.name == record.name; });
-    m_rumours.push_back({record, rounds});
+    m_rumours.push_back({record, rounds(fleetSize)});
 }
 
 std::vector<MemberRecord> RumourQueue::take(std::size_t most)
--- a/src/core/rumourqueue.h
+++ b/src/core/rumourqueue.h
@@ -11,8 +11,9 @@
 class RumourQueue
 {
 public:
-    // Puts a record in, in place of an older one of the same member.
-    void add(const MemberRecord &record, std::uint32_t rounds);
+    // Puts a record in, in place of an older one of the same member, for as
+    // many rounds as a fleet of that size needs.
+    void add(const MemberRecord &record, std::size_t fleetSize);
 
     // Gives the least often passed on and counts one round for each.
     std::vector<MemberRecord> take(std::size_t most);
--- a/src/daemon/headwatcher.cpp
+++ b/src/daemon/headwatcher.cpp
@@ -12,6 +12,10 @@
 // Time over which a fleet that starts at once spreads its first reads.
 constexpr Milliseconds StartSpread{2000};
 
+// Time over which the watchers spread the mending of an older store; short,
+// since what it lacks is in the nodes' memory alone.
+constexpr Milliseconds MendSpread{500};
+
 // Time that a starting node waits for members to bring what the store has:
 // the texts are read from the store by a few nodes and not by each.
 constexpr Milliseconds PeersFirst{1000};
@@ -43,6 +47,7 @@
     void watch();
     ObjectVersion knownVersion();
     void take(const ConfigRepository::Head &head);
+    void mendStore(const ConfigRepository::Head &head);
     void fetch(const ConfigRepository::Head &head);
 };
 
@@ -70,11 +75,12 @@
     const std::lock_guard lock(mutex);
     headVersion = head.version;
     const auto current = options.state->revisions.current();
-    if (head.version == ObjectVersion()) {
+    const bool nothingAccepted = head.version == ObjectVersion() && !current;
+    if (nothingAccepted) {
         return;
     }
     if (current && head.manifest.revision < current->revision()) {
-        options.log(LogLevel::Error, "store-behind", {{"store_revision", head.manifest.revision.value()}, {"in_force", current->revision().value()}});
+        mendStore(head);
         return;
     }
     if (!current || !(current->bundle.manifest == head.manifest)) {
@@ -82,6 +88,18 @@
     }
 }
 
+void HeadWatcher::Private::mendStore(const ConfigRepository::Head &head)
+{
+    options.log(
+        LogLevel::Error, "store-behind", {{"store_revision", head.manifest.revision.value()}, {"in_force", options.state->revisions.revision().value()}});
+    // All watchers see the older head at once; one of them is enough.
+    options.store.pauseUpTo(MendSpread);
+    const auto written = options.repository.writeBack();
+    if (written && *written) {
+        options.log(LogLevel::Warning, "store-mended", {{"revision", options.state->revisions.revision().value()}});
+    }
+}
+
 void HeadWatcher::Private::fetch(const ConfigRepository::Head &head)
 {
     const auto current = options.state->revisions.current();
@@ -146,8 +164,14 @@
         return;
     }
     const auto head = d->options.repository.readHead();
-    if (head && d->behind(head->manifest.revision)) {
+    if (!head) {
+        return;
+    }
+    if (d->behind(head->manifest.revision)) {
         d->options.log(LogLevel::Warning, "watch-stalled", {{"store_revision", head->manifest.revision.value()}});
+    }
+    // Also for a store that lost the head altogether, which no watch tells.
+    if (head->manifest.revision != d->options.state->revisions.revision()) {
         d->take(*head);
     }
 }
