core: Check a file in the order in which an apply would take it

Cause: check put the file behind the others, acceptance in the order of names; of two contradicting files they named different ones. Change: ConfigRepository::check shares replaceFile with acceptance.

--- a/autotests/unit/configrepositorytest.cpp
+++ b/autotests/unit/configrepositorytest.cpp
@@ -3,6 +3,7 @@
 #include "fakeobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 using namespace Galenahill;
 
@@ -56,6 +57,45 @@
     BOOST_TEST((removed.error().kind == ErrorKind::Invalid));
 }
 
+// An operator checks a file, is told that it is valid or why not, and applies
+// it. Were check and acceptance two judgements, or one over files in another
+// order, the apply would be refused after a good check, or in other words.
+BOOST_FIXTURE_TEST_CASE(CheckSaysWhatApplySays, Fixture)
+{
+    apply("1", "m-services.ini", ServiceText);
+    apply("2", "n-routes.ini", RouteText);
+    const auto before = inForce;
+    const std::vector<std::string> parts = {ServiceText,
+        RouteText,
+        "[service taller]\ndata-centres = a\nslots = 2\n",
+        "slots = 3\n",
+        "[route otra]\npath = /ventas\nmethods = POST\nservice = taller\nidempotent = no\ntimeout-ms = 50\n",
+        "retries = 9\n",
+        "; a comment\n"};
+    std::mt19937 random(7);
+    std::uniform_int_distribution<std::size_t> pick(0, parts.size() - 1);
+    std::size_t refused = 0;
+    for (int i = 0; i < 400; ++i) {
+        const std::string name = i % 2 == 0 ? "a.ini" : "z.ini";
+        auto text = parts[pick(random)];
+        if (i % 3 == 0) {
+            text += parts[pick(random)];
+        }
+        inForce = before;
+        const auto checked = repository().check({FileName(name), text});
+        store.objects.clear();
+        const auto applied = apply("try-" + std::to_string(i), name, text);
+        BOOST_REQUIRE(checked.has_value() == applied.has_value());
+        if (!checked) {
+            ++refused;
+            BOOST_REQUIRE(checked.error().message == applied.error().message);
+        }
+    }
+    BOOST_TEST(refused > 0U);
+    BOOST_TEST(refused < 400U);
+    BOOST_TEST_MESSAGE(refused << " of 400 refused alike");
+}
+
 // The operator's client gets no answer though the store took the write. A
 // second apply with the same id must give the first one's outcome: were the
 // file applied again it could undo another operator's later change.
--- a/autotests/unit/headwatchertest.cpp
+++ b/autotests/unit/headwatchertest.cpp
@@ -93,8 +93,9 @@
     watcher.check();
     const auto backup = store.objects;
     for (const std::string id : {"2", "3"}) {
-        const auto outcome
-            = repository.apply({.id = ApplyId(id), .file = FileName("s.ini"), .text = ServiceText + "; " + id + "\n", .operatorName = "ana", .basedOn = {}});
+        std::string text = ServiceText;
+        text.append("; ").append(id).append("\n");
+        const auto outcome = repository.apply({.id = ApplyId(id), .file = FileName("s.ini"), .text = text, .operatorName = "ana", .basedOn = {}});
         BOOST_REQUIRE_MESSAGE(outcome.has_value(), outcome.error().message);
         state->revisions.offer(outcome->accepted);
     }
--- a/src/core/configrepository.cpp
+++ b/src/core/configrepository.cpp
@@ -43,6 +43,15 @@
     return {};
 }
 
+// Puts the file in place of the one of its name, in the order of names. The
+// order decides which of two contradicting files a refusal names.
+void replaceFile(std::vector<ConfigFile> &files, const ConfigFile &file)
+{
+    std::erase_if(files, [&](const auto &present) { return present.name == file.name; });
+    const auto after = std::find_if(files.begin(), files.end(), [&](const auto &present) { return file.name < present.name; });
+    files.insert(after, file);
+}
+
 tl::unexpected<Error> notAccepted(const ApplyRequest &request, const Error &error)
 {
     if (!request.repeated) {
@@ -189,11 +198,11 @@
     }
     const auto held = manifest.files.find(request.file);
     const auto previous = held == manifest.files.end() ? ContentHash() : held->second;
-    std::erase_if(bundle.files, [&](const auto &file) { return file.name == request.file; });
     manifest.files.erase(request.file);
-    if (!request.remove) {
-        const auto after = std::find_if(bundle.files.begin(), bundle.files.end(), [&](const auto &file) { return request.file < file.name; });
-        bundle.files.insert(after, {request.file, request.text});
+    if (request.remove) {
+        std::erase_if(bundle.files, [&](const auto &file) { return file.name == request.file; });
+    } else {
+        replaceFile(bundle.files, {request.file, request.text});
         manifest.files.emplace(request.file, contentHash(request.text));
     }
     manifest.record({request.id, manifest.revision, request.file, request.operatorName, m_options.now(), request.remove, previous});
@@ -333,6 +342,14 @@
     return ApplyOutcome{(*revision)->revision(), true, *revision, std::move(base->leftOut)};
 }
 
+Result<std::shared_ptr<const ConfigSnapshot>> ConfigRepository::check(const ConfigFile &file) const
+{
+    const auto current = m_options.inForce();
+    std::vector<ConfigFile> files = current ? current->bundle.files : std::vector<ConfigFile>();
+    replaceFile(files, file);
+    return ConfigSnapshot::validate(files);
+}
+
 Result<ApplyOutcome> ConfigRepository::apply(const ApplyRequest &request)
 {
     if (const auto fault = requestFault(request); !fault.empty()) {
--- a/src/core/configrepository.h
+++ b/src/core/configrepository.h
@@ -78,6 +78,10 @@
     // has from there.
     Result<ConfigBundle> readBundle(const Manifest &manifest, const ConfigRevision *known);
 
+    // What the files in force would mean with this one in its place; refused
+    // in the very words of `apply`. Changes nothing and asks nobody.
+    Result<std::shared_ptr<const ConfigSnapshot>> check(const ConfigFile &file) const;
+
     // Accepts the change with one conditional update of the head object.
     //
     // Errors: Invalid with the faults, Conflict if the same file was changed
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -146,14 +146,7 @@
 
 Result<json> OperatorMethods::Private::check(const json &params)
 {
-    const FileName name(params.at("file").get<std::string>());
-    std::vector<ConfigFile> files;
-    if (const auto current = options.state->revisions.current()) {
-        files = current->bundle.files;
-    }
-    std::erase_if(files, [&](const ConfigFile &file) { return file.name == name; });
-    files.push_back({name, params.at("text").get<std::string>()});
-    const auto snapshot = ConfigSnapshot::validate(files);
+    const auto snapshot = options.repository.check({FileName(params.at("file").get<std::string>()), params.at("text").get<std::string>()});
     if (!snapshot) {
         return tl::unexpected(snapshot.error());
     }
