--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -12,9 +12,8 @@
 
 #include "adapters/http/httpserver.h"
 #include "platformmodel.h"
+#include "serveuntilstopped.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <popt.h>
@@ -190,18 +189,10 @@
 {
     asio::io_context context(1);
     Platform platform(context);
-    HttpServer server(context,
+    return serveUntilStopped(context,
         {.endpoint = {address, port},
             .handler = [&](HttpRequest request, ServerConnection &) { return platform.handle(std::move(request)); },
             .maxBodyBytes = 2 * MaxValueBytes});
-    if (const auto listening = server.listen(); !listening) {
-        fmt::print(stderr, "{}\n", listening.error().message);
-        return 1;
-    }
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](auto, auto) { context.stop(); });
-    context.run();
-    return 0;
 }
 
 }
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -14,9 +14,8 @@
 // all calls. "misreport" makes health and load say ready and idle.
 
 #include "adapters/http/httpserver.h"
+#include "serveuntilstopped.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <popt.h>
@@ -188,18 +187,10 @@
 {
     asio::io_context context(1);
     Target target(context, options);
-    HttpServer server(context,
+    return serveUntilStopped(context,
         {.endpoint = {options.address, options.port},
             .handler = [&](HttpRequest request, ServerConnection &) { return target.handle(std::move(request)); },
             .maxConnections = options.connections});
-    if (const auto listening = server.listen(); !listening) {
-        fmt::print(stderr, "{}\n", listening.error().message);
-        return 1;
-    }
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](auto, auto) { context.stop(); });
-    context.run();
-    return 0;
 }
 
 }
