core: Sort the decisions into config, fleet and calls

Cause: some fifty files lay in one folder, and the modules for the users' platform would have made it seventy. Ruled out: rooms by layer (types, rules, services), since a reader looks for what a matter is about and would have to open all of them. Change: moves and include paths only.

--- a/autotests/support/memberships.h
+++ b/autotests/support/memberships.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
 #include <cstdint>
 #include <deque>
--- a/autotests/unit/admissioncontrollertest.cpp
+++ b/autotests/unit/admissioncontrollertest.cpp
@@ -1,4 +1,4 @@
-#include "core/admissioncontroller.h"
+#include "core/calls/admissioncontroller.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/autotests/unit/attempttimertest.cpp
+++ b/autotests/unit/attempttimertest.cpp
@@ -1,4 +1,4 @@
-#include "core/attempttimer.h"
+#include "core/calls/attempttimer.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/autotests/unit/blobcollectortest.cpp
+++ b/autotests/unit/blobcollectortest.cpp
@@ -1,5 +1,5 @@
-#include "core/blobcollector.h"
-#include "core/contenthash.h"
+#include "core/config/blobcollector.h"
+#include "core/config/contenthash.h"
 #include "fakeobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
--- a/autotests/unit/configbundletest.cpp
+++ b/autotests/unit/configbundletest.cpp
@@ -1,5 +1,5 @@
-#include "core/configbundle.h"
-#include "core/contenthash.h"
+#include "core/config/configbundle.h"
+#include "core/config/contenthash.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/autotests/unit/configrepositorytest.cpp
+++ b/autotests/unit/configrepositorytest.cpp
@@ -1,5 +1,5 @@
-#include "core/configrepository.h"
-#include "core/contenthash.h"
+#include "core/config/configrepository.h"
+#include "core/config/contenthash.h"
 #include "fakeobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -1,5 +1,5 @@
-#include "core/configlimits.h"
-#include "core/configsnapshot.h"
+#include "core/config/configlimits.h"
+#include "core/config/configsnapshot.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
--- a/autotests/unit/decoderfuzztest.cpp
+++ b/autotests/unit/decoderfuzztest.cpp
@@ -1,7 +1,7 @@
 #include "adapters/codec/binarycodec.h"
 #include "adapters/codec/deltacodec.h"
-#include "core/configsnapshot.h"
-#include "core/nodesettings.h"
+#include "core/config/configsnapshot.h"
+#include "core/config/nodesettings.h"
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
--- a/autotests/unit/membershipfaulttest.cpp
+++ b/autotests/unit/membershipfaulttest.cpp
@@ -1,7 +1,7 @@
 #include "memberships.h"
 
-#include "core/configbundle.h"
-#include "core/routingview.h"
+#include "core/calls/routingview.h"
+#include "core/config/configbundle.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/autotests/unit/membershiptest.cpp
+++ b/autotests/unit/membershiptest.cpp
@@ -1,4 +1,4 @@
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
--- a/autotests/unit/revisionpullertest.cpp
+++ b/autotests/unit/revisionpullertest.cpp
@@ -1,4 +1,4 @@
-#include "core/revisionpuller.h"
+#include "core/fleet/revisionpuller.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
--- a/autotests/unit/routelimitertest.cpp
+++ b/autotests/unit/routelimitertest.cpp
@@ -1,4 +1,4 @@
-#include "core/routelimiter.h"
+#include "core/calls/routelimiter.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -1,4 +1,4 @@
-#include "core/targetpicker.h"
+#include "core/calls/targetpicker.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/bench/datapath.cpp
+++ b/bench/datapath.cpp
@@ -1,4 +1,4 @@
-#include "core/configbundle.h"
+#include "core/config/configbundle.h"
 #include "daemon/ingress.h"
 #include "daemon/sidecar.h"
 #include "experiments.h"
--- a/bench/faults.cpp
+++ b/bench/faults.cpp
@@ -1,5 +1,5 @@
 #include "adapters/http/blockinghttpclient.h"
-#include "core/contenthash.h"
+#include "core/config/contenthash.h"
 #include "experiments.h"
 #include "faultchecks.h"
 #include "faultplayer.h"
--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -1,7 +1,7 @@
 #include "loadgenerator.h"
 
 #include "adapters/http/httpclient.h"
-#include "core/callheaders.h"
+#include "core/calls/callheaders.h"
 
 #include <fmt/format.h>
 #include <random>
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -1,10 +1,10 @@
 #include "adapters/codec/binarycodec.h"
 #include "adapters/codec/deltacodec.h"
-#include "core/configbundle.h"
-#include "core/contenthash.h"
-#include "core/membership.h"
-#include "core/routingview.h"
-#include "core/servicelevelmetrics.h"
+#include "core/calls/routingview.h"
+#include "core/calls/servicelevelmetrics.h"
+#include "core/config/configbundle.h"
+#include "core/config/contenthash.h"
+#include "core/fleet/membership.h"
 #include "experiments.h"
 
 #include <fmt/format.h>
--- a/src/adapters/codec/binarycodec.h
+++ b/src/adapters/codec/binarycodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/error.h"
-#include "core/configbundle.h"
-#include "core/gossipmessage.h"
+#include "core/config/configbundle.h"
+#include "core/fleet/gossipmessage.h"
 
 #include <string>
 #include <vector>
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -1,6 +1,6 @@
 #include "adapters/http/httpserverconnection.h"
 
-#include "core/callheaders.h"
+#include "core/calls/callheaders.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
--- a/src/adapters/platform/budgetedstore.h
+++ b/src/adapters/platform/budgetedstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/storebudget.h"
+#include "core/config/storebudget.h"
 #include "ports/objectstore.h"
 
 #include <atomic>
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,6 @@
 #include "cli/commands.h"
 #include "cli/manualpage.h"
-#include "core/nearestname.h"
+#include "core/config/nearestname.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/calls/admissioncontroller.cpp
@@ -1,6 +1,6 @@
-#include "core/admissioncontroller.h"
+#include "core/calls/admissioncontroller.h"
 
-#include "core/configlimits.h"
+#include "core/config/configlimits.h"
 
 #include <algorithm>
 
--- a/src/core/admissioncontroller.h
+++ b/src/core/calls/admissioncontroller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/identifiers.h"
-#include "core/callpolicy.h"
+#include "core/calls/callpolicy.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/core/burnreport.cpp
+++ b/src/core/calls/burnreport.cpp
@@ -1,4 +1,4 @@
-#include "core/burnreport.h"
+#include "core/calls/burnreport.h"
 
 namespace Galenahill {
 
--- a/src/core/burnreport.h
+++ b/src/core/calls/burnreport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/servicelevelmetrics.h"
+#include "core/calls/servicelevelmetrics.h"
 
 #include <map>
 #include <vector>
--- a/src/core/callpolicy.cpp
+++ b/src/core/calls/callpolicy.cpp
@@ -1,4 +1,4 @@
-#include "core/callpolicy.h"
+#include "core/calls/callpolicy.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
--- a/src/core/callqueue.cpp
+++ b/src/core/calls/callqueue.cpp
@@ -1,4 +1,4 @@
-#include "core/callqueue.h"
+#include "core/calls/callqueue.h"
 
 #include <algorithm>
 
--- a/src/core/retrybudget.cpp
+++ b/src/core/calls/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include "core/retrybudget.h"
+#include "core/calls/retrybudget.h"
 
 #include <algorithm>
 
--- a/src/core/routelimiter.cpp
+++ b/src/core/calls/routelimiter.cpp
@@ -1,4 +1,4 @@
-#include "core/routelimiter.h"
+#include "core/calls/routelimiter.h"
 
 namespace Galenahill {
 
--- a/src/core/routingview.cpp
+++ b/src/core/calls/routingview.cpp
@@ -1,4 +1,4 @@
-#include "core/routingview.h"
+#include "core/calls/routingview.h"
 
 #include <unordered_set>
 
--- a/src/core/routingview.h
+++ b/src/core/calls/routingview.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configbundle.h"
-#include "core/memberrecord.h"
+#include "core/config/configbundle.h"
+#include "core/fleet/memberrecord.h"
 
 #include <memory>
 #include <unordered_map>
--- a/src/core/servicelevelmetrics.cpp
+++ b/src/core/calls/servicelevelmetrics.cpp
@@ -1,4 +1,4 @@
-#include "core/servicelevelmetrics.h"
+#include "core/calls/servicelevelmetrics.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/src/core/servicelevelmetrics.h
+++ b/src/core/calls/servicelevelmetrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/routedefinition.h"
-#include "core/slidingcounts.h"
+#include "core/calls/slidingcounts.h"
+#include "core/config/routedefinition.h"
 
 #include <array>
 #include <memory>
--- a/src/core/slidingcounts.cpp
+++ b/src/core/calls/slidingcounts.cpp
@@ -1,4 +1,4 @@
-#include "core/slidingcounts.h"
+#include "core/calls/slidingcounts.h"
 
 #include <algorithm>
 
--- a/src/core/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -1,4 +1,4 @@
-#include "core/targetpicker.h"
+#include "core/calls/targetpicker.h"
 
 #include <algorithm>
 
--- a/src/core/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/callpolicy.h"
-#include "core/memberrecord.h"
-#include "core/targetload.h"
+#include "core/calls/callpolicy.h"
+#include "core/calls/targetload.h"
+#include "core/fleet/memberrecord.h"
 
 #include <cstdint>
 #include <random>
--- a/src/core/blobcollector.cpp
+++ b/src/core/config/blobcollector.cpp
@@ -1,4 +1,4 @@
-#include "core/blobcollector.h"
+#include "core/config/blobcollector.h"
 
 #include <set>
 
--- a/src/core/blobcollector.h
+++ b/src/core/config/blobcollector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/configrepository.h"
+#include "core/config/configrepository.h"
 
 #include <map>
 #include <string>
--- a/src/core/configbundle.cpp
+++ b/src/core/config/configbundle.cpp
@@ -1,6 +1,6 @@
-#include "core/configbundle.h"
+#include "core/config/configbundle.h"
 
-#include "core/contenthash.h"
+#include "core/config/contenthash.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/core/configbundle.h
+++ b/src/core/config/configbundle.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configsnapshot.h"
-#include "core/manifest.h"
+#include "core/config/configsnapshot.h"
+#include "core/config/manifest.h"
 
 #include <memory>
 #include <vector>
--- a/src/core/configdocument.cpp
+++ b/src/core/config/configdocument.cpp
@@ -1,7 +1,7 @@
-#include "core/configdocument.h"
+#include "core/config/configdocument.h"
 
-#include "core/configlimits.h"
-#include "core/configtext.h"
+#include "core/config/configlimits.h"
+#include "core/config/configtext.h"
 
 #include <algorithm>
 #include <boost/algorithm/string/trim.hpp>
--- a/src/core/configdocument.h
+++ b/src/core/config/configdocument.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/error.h"
-#include "core/configfile.h"
+#include "core/config/configfile.h"
 
 #include <string>
 #include <utility>
--- a/src/core/configrepository.cpp
+++ b/src/core/config/configrepository.cpp
@@ -1,9 +1,9 @@
-#include "core/configrepository.h"
+#include "core/config/configrepository.h"
 
-#include "core/configlimits.h"
-#include "core/configtext.h"
-#include "core/contenthash.h"
-#include "core/historymerge.h"
+#include "core/config/configlimits.h"
+#include "core/config/configtext.h"
+#include "core/config/contenthash.h"
+#include "core/config/historymerge.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/core/configsnapshot.cpp
+++ b/src/core/config/configsnapshot.cpp
@@ -1,6 +1,6 @@
-#include "core/configsnapshot.h"
+#include "core/config/configsnapshot.h"
 
-#include "core/configvalidator.h"
+#include "core/config/configvalidator.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/core/configtext.cpp
+++ b/src/core/config/configtext.cpp
@@ -1,4 +1,4 @@
-#include "core/configtext.h"
+#include "core/config/configtext.h"
 
 #include <algorithm>
 #include <boost/locale/utf.hpp>
--- a/src/core/configvalidator.cpp
+++ b/src/core/config/configvalidator.cpp
@@ -1,7 +1,7 @@
-#include "core/configvalidator.h"
+#include "core/config/configvalidator.h"
 
-#include "core/configlimits.h"
-#include "core/nearestname.h"
+#include "core/config/configlimits.h"
+#include "core/config/nearestname.h"
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
--- a/src/core/configvalidator.h
+++ b/src/core/config/configvalidator.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "common/error.h"
-#include "core/configdocument.h"
-#include "core/routedefinition.h"
-#include "core/servicedefinition.h"
+#include "core/config/configdocument.h"
+#include "core/config/routedefinition.h"
+#include "core/config/servicedefinition.h"
 
 #include <string>
 #include <vector>
--- a/src/core/contenthash.cpp
+++ b/src/core/config/contenthash.cpp
@@ -1,4 +1,4 @@
-#include "core/contenthash.h"
+#include "core/config/contenthash.h"
 
 #include <fmt/format.h>
 #include <xxhash.h>
--- a/src/core/historymerge.cpp
+++ b/src/core/config/historymerge.cpp
@@ -1,4 +1,4 @@
-#include "core/historymerge.h"
+#include "core/config/historymerge.h"
 
 #include <algorithm>
 
--- a/src/core/historymerge.h
+++ b/src/core/config/historymerge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/manifest.h"
+#include "core/config/manifest.h"
 
 #include <vector>
 
--- a/src/core/manifest.cpp
+++ b/src/core/config/manifest.cpp
@@ -1,4 +1,4 @@
-#include "core/manifest.h"
+#include "core/config/manifest.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/core/nearestname.cpp
+++ b/src/core/config/nearestname.cpp
@@ -1,4 +1,4 @@
-#include "core/nearestname.h"
+#include "core/config/nearestname.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/core/nodesettings.cpp
+++ b/src/core/config/nodesettings.cpp
@@ -1,7 +1,7 @@
-#include "core/nodesettings.h"
+#include "core/config/nodesettings.h"
 
-#include "core/configdocument.h"
-#include "core/nearestname.h"
+#include "core/config/configdocument.h"
+#include "core/config/nearestname.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/src/core/storebudget.cpp
+++ b/src/core/config/storebudget.cpp
@@ -1,4 +1,4 @@
-#include "core/storebudget.h"
+#include "core/config/storebudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/memberrecord.cpp
+++ b/src/core/fleet/memberrecord.cpp
@@ -1,4 +1,4 @@
-#include "core/memberrecord.h"
+#include "core/fleet/memberrecord.h"
 
 #include <tuple>
 
--- a/src/core/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,6 +1,6 @@
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
-#include "core/rumourqueue.h"
+#include "core/fleet/rumourqueue.h"
 
 #include <algorithm>
 #include <map>
--- a/src/core/membership.h
+++ b/src/core/fleet/membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gossipmessage.h"
+#include "core/fleet/gossipmessage.h"
 
 #include <functional>
 #include <memory>
--- a/src/core/readinessgate.cpp
+++ b/src/core/fleet/readinessgate.cpp
@@ -1,4 +1,4 @@
-#include "core/readinessgate.h"
+#include "core/fleet/readinessgate.h"
 
 #include <algorithm>
 
--- a/src/core/rendezvous.cpp
+++ b/src/core/fleet/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "core/rendezvous.h"
+#include "core/fleet/rendezvous.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/core/revisionholder.cpp
+++ b/src/core/fleet/revisionholder.cpp
@@ -1,4 +1,4 @@
-#include "core/revisionholder.h"
+#include "core/fleet/revisionholder.h"
 
 #include <algorithm>
 
--- a/src/core/revisionholder.h
+++ b/src/core/fleet/revisionholder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/configbundle.h"
+#include "core/config/configbundle.h"
 
 #include <deque>
 #include <memory>
--- a/src/core/revisionpuller.cpp
+++ b/src/core/fleet/revisionpuller.cpp
@@ -1,4 +1,4 @@
-#include "core/revisionpuller.h"
+#include "core/fleet/revisionpuller.h"
 
 #include <algorithm>
 
--- a/src/core/rumourqueue.cpp
+++ b/src/core/fleet/rumourqueue.cpp
@@ -1,4 +1,4 @@
-#include "core/rumourqueue.h"
+#include "core/fleet/rumourqueue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/rumourqueue.h
+++ b/src/core/fleet/rumourqueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/memberrecord.h"
+#include "core/fleet/memberrecord.h"
 
 #include <vector>
 
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -1,6 +1,6 @@
 #include "daemon/callmessages.h"
 
-#include "core/callheaders.h"
+#include "core/calls/callheaders.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
--- a/src/daemon/callmessages.h
+++ b/src/daemon/callmessages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/http/httpmessage.h"
-#include "core/targetload.h"
+#include "core/calls/targetload.h"
 
 #include <optional>
 #include <string>
--- a/src/daemon/contactkeeper.cpp
+++ b/src/daemon/contactkeeper.cpp
@@ -1,6 +1,6 @@
 #include "daemon/contactkeeper.h"
 
-#include "core/blobcollector.h"
+#include "core/config/blobcollector.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/daemon/controlactor.cpp
+++ b/src/daemon/controlactor.cpp
@@ -1,10 +1,10 @@
 #include "daemon/controlactor.h"
 
 #include "adapters/codec/binarycodec.h"
-#include "core/membership.h"
-#include "core/readinessgate.h"
-#include "core/rendezvous.h"
-#include "core/revisionpuller.h"
+#include "core/fleet/membership.h"
+#include "core/fleet/readinessgate.h"
+#include "core/fleet/rendezvous.h"
+#include "core/fleet/revisionpuller.h"
 #include "daemon/controlmessages.h"
 
 namespace Galenahill {
--- a/src/daemon/controlactor.h
+++ b/src/daemon/controlactor.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/gossipmessage.h"
-#include "core/memberrecord.h"
-#include "core/nodesettings.h"
-#include "core/routingview.h"
+#include "core/calls/routingview.h"
+#include "core/config/nodesettings.h"
+#include "core/fleet/gossipmessage.h"
+#include "core/fleet/memberrecord.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
 
--- a/src/daemon/controlmessages.h
+++ b/src/daemon/controlmessages.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/endpoint.h"
-#include "core/configbundle.h"
-#include "core/memberrecord.h"
+#include "core/config/configbundle.h"
+#include "core/fleet/memberrecord.h"
 
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <memory>
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -2,8 +2,8 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
-#include "core/configrepository.h"
-#include "core/servicelevelmetrics.h"
+#include "core/calls/servicelevelmetrics.h"
+#include "core/config/configrepository.h"
 #include "daemon/nodestate.h"
 #include "daemon/revisionexchange.h"
 
--- a/src/daemon/headwatcher.h
+++ b/src/daemon/headwatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/platform/budgetedstore.h"
-#include "core/configrepository.h"
+#include "core/config/configrepository.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -1,9 +1,9 @@
 #include "daemon/ingress.h"
 
-#include "core/attempttimer.h"
-#include "core/callheaders.h"
-#include "core/configlimits.h"
-#include "core/routelimiter.h"
+#include "core/calls/attempttimer.h"
+#include "core/calls/callheaders.h"
+#include "core/calls/routelimiter.h"
+#include "core/config/configlimits.h"
 #include "daemon/callmessages.h"
 
 #include <atomic>
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -2,11 +2,11 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
-#include "core/callpolicy.h"
-#include "core/retrybudget.h"
-#include "core/routingview.h"
-#include "core/servicelevelmetrics.h"
-#include "core/targetpicker.h"
+#include "core/calls/callpolicy.h"
+#include "core/calls/retrybudget.h"
+#include "core/calls/routingview.h"
+#include "core/calls/servicelevelmetrics.h"
+#include "core/calls/targetpicker.h"
 #include "ports/logger.h"
 
 #include <functional>
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/error.h"
-#include "core/callpolicy.h"
-#include "core/nodesettings.h"
+#include "core/calls/callpolicy.h"
+#include "core/config/nodesettings.h"
 #include "ports/logger.h"
 
 #include <memory>
--- a/src/daemon/nodestate.h
+++ b/src/daemon/nodestate.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/memberrecord.h"
-#include "core/revisionholder.h"
+#include "core/fleet/memberrecord.h"
+#include "core/fleet/revisionholder.h"
 
 #include <atomic>
 #include <memory>
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -1,8 +1,8 @@
 #include "daemon/operatormethods.h"
 
 #include "adapters/rpc/rpcserver.h"
-#include "core/burnreport.h"
-#include "core/nearestname.h"
+#include "core/calls/burnreport.h"
+#include "core/config/nearestname.h"
 #include "daemon/fleetquery.h"
 #include "daemon/metricstext.h"
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -1,8 +1,8 @@
 #include "daemon/sidecar.h"
 
-#include "core/admissioncontroller.h"
-#include "core/callheaders.h"
-#include "core/callqueue.h"
+#include "core/calls/admissioncontroller.h"
+#include "core/calls/callheaders.h"
+#include "core/calls/callqueue.h"
 #include "daemon/callmessages.h"
 
 #include <fmt/format.h>
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -2,9 +2,9 @@
 
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
-#include "core/callpolicy.h"
-#include "core/memberrecord.h"
-#include "core/routingview.h"
+#include "core/calls/callpolicy.h"
+#include "core/calls/routingview.h"
+#include "core/fleet/memberrecord.h"
 #include "ports/logger.h"
 
 #include <functional>
