calls: Let running calls go first, and ask full targets less

Ruled out: the caller's address tells no call of a running one (callers and targets share the VM's); own fields neither. The id does, and only counts if the target beside the node runs the call that it continues. Change: such calls go first and may wait to their deadline; a call goes where the least wait was told, own data centre first by 15 ms; calls that more urgent ones overtook are refused at once; a target's own failure is handed on when no other target has room to repeat; a repeat goes only where there is room.

--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -115,6 +115,9 @@
     , m_since(Clock::now())
 {
     m_channel.prepare();
+    ErrorCode gone;
+    const auto peer = m_channel.socket.remote_endpoint(gone);
+    m_peerAddress = gone ? std::string() : peer.address().to_string();
     m_channel.deadline.expire = [this] { timeUp(); };
 }
 
@@ -167,6 +170,11 @@
     return m_peerGone || m_channel.peerClosed();
 }
 
+std::string HttpServerConnection::peerAddress() const
+{
+    return m_peerAddress;
+}
+
 Cancellation &HttpServerConnection::cancellation()
 {
     return m_exchange->cancellation;
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -39,6 +39,7 @@
     TimePoint since() const;
 
     bool peerClosed() override;
+    std::string peerAddress() const override;
     Cancellation &cancellation() override;
     BodySource *requestBody() override;
     asio::awaitable<void> sendStreamed(HttpResponse response, BodySource &rest) override;
@@ -81,6 +82,7 @@
     TcpChannel m_channel;
     std::shared_ptr<HttpServerState> m_state;
     std::optional<Exchange> m_exchange;
+    std::string m_peerAddress;
     TimePoint m_since;
     bool m_busy = false;
     bool m_handling = false;
--- a/src/adapters/http/serverconnection.h
+++ b/src/adapters/http/serverconnection.h
@@ -16,6 +16,9 @@
     // needs no answer.
     virtual bool peerClosed() = 0;
 
+    // The IP number that the peer connected from; empty if it is gone.
+    virtual std::string peerAddress() const = 0;
+
     // Cancelled when the peer closes its side while its request is handled.
     virtual Cancellation &cancellation() = 0;
 
--- a/src/core/calls/calldialect.h
+++ b/src/core/calls/calldialect.h
@@ -2,7 +2,9 @@
 
 #include "core/calls/callheaders.h"
 
+#include <functional>
 #include <string>
+#include <string_view>
 
 namespace Galenahill {
 
@@ -15,6 +17,10 @@
     // in its answer, so that an answer which belongs to another call is known.
     std::string requestId;
 
+    // The id of the call for which a target makes the call of that id; empty if
+    // the id names none. Null: ids don't tell.
+    std::function<std::string_view(std::string_view id)> parentOf;
+
     // Milliseconds that the caller still waits, and that the target may take.
     std::string timeLeft = CallHeaders::TimeoutMs;
 
--- a/src/core/calls/callheaders.h
+++ b/src/core/calls/callheaders.h
@@ -35,12 +35,12 @@
 inline constexpr const char *Load = "Galenahill-Load";
 
 // Rank of the call among those that wait for the target, the milliseconds
-// until it should be answered (empty: no objective), and whether it may wait
-// for a slot; separated by semicolons.
+// until it should be answered (empty: no objective), whether it may wait for a
+// slot, and whether a running call waits for it; separated by semicolons.
 inline constexpr const char *Terms = "Galenahill-Terms";
 
-// On a sidecar's refusal: milliseconds after which it expects a free slot for
-// a call like the one refused.
+// On a sidecar's answers: milliseconds after which it expects a free slot for
+// a further call; on a refusal, for a call like the one refused.
 inline constexpr const char *WaitMs = "Galenahill-Wait-Ms";
 
 // Present if a node nearer to the first caller repeats the call when it
--- a/src/core/calls/callqueue.cpp
+++ b/src/core/calls/callqueue.cpp
@@ -75,6 +75,21 @@
         std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto &call) { return !m_options.byUrgency || !(urgency < call.urgency); }));
 }
 
+// More urgent calls that came later have gone ahead of it. Kept until its time
+// is over it would only learn late that it has to go elsewhere.
+std::optional<QueueTicket> CallQueue::takeHopeless(TimePoint now, std::chrono::microseconds interval)
+{
+    for (auto call = m_waiting.begin(); m_options.byUrgency && call != m_waiting.end(); ++call) {
+        // `ahead` counts the call itself, which takes a slot as well.
+        if (now + interval * ahead(call->urgency) > call->urgency.startBy) {
+            const auto ticket = call->ticket;
+            m_waiting.erase(call);
+            return ticket;
+        }
+    }
+    return std::nullopt;
+}
+
 void CallQueue::remove(QueueTicket ticket)
 {
     m_waiting.remove_if([&](const auto &item) { return item.ticket == ticket; });
--- a/src/core/calls/callqueue.h
+++ b/src/core/calls/callqueue.h
@@ -15,6 +15,8 @@
 // How urgent a waiting call is.
 struct CallUrgency
 {
+    // Whether a call that is running elsewhere waits for it; such go first.
+    bool forNewWork = true;
     // Rank of its route; zero goes first.
     std::uint32_t priority = 0;
     // When it should have got its slot to be answered in time.
@@ -51,6 +53,10 @@
     // How many waiting calls would go before one of that urgency.
     std::size_t ahead(const CallUrgency &urgency) const;
 
+    // Takes out a call that won't get its slot by its time, if one slot comes
+    // free in each interval; nothing if there is none. By urgency only.
+    std::optional<QueueTicket> takeHopeless(TimePoint now, std::chrono::microseconds interval);
+
     void remove(QueueTicket ticket);
     std::size_t size() const;
 
--- a/src/core/calls/returntime.cpp
+++ b/src/core/calls/returntime.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-// Shortest time to come back after: one that is refused because the fleet has
-// just changed finds another target within a round of gossip, 100 ms.
-constexpr Milliseconds Shortest{100};
+// Shortest time to come back after. Slots come free every few milliseconds to
+// some tens of them, so that a caller which returns this soon can still be
+// answered within an objective of 150 ms, the tightest on record.
+constexpr Milliseconds Shortest{40};
 
 // Share of the time left that a caller is asked to wait at the most. Callers
 // honour up to a third; beyond it they come back unasked.
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -91,6 +91,33 @@
     return onlyWithRoom ? nullptr : lessLoaded(candidates, now);
 }
 
+const MemberRecord *TargetPicker::pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+{
+    const auto candidates = usable(targets, tried, now);
+    const auto wait = [&](const MemberRecord *target) {
+        const auto &state = m_states[target->name];
+        // Own calls begun since the target told its wait come before this one.
+        const auto untilFree = std::max<Clock::duration>(state.freeAt - now, Clock::duration(0)) + state.begunSince * state.interval;
+        return untilFree + (target->dataCentre == m_options.dataCentre ? Milliseconds(0) : m_options.crossing);
+    };
+    const auto least = std::min_element(candidates.begin(), candidates.end(), [&](const auto *a, const auto *b) { return wait(a) < wait(b); });
+    return least == candidates.end() ? nullptr : *least;
+}
+
+bool TargetPicker::seemsFree(const NodeName &target, TimePoint now)
+{
+    return hasRoom(m_states[target], now);
+}
+
+void TargetPicker::reportedWait(const NodeName &target, Milliseconds wait, TimePoint now)
+{
+    auto &state = m_states[target];
+    state.freeAt = now + wait;
+    // The wait is that behind all calls that the target holds beyond its slots.
+    const auto waiting = state.load.calls >= state.load.limit ? state.load.calls - state.load.limit + 1 : 0;
+    state.interval = waiting > 0 ? wait / waiting : Milliseconds(0);
+}
+
 void TargetPicker::begin(const NodeName &target)
 {
     auto &state = m_states[target];
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -26,6 +26,9 @@
         Milliseconds restTime{200};
         // Age at which a reported load is no longer believed.
         Milliseconds loadAge{500};
+        // Longer wait that is taken rather than crossing to another data
+        // centre, whose bytes are paid for; several times the way there.
+        Milliseconds crossing{15};
         // Failures in a row before a target is ejected, and for how long the
         // first time and at the most.
         std::uint32_t failuresToEject = 3;
@@ -40,6 +43,17 @@
     // chosen either.
     const MemberRecord *pick(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now, bool onlyWithRoom = false);
 
+    // The target at which a call that may wait should wait: the shortest told
+    // wait, with that much more counted for another data centre. Null if none
+    // is left.
+    const MemberRecord *pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+
+    // Whether the target isn't known to have all its slots taken.
+    bool seemsFree(const NodeName &target, TimePoint now);
+
+    // The target's sidecar told how long a further call would wait for a slot.
+    void reportedWait(const NodeName &target, Milliseconds wait, TimePoint now);
+
     // A call to the target began or ended.
     void begin(const NodeName &target);
     void end(const NodeName &target);
@@ -61,6 +75,9 @@
         // Own calls begun since the report.
         std::uint32_t begunSince = 0;
         TimePoint reportedAt;
+        // When a slot was expected to be free, and the time between two of them.
+        TimePoint freeAt;
+        Milliseconds interval{0};
         TimePoint restsUntil;
         TimePoint ejectedUntil;
         std::uint32_t failures = 0;
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -2,6 +2,8 @@
 
 #include "core/calls/callheaders.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
@@ -15,6 +17,9 @@
 
 // Until a call that may have run should be asked about again.
 constexpr const char *UnknownRetryAfter = "1";
+constexpr std::size_t TermsParts = 4;
+constexpr const char *NoWait = "no-wait";
+constexpr const char *RunningCall = "inner";
 constexpr const char *InternalPrefix = "Galenahill-";
 
 // The number that the text spells, if it spells nothing else.
@@ -96,25 +101,31 @@
 CallTerms termsHeader(const HttpRequest &request)
 {
     const auto field = request[CallHeaders::Terms];
-    const std::string_view text(field.data(), field.size());
-    const auto first = text.find(';');
-    const auto second = first == std::string_view::npos ? first : text.find(';', first + 1);
+    std::string_view text(field.data(), field.size());
+    std::array<std::string_view, TermsParts> parts;
+    std::size_t count = 0;
+    for (; count < TermsParts && !text.empty(); ++count) {
+        const auto end = std::min(text.find(';'), text.size());
+        parts[count] = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
     CallTerms terms;
-    if (second == std::string_view::npos) {
+    if (count + 1 < TermsParts) {
         return terms;
     }
-    terms.priority = wholeNumber<std::uint32_t>(text.substr(0, first)).value_or(0);
-    if (const auto left = wholeNumber<std::int64_t>(text.substr(first + 1, second - first - 1))) {
+    terms.priority = wholeNumber<std::uint32_t>(parts[0]).value_or(0);
+    if (const auto left = wholeNumber<std::int64_t>(parts[1])) {
         terms.objectiveLeft = Milliseconds(*left);
     }
-    terms.mayWait = text.substr(second + 1) != "no-wait";
+    terms.mayWait = parts[2] != NoWait;
+    terms.forRunningCall = parts[3] == RunningCall;
     return terms;
 }
 
 std::string formatTerms(const CallTerms &terms)
 {
     const auto objective = terms.objectiveLeft ? std::to_string(terms.objectiveLeft->count()) : std::string();
-    return fmt::format("{};{};{}", terms.priority, objective, terms.mayWait ? "wait" : "no-wait");
+    return fmt::format("{};{};{};{}", terms.priority, objective, terms.mayWait ? "wait" : NoWait, terms.forRunningCall ? RunningCall : "");
 }
 
 std::optional<Milliseconds> waitHeader(const HttpResponse &response)
--- a/src/daemon/callmessages.h
+++ b/src/daemon/callmessages.h
@@ -20,6 +20,11 @@
     // Whether the call may wait for a slot. Else it is refused if none is free,
     // and goes to another target first.
     bool mayWait = true;
+    // Whether a call that a target is running waits for this one. Refused, it
+    // would waste what that target has done.
+    bool forRunningCall = false;
+
+    friend bool operator==(const CallTerms &, const CallTerms &) = default;
 };
 
 // Removes the fields that belong to one connection and those that only nodes
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -17,10 +17,10 @@
 
 namespace {
 
-// Sidecars that one call is offered to without waiting. In a service of this
-// size or less all are asked; in a larger one, that so many random ones are
-// all full says that nearly all are.
-constexpr std::size_t MaxAsked = 6;
+// Sidecars that seemed to have room and are asked for a slot that is free now.
+// What they tell is a few calls old, so one or two may have filled up since;
+// more such questions would cost their bytes and find the same.
+constexpr std::size_t MaxAsked = 2;
 
 // Bytes of a failed attempt's answer that go into the log.
 constexpr std::size_t MaxReasonBytes = 120;
@@ -41,10 +41,10 @@
     TimePoint callerDeadline;
     HttpRequest request;
     ServerConnection &connection;
-    // Sidecars that were asked, and those that told their wait for a slot.
-    std::vector<NodeName> tried;
-    std::vector<std::pair<Milliseconds, const MemberRecord *>> full;
-    std::size_t waits = 0;
+    // Sidecars that were asked for a free slot, and those at which the call may
+    // not wait again.
+    std::vector<NodeName> asked;
+    std::vector<NodeName> waitedAt;
     NodeName lastTarget;
     // Times that the call was sent to a target, and how many of them may have
     // run it.
@@ -54,6 +54,8 @@
     std::string reason;
     // A node nearer to the first caller repeats the call if it fails.
     bool retriedAbove = false;
+    // A call that the target beside this node is running waits for this one.
+    bool forRunningCall = false;
 };
 
 // How one attempt ended.
@@ -146,6 +148,7 @@
 
     RetryBudget &budgetOf(const ServiceName &service);
     void takeTimes(Call &call, const HttpRequest &request);
+    bool isForRunningCall(const CallId &id) const;
     asio::awaitable<HttpResponse> admit(Call &call);
     asio::awaitable<HttpResponse> route(Call &call);
     asio::awaitable<Attempt> attempt(Call &call, Choice choice);
@@ -199,6 +202,17 @@
     call.deadline = call.begin + std::min(timeout, ConfigLimits::MaxTimeout);
 }
 
+// The id alone could be any caller's choice; that the target beside this node
+// runs a call of the id that it continues could not.
+bool Ingress::Private::isForRunningCall(const CallId &id) const
+{
+    if (!options.dialect.parentOf || !options.ownTargetRuns) {
+        return false;
+    }
+    const auto parent = options.dialect.parentOf(id.value());
+    return !parent.empty() && options.ownTargetRuns(parent);
+}
+
 asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request, ServerConnection &connection)
 {
     Call call{.connection = connection};
@@ -219,6 +233,7 @@
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     const auto &idField = d->options.dialect.requestId;
     call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
+    call.forRunningCall = d->isForRunningCall(call.id);
     stripFields(request, d->options.dialect);
     request.keep_alive(true);
     call.request = std::move(request);
@@ -246,12 +261,14 @@
         .end = endOf(response),
         .status = response.result_int(),
         .target = call.lastTarget,
-        .asked = call.tried.size(),
+        .asked = call.asked.size() + call.waitedAt.size(),
         .sent = call.sent,
         .latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.begin),
         .timeLeft = std::chrono::duration_cast<Milliseconds>(call.callerDeadline - now),
         .toldWait = call.toldWait,
         .cancelled = call.connection.cancellation().cancelled(),
+        .forRunningCall = call.forRunningCall,
+        .caller = call.connection.peerAddress(),
         .reason = call.reason});
 }
 
@@ -303,26 +320,31 @@
     return !options.policy.retryBudget || budgetOf(call.service).tryTake();
 }
 
-// First each sidecar is asked for a slot that is free now, in the order of the
-// picker; then the call waits where the shortest wait was told. The other way
-// round, calls would wait at one target while another has room.
+// The call goes where it is expected to wait least. While other targets are
+// left it is offered there without waiting if a slot seems free, since what is
+// known of the slots is some calls old; else it waits there, and where a sidecar
+// refuses that at once the next one is asked.
 Choice Ingress::Private::choose(Call &call)
 {
     const auto &targets = call.view->targetsOf(call.service);
-    if (call.tried.size() < MaxAsked && call.waits == 0) {
-        const auto *target = picker.pick(targets, call.tried, Clock::now());
-        if (target != nullptr) {
-            call.tried.push_back(target->name);
-            return {target, targets.size() == 1};
+    const auto now = Clock::now();
+    // A repeat goes only where there is room: under overload it would take the
+    // slot of a call that hasn't been tried yet.
+    const bool repeats = call.uncertain > 0;
+    if (targets.size() > 1 && call.asked.size() < MaxAsked) {
+        const auto *target = repeats ? picker.pick(targets, call.asked, now, true) : picker.pickToWait(targets, call.asked, now);
+        if (target != nullptr && (repeats || picker.seemsFree(target->name, now))) {
+            call.asked.push_back(target->name);
+            return {target, false};
         }
     }
-    if (call.full.empty() || call.waits >= MaxWaits) {
+    if (repeats || call.waitedAt.size() >= MaxWaits) {
         return {};
     }
-    ++call.waits;
-    const auto least = std::min_element(call.full.begin(), call.full.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
-    const auto *target = least->second;
-    call.full.erase(least);
+    const auto *target = picker.pickToWait(targets, call.waitedAt, now);
+    if (target != nullptr) {
+        call.waitedAt.push_back(target->name);
+    }
     return {target, true};
 }
 
@@ -348,6 +370,7 @@
 {
     budgetOf(call.service).callMade();
     Attempt last;
+    std::optional<Attempt> failed;
     auto choice = choose(call);
     while (choice.target != nullptr) {
         call.lastTarget = choice.target->name;
@@ -356,8 +379,18 @@
         if (last.end == AttemptEnd::Answered || !mayRetry(call, last.end)) {
             break;
         }
+        const bool sent = isSent(last.end);
+        if (last.end == AttemptEnd::Failed) {
+            failed = std::move(last);
+        }
         choice = choose(call);
-        retriesMade += choice.target != nullptr && isSent(last.end) ? 1 : 0;
+        retriesMade += choice.target != nullptr && sent ? 1 : 0;
+    }
+    // A target's own answer, though a failure, tells the caller more than that
+    // no other target had room to try again.
+    const bool worse = last.end == AttemptEnd::NotRun || last.end == AttemptEnd::NotRunByTarget;
+    if (failed && (worse || choice.target == nullptr)) {
+        last = std::move(*failed);
     }
     if (last.rest) {
         stripFields(last.response, options.dialect);
@@ -378,7 +411,7 @@
 {
     auto &request = call.request;
     const auto now = Clock::now();
-    CallTerms terms{.priority = call.route->priority, .objectiveLeft = std::nullopt, .mayWait = mayWait};
+    CallTerms terms{.priority = call.route->priority, .objectiveLeft = std::nullopt, .mayWait = mayWait, .forRunningCall = call.forRunningCall};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
@@ -389,7 +422,11 @@
     request.set(CallHeaders::Service, call.service.value());
     request.set(CallHeaders::Route, call.route->name.value());
     request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(deadline - now).count()));
-    request.set(CallHeaders::Terms, formatTerms(terms));
+    if (terms == CallTerms()) {
+        request.erase(CallHeaders::Terms);
+    } else {
+        request.set(CallHeaders::Terms, formatTerms(terms));
+    }
     if (!options.callerService.value().empty()) {
         request.set(CallHeaders::CallerService, options.callerService.value());
     }
@@ -485,11 +522,12 @@
         call.reason = response.error().message;
         co_return result;
     }
-    if (const auto wait = waitHeader(*response)) {
+    const auto wait = waitHeader(*response);
+    if (wait || loadHeader(*response)) {
+        picker.reportedWait(target.name, wait.value_or(Milliseconds(0)), Clock::now());
+    }
+    if (wait && result.end == AttemptEnd::NotRun) {
         call.toldWait = std::min(call.toldWait.value_or(*wait), *wait);
-        if (!choice.mayWait) {
-            call.full.emplace_back(*wait, choice.target);
-        }
     }
     if (result.end != AttemptEnd::Answered) {
         call.reason = response->body().substr(0, MaxReasonBytes);
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace Galenahill {
 
@@ -35,6 +36,10 @@
     // Shortest wait for a slot that a sidecar told.
     std::optional<Milliseconds> toldWait;
     bool cancelled = false;
+    // Whether a running call of the target beside this node waited for it.
+    bool forRunningCall = false;
+    // Address that the call came from.
+    std::string caller;
     std::string reason;
 };
 
@@ -60,6 +65,9 @@
         // reach it. Null: all sidecars are reached over the network.
         Endpoint ownSidecar;
         std::function<asio::awaitable<HttpResponse>(HttpRequest request, ServerConnection &connection)> askOwnSidecar;
+        // Whether the target beside this node runs the call of that id. May be
+        // null.
+        std::function<bool(std::string_view id)> ownTargetRuns;
         // A call of a route got its final answer.
         std::function<void(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency)> callEnded;
         // The same in all detail; may be null.
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -239,6 +239,7 @@
         .retries = retryBudget(1),
         .ownSidecar = settings.sidecar,
         .askOwnSidecar = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+        .ownTargetRuns = [this](std::string_view id) { return sidecar.runs(id); },
         .callEnded
         = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); },
         .callReported = [this](const CallReport &call) { report(call); }};
@@ -459,6 +460,8 @@
             {"ms", static_cast<double>(call.latency.count()) / 1000},
             {"left_ms", call.timeLeft.count()},
             {"told_wait_ms", call.toldWait ? call.toldWait->count() : -1},
+            {"for_running_call", call.forRunningCall},
+            {"caller", call.caller},
             {"reason", call.reason}});
 }
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Galenahill {
 
@@ -43,6 +44,11 @@
 // record, a fuller queue would mean a wait of over 100 ms.
 constexpr std::size_t MaxWaiting = 64;
 
+// A call is taken to need this many times the usual time of its route, so that
+// most of those admitted are in time: work times spread by up to 0.8 of their
+// mean, and half of all calls take longer than usual.
+constexpr double TimeMargin = 1.3;
+
 // Time that the target is told to have less than the call has, so that its own
 // "too late" arrives while the ingress still waits and the connection can be
 // used again.
@@ -93,6 +99,8 @@
     // itself.
     std::string targetId;
     std::uint32_t announcedSlots = 0;
+    // Ids of the calls that the target is running.
+    std::unordered_set<std::string> running;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
     std::uint64_t nextTicket = 1;
     MemberState state = MemberState::Starting;
@@ -110,9 +118,11 @@
     TimePoint waitLimit(const SidecarCall &call) const;
     TimePoint latestStart(const SidecarCall &call) const;
     CallUrgency urgencyOf(const SidecarCall &call) const;
+    Microseconds slotInterval() const;
     Microseconds expectedWait(const SidecarCall &call) const;
-    asio::awaitable<bool> enter(SidecarCall &call);
-    asio::awaitable<bool> waitForSlot(SidecarCall &call);
+    void refuseHopeless();
+    asio::awaitable<bool> enter(SidecarCall &call, ServerConnection &connection);
+    asio::awaitable<bool> waitForSlot(SidecarCall &call, ServerConnection &connection);
     void leave(const SidecarCall &call, AdmissionController::End end);
     void wake(QueueTicket ticket, bool admitted);
     void admitWaiting();
@@ -243,6 +253,9 @@
 {
     const bool takesCalls = state == MemberState::Ready && !admission.draining();
     response.set(CallHeaders::Load, formatLoad({admission.inFlight() + static_cast<std::uint32_t>(queue.size()), takesCalls ? admission.limit() : 0}));
+    if (options.policy.byUrgency && takesCalls && admission.inFlight() >= admission.limit()) {
+        response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(slotInterval() * (queue.size() + 1)).count()));
+    }
 }
 
 HttpResponse Sidecar::Private::refuse(const std::string &reason) const
@@ -278,24 +291,42 @@
 {
     const auto known = times.usual(call.route);
     const auto needed = known.count() == 0 ? UnknownCallTime : known;
-    return std::min(call.objective, call.deadline) - needed;
+    // A running call needs the answer, late or not, or all its work is lost.
+    const auto wanted = call.terms.forRunningCall ? call.deadline : std::min(call.objective, call.deadline);
+    return wanted - std::chrono::duration_cast<Microseconds>(needed * TimeMargin);
 }
 
 CallUrgency Sidecar::Private::urgencyOf(const SidecarCall &call) const
 {
-    return {call.terms.priority, latestStart(call)};
+    return {!call.terms.forRunningCall, call.terms.priority, latestStart(call)};
 }
 
 // With all slots taken, one comes free after a usual call's time divided by
-// the slots, on average; each call ahead takes one of them.
+// the slots, on average.
+Microseconds Sidecar::Private::slotInterval() const
+{
+    const auto known = times.usual();
+    const auto usual = known.count() == 0 ? UnknownCallTime : known;
+    return usual / std::max<std::uint32_t>(admission.limit(), 1);
+}
+
+// Each call ahead takes one of the slots that come free.
 Microseconds Sidecar::Private::expectedWait(const SidecarCall &call) const
 {
-    const auto known = options.policy.byUrgency ? times.usual() : admission.typical();
-    const auto usual = known.count() == 0 && options.policy.byUrgency ? UnknownCallTime : known;
-    return usual * (queue.ahead(urgencyOf(call)) + 1) / std::max<std::uint32_t>(admission.limit(), 1);
+    if (!options.policy.byUrgency) {
+        return admission.typical() * (queue.size() + 1) / std::max<std::uint32_t>(admission.limit(), 1);
+    }
+    return slotInterval() * (queue.ahead(urgencyOf(call)) + 1);
+}
+
+void Sidecar::Private::refuseHopeless()
+{
+    while (const auto ticket = queue.takeHopeless(Clock::now(), slotInterval())) {
+        wake(*ticket, false);
+    }
 }
 
-asio::awaitable<bool> Sidecar::Private::enter(SidecarCall &call)
+asio::awaitable<bool> Sidecar::Private::enter(SidecarCall &call, ServerConnection &connection)
 {
     call.entered = Clock::now();
     if (queue.size() == 0 && admission.tryEnter(call.entered)) {
@@ -306,10 +337,10 @@
     if (!mayWait || call.entered + expectedWait(call) >= waitLimit(call)) {
         co_return false;
     }
-    co_return co_await waitForSlot(call);
+    co_return co_await waitForSlot(call, connection);
 }
 
-asio::awaitable<bool> Sidecar::Private::waitForSlot(SidecarCall &call)
+asio::awaitable<bool> Sidecar::Private::waitForSlot(SidecarCall &call, ServerConnection &connection)
 {
     const auto waiter = std::make_shared<Waiter>(options.context);
     const QueueTicket ticket(nextTicket++);
@@ -323,8 +354,16 @@
     if (refused) {
         wake(*refused, false);
     }
+    refuseHopeless();
+    // A call that the caller gives up leaves the line at once.
+    connection.cancellation().setHook([weak = weak_from_this(), ticket] {
+        if (const auto self = weak.lock()) {
+            self->wake(ticket, false);
+        }
+    });
     ErrorCode ignored;
     co_await waiter->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    connection.cancellation().setHook(nullptr);
     queue.remove(ticket);
     waiters.erase(ticket.value());
     call.entered = Clock::now();
@@ -447,7 +486,12 @@
             return id.empty() || id == forwarded[dialect.requestId];
         };
     }
+    const std::string id(dialect.requestId.empty() ? std::string() : std::string(forwarded[dialect.requestId]));
+    if (!id.empty()) {
+        running.insert(id);
+    }
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
+    running.erase(id);
     if (response) {
         const auto verdict = judgeAnswer(dialect,
             {.status = response->result_int(),
@@ -498,7 +542,7 @@
     if (call.terms.objectiveLeft) {
         call.objective = Clock::now() + *call.terms.objectiveLeft;
     }
-    const bool entered = co_await keep->enter(call);
+    const bool entered = co_await keep->enter(call, connection);
     if (!entered) {
         co_return keep->refuseFull(call);
     }
@@ -528,6 +572,11 @@
     }
 }
 
+bool Sidecar::runs(std::string_view id) const
+{
+    return d->running.count(std::string(id)) > 0;
+}
+
 std::uint32_t Sidecar::inFlight() const
 {
     return d->admission.inFlight();
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace Galenahill {
 
@@ -59,6 +60,9 @@
 
     std::uint32_t inFlight() const;
 
+    // Whether the target runs the call of that id, as its caller named it.
+    bool runs(std::string_view id) const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
