autotests: Test calls, registration and formats of the platform without it

Change: tests of the line by urgency, answers, splits, registration, documents, heartbeats and settings; each failure test tells its story first. Bytes of a heartbeat and a document are changed at random 3,000 times.

--- /dev/null
+++ b/autotests/unit/platformtest.cpp
@@ -0,0 +1,210 @@
+// The platform's names and formats, decoded. Examples are written by hand after
+// its pages.
+
+#include "core/config/configsnapshot.h"
+#include "core/config/platformnodesettings.h"
+#include "platform/configuration.h"
+#include "platform/heartbeat.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace Galenahill;
+using Json = nlohmann::json;
+
+namespace {
+
+const char *const Document = R"({"version":"r7",
+"services":[{"name":"a","health-check-path":"/h","max-connections":120},{"name":"b"}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15},
+"virtual-hosts":[
+ {"host":"one.example","paths":[
+  {"name":"r1","path-prefix":"/x/","type":"unsafe","timeout-s":1.2,"target-latency-s":0.6,"priority":1,"service":"b","attempts":2},
+  {"name":"r2","path-prefix":"/x/y/","type":"safe","timeout-s":1,"service":"a","attempts":3}]},
+ {"host":"two.example","paths":[
+  {"name":"r3","path-prefix":"/x/","type":"safe","traffic-split":[{"service":"a","weight":90},{"service":"b","weight":10}]}]}]})";
+
+const char *const Heartbeat = R"({"address":"10.1.0.8:8301","born":1777078383118,
+"info":{"service":"a","version":"v1","zone":"z1","concurrency-limit":6},
+"status":{"state":"ready","sequence":4,"warmup-remaining-s":1.5}})";
+
+HttpRequest put(const std::string &body, const std::string &path = "/instances/i-1")
+{
+    HttpRequest request(http::verb::put, path, 11);
+    request.body() = body;
+    return request;
+}
+
+std::shared_ptr<const ConfigSnapshot> snapshotOf(const std::string &document)
+{
+    auto decoded = Platform::decodeConfiguration(document);
+    BOOST_REQUIRE(decoded.has_value());
+    const auto snapshot = ConfigSnapshot::assemble(std::move(decoded->definitions));
+    BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
+    return *snapshot;
+}
+
+// The document without one field, wherever it stands in `where`.
+std::string without(Json document, const Json::json_pointer &where, const std::string &field)
+{
+    document[where].erase(field);
+    return document.dump();
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAConfigurationDocument)
+{
+    const auto decoded = Platform::decodeConfiguration(Document);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->revision == Revision(7));
+    BOOST_TEST(decoded->definitions.callerLimits.idleTimeout.count() == 15000);
+    BOOST_TEST(decoded->definitions.services[0].healthPath == "/h");
+    const auto &payment = decoded->definitions.routes[0];
+    BOOST_TEST(!payment.idempotent);
+    BOOST_TEST(payment.timeout.count() == 1200);
+    BOOST_TEST(payment.sloLatency.count() == 600);
+    BOOST_TEST(payment.priority == 1U);
+    BOOST_TEST(payment.maxTargets == 2U);
+    BOOST_TEST(payment.retries == 0U);
+    BOOST_TEST(decoded->definitions.routes[1].retries == 2U);
+    BOOST_TEST(decoded->definitions.routes[2].split.size() == 2U);
+}
+
+// The host selects first, then the longest prefix; a prefix ends with a slash,
+// so that what only looks like it has no route.
+BOOST_AUTO_TEST_CASE(RoutesByHostAndLongestPrefix)
+{
+    const auto snapshot = snapshotOf(Document);
+    const auto name = [&](const char *host, const char *path) {
+        const auto *route = snapshot->route("GET", path, host);
+        return route == nullptr ? std::string("none") : route->name.value();
+    };
+    BOOST_TEST(name("one.example", "/x/1") == "r1");
+    BOOST_TEST(name("one.example", "/x/y/1") == "r2");
+    BOOST_TEST(name("one.example", "/x/y") == "r1");
+    BOOST_TEST(name("one.example", "/x/") == "r1");
+    BOOST_TEST(name("one.example", "/x") == "none");
+    BOOST_TEST(name("one.example", "/xy/1") == "none");
+    BOOST_TEST(name("two.example", "/x/y/1") == "r3");
+    BOOST_TEST(name("three.example", "/x/1") == "none");
+}
+
+// A document that lacks something, or says something unknown, is refused as a
+// whole: the configuration before it stays in force.
+BOOST_AUTO_TEST_CASE(RefusesADocumentThatIsNotWhole)
+{
+    const auto document = Json::parse(Document);
+    const Json::json_pointer route("/virtual-hosts/0/paths/0");
+    for (const auto *field : {"name", "path-prefix", "type", "service"}) {
+        BOOST_TEST(!Platform::decodeConfiguration(without(document, route, field)).has_value(), field);
+    }
+    for (const auto *field : {"version", "services", "virtual-hosts"}) {
+        BOOST_TEST(!Platform::decodeConfiguration(without(document, Json::json_pointer(), field)).has_value(), field);
+    }
+    auto odd = document;
+    odd[route]["type"] = "maybe";
+    BOOST_TEST(!Platform::decodeConfiguration(odd.dump()).has_value());
+    odd = document;
+    odd["version"] = "7";
+    BOOST_TEST(!Platform::decodeConfiguration(odd.dump()).has_value());
+    const std::string text(Document);
+    BOOST_TEST(!Platform::decodeConfiguration(text.substr(0, text.size() / 2)).has_value());
+}
+
+// A route names a service that the document doesn't have.
+BOOST_AUTO_TEST_CASE(RefusesARouteWithoutItsService)
+{
+    auto document = Json::parse(Document);
+    document["services"].erase(1);
+    auto decoded = Platform::decodeConfiguration(document.dump());
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(!ConfigSnapshot::assemble(std::move(decoded->definitions)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAHeartbeat)
+{
+    const auto message = Platform::decodeTargetMessage(put(Heartbeat));
+    BOOST_REQUIRE_MESSAGE(message.has_value(), message.error().message);
+    const auto &target = std::get<TargetAnnouncement>(*message);
+    BOOST_TEST(target.id == "i-1");
+    BOOST_TEST(target.startedAt == 1777078383118);
+    BOOST_TEST(target.sequence == 4U);
+    BOOST_TEST(target.slots == 6U);
+    BOOST_TEST(toString(target.address) == "10.1.0.8:8301");
+    BOOST_TEST(target.warmUpLeft.count() == 1500);
+    BOOST_TEST(!target.draining);
+}
+
+// Another writer's heartbeat lacks a field, has one of another type, or names a
+// state that isn't known. It names no target, and must not open or shut a door.
+BOOST_AUTO_TEST_CASE(RefusesAHeartbeatWithABadField)
+{
+    const auto whole = Json::parse(Heartbeat);
+    for (const auto &where : {Json::json_pointer(), Json::json_pointer("/info"), Json::json_pointer("/status")}) {
+        for (const auto &[field, value] : whole[where].items()) {
+            BOOST_TEST(!Platform::decodeTargetMessage(put(without(whole, where, field))).has_value(), field);
+            auto mistyped = whole;
+            mistyped[where][field] = Json::array({1});
+            BOOST_TEST(!Platform::decodeTargetMessage(put(mistyped.dump())).has_value(), field);
+        }
+    }
+    auto odd = whole;
+    odd["status"]["state"] = "odd";
+    BOOST_TEST(!Platform::decodeTargetMessage(put(odd.dump())).has_value());
+    odd = whole;
+    odd["born"] = 1777078383118.5;
+    BOOST_TEST(!Platform::decodeTargetMessage(put(odd.dump())).has_value());
+    BOOST_TEST(!Platform::decodeTargetMessage(put(Heartbeat, "/instances/")).has_value());
+    BOOST_TEST(!Platform::decodeTargetMessage(put(Heartbeat, "/other/i-1")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReadsThatATargetLeaves)
+{
+    HttpRequest request(http::verb::delete_, "/instances/i-1", 11);
+    auto message = Platform::decodeTargetMessage(request);
+    BOOST_REQUIRE(message.has_value());
+    BOOST_TEST(std::get<TargetLeaving>(*message).id == "i-1");
+    BOOST_TEST(!std::get<TargetLeaving>(*message).startedAt.has_value());
+    request.body() = R"({"born":1777078383118})";
+    message = Platform::decodeTargetMessage(request);
+    BOOST_TEST(std::get<TargetLeaving>(*message).startedAt.value() == 1777078383118);
+}
+
+// Broken bytes end in a refusal, never in a crash or a half-read value.
+BOOST_AUTO_TEST_CASE(SurvivesBrokenBytes)
+{
+    std::mt19937 random(7);
+    constexpr int Rounds = 3000;
+    for (int round = 0; round < Rounds; ++round) {
+        std::string heartbeat(Heartbeat);
+        std::string document(Document);
+        for (auto *text : {&heartbeat, &document}) {
+            const auto position = std::uniform_int_distribution<std::size_t>(0, text->size() - 1)(random);
+            (*text)[position] = static_cast<char>(std::uniform_int_distribution<int>(0, 255)(random));
+        }
+        (void)Platform::decodeTargetMessage(put(heartbeat));
+        (void)Platform::decodeConfiguration(document);
+    }
+}
+
+// A setting that is missing or mistyped ends the start with a line that names it.
+BOOST_AUTO_TEST_CASE(SettingsNameWhatIsWrong)
+{
+    const std::string whole = "[node]\nname = n\ndata-centre = z\nservice = a\nfirst-start = true\nstop-timeout-s = 6\n"
+                              "[listen]\ningress = 10.1.0.8:1\nsidecar = 10.1.0.8:2\nregistration = 10.1.0.8:3\nreadiness = 10.1.0.8:4\npeers = 10.1.0.8:5\n"
+                              "[target]\naddress = 10.1.0.8:6\nheartbeat-interval-s = 0.87\n[store]\naddress = 10.200.1.7:8309\n"
+                              "[fleet]\nseeds =\nrepeat-share = 0.2\nrepeat-slack = 60\n";
+    const auto settings = PlatformNodeSettings::parse("node.ini", whole);
+    BOOST_REQUIRE_MESSAGE(settings.has_value(), settings.error().message);
+    BOOST_TEST(settings->heartbeatInterval.count() == 870);
+    BOOST_TEST(settings->seeds.empty());
+    auto broken = whole;
+    broken.replace(broken.find("10.1.0.8:6"), 10, "10.1.0.8");
+    broken.erase(broken.find("sidecar = 10.1.0.8:2\n"), 21);
+    const auto refused = PlatformNodeSettings::parse("node.ini", broken);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST(refused.error().message.find("[target] address") != std::string::npos);
+    BOOST_TEST(refused.error().message.find("[listen] sidecar: missing") != std::string::npos);
+}
