daemon: Log each sidecar decision, and time the stages of a call

Cause: an on-call engineer saw what an ingress decided and not why a target's door refused; a request without a route left no line at all.

--- a/src/core/config/platformnodesettings.cpp
+++ b/src/core/config/platformnodesettings.cpp
@@ -49,6 +49,7 @@
                 {"registration", {true, endpoint<S>([](S &s) -> Endpoint & { return s.registration; })}},
                 {"readiness", {true, endpoint<S>([](S &s) -> Endpoint & { return s.readiness; })}},
                 {"peers", {true, endpoint<S>([](S &s) -> Endpoint & { return s.peers; })}},
+                {"metrics", {false, endpoint<S>([](S &s) -> Endpoint & { return s.metrics; })}},
             }},
         {"target",
             {
--- a/src/core/config/platformnodesettings.h
+++ b/src/core/config/platformnodesettings.h
@@ -30,6 +30,8 @@
     Endpoint readiness;
     // Where other nodes reach this one, by TCP and UDP.
     Endpoint peers;
+    // Where metrics are read; port zero: only at `peers`.
+    Endpoint metrics;
 
     Endpoint target;
     // Time between two announcements of the target.
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -162,6 +162,7 @@
     bool mayRetry(Call &call, AttemptEnd end);
     HttpResponse finalAnswer(Call &call, Attempt last);
     void report(const Call &call, const HttpResponse &response) const;
+    void reportUnrouted(const Call &call, unsigned status, std::string reason) const;
 };
 
 Ingress::Ingress(Options options)
@@ -217,7 +218,11 @@
 {
     Call call{.connection = connection};
     call.view = d->view;
+    call.begin = Clock::now();
+    const auto &idField = d->options.dialect.requestId;
+    call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
     if (!call.view || !call.view->config) {
+        d->reportUnrouted(call, 0, "no configuration");
         co_return notRunResponse(http::status::service_unavailable, "no-configuration", "this node has no configuration yet; come back or use another node");
     }
     const auto &snapshot = *call.view->config->snapshot;
@@ -226,13 +231,13 @@
     if (call.route == nullptr) {
         const bool otherMethod = snapshot.hasPath(pathOf(request), hostOf(request));
         const auto status = otherMethod ? http::status::method_not_allowed : http::status::not_found;
+        d->reportUnrouted(
+            call, static_cast<unsigned>(status), fmt::format("no route takes {} {} {}", method, std::string(hostOf(request)), std::string(pathOf(request))));
         co_return notRunResponse(status, "no-route", fmt::format("no route takes {} {}", method, std::string(pathOf(request))));
     }
     d->takeTimes(call, request);
     call.service = d->split.next(*call.route);
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
-    const auto &idField = d->options.dialect.requestId;
-    call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
     call.forRunningCall = d->isForRunningCall(call.id);
     stripFields(request, d->options.dialect);
     request.keep_alive(true);
@@ -272,6 +277,18 @@
         .reason = call.reason});
 }
 
+void Ingress::Private::reportUnrouted(const Call &call, unsigned status, std::string reason) const
+{
+    if (options.callReported) {
+        options.callReported({.id = call.id,
+            .revision = call.view && call.view->config ? call.view->config->revision() : Revision(),
+            .end = CallEnd::NotRun,
+            .status = status,
+            .caller = call.connection.peerAddress(),
+            .reason = std::move(reason)});
+    }
+}
+
 asio::awaitable<HttpResponse> Ingress::Private::admit(Call &call)
 {
     if (!routes.tryEnter(call.route->name)) {
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
 #include "adapters/udp/datagramsocket.h"
+#include "core/calls/latencyhistogram.h"
 #include "daemon/fleetcontrol.h"
 #include "daemon/ingress.h"
 #include "daemon/memberdirectory.h"
@@ -11,6 +12,7 @@
 #include "daemon/sidecar.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Galenahill {
 
@@ -140,6 +142,8 @@
         , readinessServer(context, {.endpoint = settings.readiness, .handler = [this](HttpRequest, ServerConnection &) { return answerReadiness(); }})
         , peerServer(
               context, {.endpoint = settings.peers, .handler = [this](HttpRequest request, ServerConnection &) { return answerPeer(std::move(request)); }})
+        , metricsServer(
+              context, {.endpoint = settings.metrics, .handler = [this](HttpRequest request, ServerConnection &) { return answerPeer(std::move(request)); }})
         , ticker(context)
     {
     }
@@ -154,6 +158,8 @@
     bool wasReady = false;
     std::shared_ptr<NodeState> state = std::make_shared<NodeState>(1);
     ServiceLevelMetrics metrics;
+    // By CallStage.
+    std::array<LatencyHistogram, 3> stages;
     HttpClient client;
     std::unique_ptr<DocumentStore> store;
     DatagramSocket datagrams;
@@ -168,6 +174,7 @@
     HttpServer registrationServer;
     HttpServer readinessServer;
     HttpServer peerServer;
+    HttpServer metricsServer;
     asio::steady_timer ticker;
 
     HttpClient::Options clientOptions() const;
@@ -186,6 +193,8 @@
     asio::awaitable<HttpResponse> answerReadiness();
     asio::awaitable<HttpResponse> answerPeer(HttpRequest request);
     NodeGauges gauges() const;
+    std::string stageText() const;
+    void stageEnded(CallStage stage, std::chrono::microseconds time);
     std::string healthPath() const;
     void report(const CallReport &call);
     asio::awaitable<void> pull(Endpoint peer);
@@ -252,11 +261,12 @@
         .service = settings.service,
         .target = settings.target,
         .healthPath = {},
-        .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        .log = log,
         .policy = callPolicy(),
         .dialect = options.dialect,
         .stateChanged = [](MemberState) {},
-        .targetLost = [this] { targetService.targetLost(); }};
+        .targetLost = [this] { targetService.targetLost(); },
+        .stageEnded = [this](CallStage stage, std::chrono::microseconds time) { stageEnded(stage, time); }};
 }
 
 TargetService::Options PlatformNode::Private::targetOptions()
@@ -340,6 +350,11 @@
             return listening;
         }
     }
+    if (d->settings.metrics.port != 0) {
+        if (const auto listening = d->metricsServer.listen(); !listening) {
+            return listening;
+        }
+    }
     if (const auto opened = d->datagrams.open(); !opened) {
         return opened;
     }
@@ -396,6 +411,16 @@
     return service == nullptr ? ServiceDefinition().healthPath : service->healthPath;
 }
 
+std::string PlatformNode::Private::stageText() const
+{
+    constexpr const char *Labels[] = {"stage=\"whole\"", "stage=\"line\"", "stage=\"target\""};
+    std::string text = "# TYPE galenahill_stage_milliseconds histogram\n";
+    for (std::size_t stage = 0; stage < stages.size(); ++stage) {
+        text += stages[stage].text("galenahill_stage_milliseconds", Labels[stage]);
+    }
+    return text;
+}
+
 NodeGauges PlatformNode::Private::gauges() const
 {
     return {{"revision_in_force", static_cast<double>(state->revisions.revision().value())},
@@ -421,7 +446,7 @@
                           : makeErrorResponse(http::status::not_found, "not-found", "this node has no revision yet; ask another one");
     }
     if (request.method() == http::verb::get && target == "/metrics") {
-        co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metricsText(gauges(), metrics.report(Clock::now())));
+        co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metricsText(gauges(), metrics.report(Clock::now())) + stageText());
     }
     co_return makeErrorResponse(http::status::not_found, "not-found", "this address has /config, /members and /metrics");
 }
@@ -444,8 +469,14 @@
     fleet.pullEnded(peer);
 }
 
+void PlatformNode::Private::stageEnded(CallStage stage, std::chrono::microseconds time)
+{
+    stages[static_cast<std::size_t>(stage)].add(time);
+}
+
 void PlatformNode::Private::report(const CallReport &call)
 {
+    stageEnded(CallStage::Whole, call.latency);
     const bool plain = call.end == CallEnd::Answered && call.asked <= 1;
     log(plain ? LogLevel::Debug : LogLevel::Info,
         call.cancelled ? "call-cancelled" : eventOf(call.end),
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -57,7 +57,9 @@
 // One call from its arrival to its answer.
 struct SidecarCall
 {
+    std::string id;
     RouteName route;
+    TimePoint arrived;
     TimePoint deadline;
     TimePoint entered;
     CallTerms terms;
@@ -110,9 +112,11 @@
     asio::awaitable<void> probeLoop();
     void probed(const Result<HttpResponse> &answer);
     void setState(MemberState newState);
+    std::string idOf(const HttpRequest &request) const;
     std::string refusal(const HttpRequest &request) const;
     HttpResponse refuse(const std::string &reason) const;
     HttpResponse refuseFull(const SidecarCall &call) const;
+    void logRefusal(const SidecarCall &call, const std::string &reason) const;
     void reportLoad(HttpResponse &response) const;
 
     TimePoint waitLimit(const SidecarCall &call) const;
@@ -265,8 +269,31 @@
     return response;
 }
 
+void Sidecar::Private::logRefusal(const SidecarCall &call, const std::string &reason) const
+{
+    const auto now = Clock::now();
+    options.log(LogLevel::Info,
+        "sidecar-refused",
+        {{"id", call.id},
+            {"route", call.route.value()},
+            {"reason", reason},
+            {"state", toString(state)},
+            {"running", admission.inFlight()},
+            {"slots", admission.limit()},
+            {"waiting", queue.size()},
+            {"may_wait", call.terms.mayWait},
+            {"for_running_call", call.terms.forRunningCall},
+            {"waited_ms", std::chrono::duration_cast<Milliseconds>(now - call.arrived).count()},
+            {"expected_wait_ms", std::chrono::duration_cast<Milliseconds>(expectedWait(call)).count()},
+            {"left_ms", std::chrono::duration_cast<Milliseconds>(call.deadline - now).count()}});
+}
+
 HttpResponse Sidecar::Private::refuseFull(const SidecarCall &call) const
 {
+    // An offer without waiting is a question; its answer needs no line.
+    if (call.terms.mayWait) {
+        logRefusal(call, "no slot in time");
+    }
     auto response = refuse("all slots of the target are taken");
     response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(expectedWait(call)).count()));
     return response;
@@ -486,12 +513,14 @@
             return id.empty() || id == forwarded[dialect.requestId];
         };
     }
-    const std::string id(dialect.requestId.empty() ? std::string() : std::string(forwarded[dialect.requestId]));
-    if (!id.empty()) {
-        running.insert(id);
-    }
+    running.insert(call.id);
+    const auto begin = Clock::now();
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
-    running.erase(id);
+    running.erase(call.id);
+    if (options.stageEnded) {
+        options.stageEnded(CallStage::Line, std::chrono::duration_cast<Microseconds>(begin - call.arrived));
+        options.stageEnded(CallStage::Target, std::chrono::duration_cast<Microseconds>(Clock::now() - begin));
+    }
     if (response) {
         const auto verdict = judgeAnswer(dialect,
             {.status = response->result_int(),
@@ -522,6 +551,15 @@
     }
     const bool late = Clock::now() >= call.deadline;
     const bool cancelled = connection.cancellation().cancelled();
+    options.log(LogLevel::Info,
+        "target-gave-no-answer",
+        {{"id", call.id},
+            {"route", call.route.value()},
+            {"target", targetId},
+            {"late", late},
+            {"cancelled", cancelled},
+            {"ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - begin).count()},
+            {"reason", response.error().message}});
     leave(call, cancelled ? End::Cancelled : late ? End::GivenUp : End::Broken);
     auto unknown = outcomeUnknownResponse(response.error().message, late ? http::status::gateway_timeout : http::status::bad_gateway);
     reportLoad(unknown);
@@ -531,16 +569,19 @@
 asio::awaitable<HttpResponse> Sidecar::handle(HttpRequest request, ServerConnection &connection)
 {
     const auto keep = d;
-    if (const auto reason = keep->refusal(request); !reason.empty()) {
-        co_return keep->refuse(reason);
-    }
     SidecarCall call;
+    call.arrived = Clock::now();
+    call.id = keep->idOf(request);
     call.route = RouteName(std::string(request[CallHeaders::Route]));
-    call.deadline = Clock::now() + Milliseconds(*timeoutHeader(request));
+    call.deadline = call.arrived + Milliseconds(timeoutHeader(request).value_or(0));
     call.terms = termsHeader(request);
     call.callerService = std::string(request[CallHeaders::CallerService]);
     if (call.terms.objectiveLeft) {
-        call.objective = Clock::now() + *call.terms.objectiveLeft;
+        call.objective = call.arrived + *call.terms.objectiveLeft;
+    }
+    if (const auto reason = keep->refusal(request); !reason.empty()) {
+        keep->logRefusal(call, reason);
+        co_return keep->refuse(reason);
     }
     const bool entered = co_await keep->enter(call, connection);
     if (!entered) {
@@ -553,11 +594,19 @@
     const bool leaving = keep->state == MemberState::Draining;
     if (leaving || connection.peerClosed()) {
         keep->leave(call, AdmissionController::End::NotSent);
-        co_return keep->refuse(leaving ? "the target is leaving" : "the caller has gone");
+        const auto *reason = leaving ? "the target is leaving" : "the caller has gone";
+        keep->logRefusal(call, reason);
+        co_return keep->refuse(reason);
     }
     co_return co_await keep->passOn(std::move(request), std::move(call), connection);
 }
 
+std::string Sidecar::Private::idOf(const HttpRequest &request) const
+{
+    const auto &field = options.dialect.requestId;
+    return std::string(field.empty() ? request[CallHeaders::CallId] : request[field]);
+}
+
 void Sidecar::drain()
 {
     d->admission.startDraining();
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -15,6 +15,16 @@
 
 namespace Galenahill {
 
+// Parts of a call's way of which the time is measured.
+enum class CallStage {
+    // From its arrival at the ingress to its final answer.
+    Whole,
+    // Waiting in the sidecar's line for a slot.
+    Line,
+    // From the sidecar to the target and back.
+    Target,
+};
+
 // The only door to the target beside this node. It alone knows how many calls
 // the target has in flight. Used on the data thread only.
 class Sidecar
@@ -36,6 +46,8 @@
         // The target refused a connection or broke one before its answer, so
         // that it may have ended. May be null.
         std::function<void()> targetLost;
+        // A call has left the stage after that time. May be null.
+        std::function<void(CallStage stage, std::chrono::microseconds time)> stageEnded;
     };
 
     explicit Sidecar(Options options);
