daemon: Fetch revisions as deltas, and let two nodes a data centre watch

Ruled out: more patience alone (the store's events fill the links all the same); one watcher (a third of the nodes may be cut from the store). Change: the watcher role and the delta exchange of the INI nodes serve here too; the exchange takes how to build a revision as a hook. A watcher that takes the role up reads the document whole instead of its history.

--- a/src/core/fleet/revisionpuller.cpp
+++ b/src/core/fleet/revisionpuller.cpp
@@ -25,7 +25,7 @@
 
 bool RevisionPuller::waitsForOwnWatch(TimePoint now) const
 {
-    return m_behindSince != TimePoint::max() && now - m_behindSince < m_options.patience;
+    return m_options.patience && m_behindSince != TimePoint::max() && now - m_behindSince < m_options.patience();
 }
 
 // A member that fails is left out until it is heard again. Without the others
@@ -45,7 +45,7 @@
 void RevisionPuller::tick(TimePoint now)
 {
     const bool slow = !m_running.empty() && now - m_lastStart >= m_options.hedgeDelay;
-    const bool patienceOver = m_running.empty() && !m_sources.empty() && m_options.patience.count() > 0;
+    const bool patienceOver = m_running.empty() && !m_sources.empty();
     if (patienceOver || (slow && m_running.size() < m_options.maxRunning)) {
         start(now);
     }
--- a/src/core/fleet/revisionpuller.h
+++ b/src/core/fleet/revisionpuller.h
@@ -19,9 +19,9 @@
         // Time after which a second member is asked beside the first.
         Milliseconds hedgeDelay{250};
         // Time for which a newer revision may be known before it is fetched from
-        // a member. Nodes that watch the store themselves give their own watch
-        // so long, since the fetch would bring the same bytes once more.
-        Milliseconds patience{0};
+        // a member. A node that watches the store gives its own watch so long,
+        // since the fetch would bring the same change once more. Null: none.
+        std::function<Milliseconds()> patience;
         std::size_t maxRunning = 2;
         std::size_t maxSources = 16;
         // Starts to fetch; `ended` must be called for each.
--- a/src/daemon/configfollower.cpp
+++ b/src/daemon/configfollower.cpp
@@ -19,6 +19,9 @@
 // much later at the most, a quarter of the two seconds that it may take.
 constexpr Milliseconds GatherTime{500};
 
+// How often a node that doesn't watch looks whether it should.
+constexpr Milliseconds RoleInterval{250};
+
 // Pause after a failed call, doubled by each further one. An outage's end is
 // noticed within the longest pause, while a fleet of 1,100 stays far below the
 // store's rate of reads.
@@ -58,6 +61,8 @@
     std::mt19937_64 random;
     // From where to watch on; zero while the kind has to be listed.
     ObjectVersion version;
+    // Whether the last round was a watcher's.
+    bool watched = false;
     std::uint32_t failures = 0;
 
     asio::awaitable<void> run();
@@ -99,6 +104,17 @@
 {
     const auto keep = shared_from_this();
     while (!options.stopping) {
+        if (version != ObjectVersion() && !options.watches()) {
+            watched = false;
+            co_await sleep(RoleInterval);
+            continue;
+        }
+        // What changed while others watched is read as a whole: its history
+        // would bring each change in full.
+        if (!watched && version != ObjectVersion() && options.watches()) {
+            version = ObjectVersion();
+        }
+        watched = options.watches();
         const auto documents = co_await next();
         if (!documents) {
             failed(documents.error());
--- a/src/daemon/configfollower.h
+++ b/src/daemon/configfollower.h
@@ -23,7 +23,8 @@
 Result<std::shared_ptr<const ConfigRevision>> revisionOf(const std::string &content, const ConfigDecoder &decode);
 
 // Follows the one document that holds the whole configuration: reads it once,
-// then watches its kind for as long as the node runs.
+// and watches its kind while this node has that role. The others fetch what the
+// watchers found, as a delta from a member.
 class ConfigFollower
 {
 public:
@@ -40,6 +41,8 @@
         // The store answered; zero if it has no configuration yet.
         std::function<void(Revision)> storeAnswered;
         std::function<void()> storeFailed;
+        // Whether this node watches.
+        std::function<bool()> watches;
         const bool &stopping;
     };
 
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -14,7 +14,7 @@
     explicit Private(FleetControlOptions given)
         : options(std::move(given))
         , membership(membershipOptions())
-        , puller({.patience = options.pullPatience,
+        , puller({.patience = [this] { return options.state->watchesStore ? options.watcherPatience : Milliseconds(0); },
               .pull = [this](const Endpoint &peer) { options.pull(peer); },
               .held = [this] { return options.state->revisions.revision(); }})
     {
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -30,9 +30,9 @@
     // Fetches the peer's revision; it is answered by `revisionReceived`, if it
     // came, and `pullEnded`.
     std::function<void(const Endpoint &peer)> pull;
-    // Time for which a newer revision may be known before it is fetched from a
-    // member.
-    Milliseconds pullPatience{0};
+    // Time that a node which watches the store gives its own watch before it
+    // fetches a newer revision from a member.
+    Milliseconds watcherPatience{0};
     // Time between two probes of members that count as gone.
     Milliseconds reviveInterval{5000};
 };
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -9,6 +9,7 @@
 #include "daemon/ingress.h"
 #include "daemon/memberdirectory.h"
 #include "daemon/metricstext.h"
+#include "daemon/revisionexchange.h"
 #include "daemon/sidecar.h"
 
 #include <algorithm>
@@ -36,10 +37,21 @@
 // Datagrams between nodes carry up to eight member records.
 constexpr std::size_t MaxDatagramBytes = 8192;
 
-// Time that the node's own watch of the store has before a newer revision is
+// Time that a watcher's own watch of the store has before a newer revision is
 // fetched from a member: more than the watch's pause after a change, and with
 // the fetch itself within the two seconds that a change may take.
-constexpr Milliseconds PullPatience{800};
+constexpr Milliseconds WatcherPatience{800};
+
+// Members of each data centre that watch the store. With eight of them in four
+// data centres, a third of all nodes cut from the store leaves some that aren't
+// but once in some thousand times.
+constexpr std::uint32_t Watchers = 2;
+
+// Revisions held: the one in force, and the ones before it as bases of deltas.
+constexpr std::size_t HeldRevisions = 3;
+
+// Deltas kept for the next peers; most nodes ask for the same one.
+constexpr std::size_t CachedDeltas = 2;
 
 // Members that came back, as from a partition while the store is out, are
 // looked for about once a second in a fleet of a dozen.
@@ -125,6 +137,7 @@
         , seed(self.incarnation ^ std::hash<std::string>{}(self.address))
         , client(context, clientOptions())
         , store(options.openStore(client))
+        , exchange(exchangeOptions())
         , datagrams(context, datagramOptions())
         , ingress(ingressOptions())
         , sidecar(sidecarOptions())
@@ -156,12 +169,13 @@
     std::uint64_t seed;
     bool stopping = false;
     bool wasReady = false;
-    std::shared_ptr<NodeState> state = std::make_shared<NodeState>(1);
+    std::shared_ptr<NodeState> state = std::make_shared<NodeState>(HeldRevisions);
     ServiceLevelMetrics metrics;
     // By CallStage.
     std::array<LatencyHistogram, 3> stages;
     HttpClient client;
     std::unique_ptr<DocumentStore> store;
+    RevisionExchange exchange;
     DatagramSocket datagrams;
     Ingress ingress;
     Sidecar sidecar;
@@ -179,6 +193,7 @@
 
     HttpClient::Options clientOptions() const;
     HttpServer::Options callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const;
+    RevisionExchange::Options exchangeOptions();
     DatagramSocket::Options datagramOptions();
     Ingress::Options ingressOptions();
     Sidecar::Options sidecarOptions();
@@ -223,6 +238,21 @@
     return serverOptions;
 }
 
+RevisionExchange::Options PlatformNode::Private::exchangeOptions()
+{
+    return {.state = state,
+        .client = client,
+        .log = log,
+        .timeLimit = PullTimeout,
+        .maxCached = CachedDeltas,
+        .build = [this](ConfigBundle bundle) -> Result<std::shared_ptr<const ConfigRevision>> {
+            if (bundle.files.size() != 1) {
+                return failure(ErrorKind::Corrupt, "revision: not one document; check that all nodes run the same version");
+            }
+            return revisionOf(bundle.files.front().text, options.decodeConfig);
+        }};
+}
+
 DatagramSocket::Options PlatformNode::Private::datagramOptions()
 {
     return {.endpoint = settings.peers,
@@ -302,7 +332,8 @@
         sidecar.setView(view);
     };
     fleetOptions.pull = [this](const Endpoint &peer) { asio::co_spawn(context, pull(peer), asio::detached); };
-    fleetOptions.pullPatience = PullPatience;
+    fleetOptions.watcherPatience = WatcherPatience;
+    fleetOptions.watchers = Watchers;
     fleetOptions.reviveInterval = ReviveInterval;
     return fleetOptions;
 }
@@ -319,6 +350,7 @@
         .found = [this](std::shared_ptr<const ConfigRevision> revision) { fleet.revisionReceived(revision); },
         .storeAnswered = [this](Revision revision) { fleet.storeAnswered(revision); },
         .storeFailed = [this] { fleet.storeFailed(); },
+        .watches = [this] { return state->watchesStore.load(); },
         .stopping = stopping};
 }
 
@@ -440,10 +472,9 @@
     if (request.method() == http::verb::get && target == "/members") {
         co_return makeResponse(http::status::ok, "application/octet-stream", encode(state->members()));
     }
-    if (request.method() == http::verb::get && target == "/config") {
-        const auto current = state->revisions.current();
-        co_return current ? makeResponse(http::status::ok, "application/json", current->bundle.files.front().text)
-                          : makeErrorResponse(http::status::not_found, "not-found", "this node has no revision yet; ask another one");
+    constexpr boost::beast::string_view ConfigPrefix = "/config?base=";
+    if (request.method() == http::verb::get && target.starts_with(ConfigPrefix)) {
+        co_return exchange.serve(std::string(target.substr(ConfigPrefix.size())));
     }
     if (request.method() == http::verb::get && target == "/metrics") {
         co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metricsText(gauges(), metrics.report(Clock::now())) + stageText());
@@ -453,18 +484,11 @@
 
 asio::awaitable<void> PlatformNode::Private::pull(Endpoint peer)
 {
-    HttpRequest request(http::verb::get, "/config", 11);
-    request.set(http::field::host, toString(peer));
-    const auto answer = co_await client.exchange(peer, std::move(request), Clock::now() + PullTimeout);
-    if (answer && answer->result() == http::status::ok) {
-        const auto revision = revisionOf(answer->body(), options.decodeConfig);
-        if (revision) {
-            fleet.revisionReceived(*revision);
-        } else {
-            log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
-        }
+    const auto revision = co_await exchange.pull(peer);
+    if (revision) {
+        fleet.revisionReceived(*revision);
     } else {
-        log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", answer ? answer->body() : answer.error().message}});
+        log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
     }
     fleet.pullEnded(peer);
 }
--- a/src/daemon/revisionexchange.cpp
+++ b/src/daemon/revisionexchange.cpp
@@ -18,7 +18,7 @@
 
 const std::string &RevisionExchange::encoded(const ConfigRevision &revision)
 {
-    if (m_encoded.size() > MaxCached) {
+    if (m_encoded.size() >= m_options.maxCached) {
         m_encoded.clear();
     }
     const auto [entry, added] = m_encoded.try_emplace(revision.digest);
@@ -36,12 +36,13 @@
     }
     const auto base = m_options.state->revisions.find(ContentHash(baseDigest));
     const std::pair key(current->digest, base ? base->digest : ContentHash());
-    if (m_deltas.size() > MaxCached) {
+    if (m_deltas.size() >= m_options.maxCached) {
         m_deltas.clear();
     }
     const auto [entry, added] = m_deltas.try_emplace(key);
     if (added) {
-        entry->second = compressDelta(encoded(*current), base ? encoded(*base) : std::string());
+        const auto text = encoded(*current);
+        entry->second = compressDelta(text, base ? encoded(*base) : std::string());
     }
     auto response = makeResponse(http::status::ok, "application/octet-stream", entry->second);
     response.set(BaseHeader, key.second.value().empty() ? "none" : key.second.value());
@@ -77,7 +78,7 @@
     if (!bundle) {
         co_return tl::unexpected(bundle.error());
     }
-    co_return ConfigRevision::fromBundle(std::move(*bundle));
+    co_return m_options.build(std::move(*bundle));
 }
 
 }
--- a/src/daemon/revisionexchange.h
+++ b/src/daemon/revisionexchange.h
@@ -4,6 +4,7 @@
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -20,6 +21,10 @@
         HttpClient &client;
         Logger log;
         Milliseconds timeLimit{2000};
+        // Texts and deltas that are kept for the next peers.
+        std::size_t maxCached = 8;
+        // Makes a revision of a bundle that came; checks all of it.
+        std::function<Result<std::shared_ptr<const ConfigRevision>>(ConfigBundle)> build = ConfigRevision::fromBundle;
     };
 
     explicit RevisionExchange(Options options);
@@ -33,8 +38,6 @@
 private:
     const std::string &encoded(const ConfigRevision &revision);
 
-    static constexpr std::size_t MaxCached = 8;
-
     Options m_options;
     std::map<ContentHash, std::string> m_encoded;
     std::map<std::pair<ContentHash, ContentHash>, std::string> m_deltas;
