fleet: Look for members that left, and ask who found this node

Ruled out: seeds (the settings name none); reading the list of contacts faster (the store resets every call). Change: probes of gone members include those that left; while the store is out a starting node asks the members that found it for theirs.

--- a/autotests/unit/membershipfaulttest.cpp
+++ b/autotests/unit/membershipfaulttest.cpp
@@ -205,3 +205,23 @@
     const auto better = RoutingView::build(config, records);
     BOOST_TEST(better->targetsOf(ServiceName("tablero")).size() == 1U);
 }
+
+// A node is stopped as planned and starts again while the store is out, so that
+// it finds nobody. The others were told that it leaves, and must look for it
+// all the same: else its target stays out of use until the store is back, and a
+// restart of one node after the other takes one target after the other away.
+BOOST_AUTO_TEST_CASE(ARestartedMemberIsFoundWithoutTheStore)
+{
+    Memberships fleet(12, [](Membership::Options &options) { options.reviveInterval = Milliseconds(1000); });
+    fleet.run(Settle);
+    fleet.members[4]->setState(MemberState::Left, fleet.now);
+    fleet.run(Milliseconds(1000));
+    fleet.stopped.insert(4);
+    fleet.run(Milliseconds(1500));
+    fleet.incarnations[4] += 100;
+    fleet.start(4);
+    fleet.stopped.erase(4);
+    const auto time = fleet.runUntil([&] { return fleet.whole(); }, Minute);
+    BOOST_TEST_MESSAGE("the restarted member is known after ms: " << time.count());
+    BOOST_TEST(time < Milliseconds(5000));
+}
--- a/src/adapters/codec/deltacodec.cpp
+++ b/src/adapters/codec/deltacodec.cpp
@@ -11,8 +11,10 @@
 constexpr unsigned long long MaxExpandedBytes = 64ULL * 1024 * 1024;
 
 // Long-distance matching and a window over the whole base let a change far
-// into a large configuration still refer to the same place in the base.
+// into a large configuration still refer to the same place in the base. Its
+// tables take megabytes; the ordinary window covers a base of this size.
 constexpr int WindowLog = 26;
+constexpr std::size_t OrdinaryWindowBytes = 1024 * 1024;
 
 struct FreeContext
 {
@@ -34,7 +36,8 @@
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, CompressionLevel);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
     if (!base.empty()) {
-        ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
+        const bool large = base.size() + text.size() > OrdinaryWindowBytes;
+        ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, large ? 1 : 0);
         ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
     }
     std::string delta(ZSTD_compressBound(text.size()), '\0');
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -72,10 +72,11 @@
     return connections;
 }
 
-std::unique_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointConnections &connections)
+std::unique_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointConnections &connections, Milliseconds maxIdle)
 {
     const auto now = Clock::now();
-    while (!connections.idle.empty()) {
+    // The one used last is at the back; older ones wait for other requests.
+    while (!connections.idle.empty() && now - connections.idle.back()->lastUsed <= maxIdle) {
         auto connection = std::move(connections.idle.back());
         connections.idle.pop_back();
         // A connection that the server has closed, or on which something came
@@ -125,7 +126,8 @@
         return;
     }
     const auto kept = std::chrono::duration<double, std::milli>(keptByServer) * KeptShare;
-    connection->usableUntil = Clock::now() + std::min(m_options.maxIdleAge, std::chrono::duration_cast<Milliseconds>(kept));
+    connection->lastUsed = Clock::now();
+    connection->usableUntil = connection->lastUsed + std::min(m_options.maxIdleAge, std::chrono::duration_cast<Milliseconds>(kept));
     connection->channel.deadline.release();
     idle.push_back(std::move(connection));
 }
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -30,6 +30,7 @@
 
     TcpChannel channel;
     std::shared_ptr<EndpointConnections> owner;
+    TimePoint lastUsed;
     // Until when it may be used again.
     TimePoint usableUntil;
 };
@@ -57,8 +58,9 @@
     // What is known of the endpoint; its address is parsed once.
     std::shared_ptr<EndpointConnections> connectionsTo(const Endpoint &endpoint);
 
-    // An idle connection that is fit for use, or null.
-    std::unique_ptr<ClientConnection> takeIdle(EndpointConnections &connections);
+    // An idle connection that is fit for use and was used within that time, or
+    // null.
+    std::unique_ptr<ClientConnection> takeIdle(EndpointConnections &connections, Milliseconds maxIdle = std::chrono::hours(24));
 
     // A new connection; Unavailable if none comes about by the deadline.
     asio::awaitable<Result<std::unique_ptr<ClientConnection>>> connect(std::shared_ptr<EndpointConnections> connections, TimePoint deadline);
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -48,7 +48,7 @@
     if (givenUp()) {
         co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": given up before it was sent");
     }
-    auto connection = pool.takeIdle(*connections);
+    auto connection = pool.takeIdle(*connections, companions.maxIdle);
     if (!connection) {
         auto connected = co_await pool.connect(connections, deadline);
         if (!connected) {
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -58,6 +58,9 @@
         // asked for it (100 Continue), if `askFirst` is set.
         BodySource *requestBody = nullptr;
         bool askFirst = false;
+        // Longest time that the connection may have been idle before; a new one
+        // is made rather than use an older one.
+        Milliseconds maxIdle = std::chrono::hours(24);
         // Whether an answer with that header belongs to the request; one that
         // doesn't is read and dropped. Null: each does.
         std::function<bool(const http::fields &)> belongs;
--- a/src/core/calls/servicelevelmetrics.cpp
+++ b/src/core/calls/servicelevelmetrics.cpp
@@ -22,7 +22,8 @@
 
 struct RouteMetrics
 {
-    RouteDefinition route;
+    double sloAvailability = 0;
+    Milliseconds sloLatency{0};
     std::array<std::uint64_t, CallEndKinds> ends{};
     Latency latency{accumulators::extended_p_square_probabilities = Probabilities};
     SlidingCounts counts;
@@ -63,7 +64,8 @@
 {
     const std::lock_guard lock(d->mutex);
     auto &metrics = d->routes[route.name];
-    metrics.route = route;
+    metrics.sloAvailability = route.sloAvailability;
+    metrics.sloLatency = route.sloLatency;
     ++metrics.ends[static_cast<std::size_t>(end)];
     metrics.latency(static_cast<double>(latency.count()) / 1000);
     const bool slow = end == CallEnd::Answered && route.sloLatency.count() > 0 && latency > route.sloLatency;
@@ -77,8 +79,8 @@
     for (const auto &[name, metrics] : d->routes) {
         RouteReport report;
         report.route = name;
-        report.sloAvailability = metrics.route.sloAvailability;
-        report.sloLatency = metrics.route.sloLatency;
+        report.sloAvailability = metrics.sloAvailability;
+        report.sloLatency = metrics.sloLatency;
         report.ends = metrics.ends;
         report.latencyP50 = accumulators::quantile(metrics.latency, accumulators::quantile_probability = 0.5);
         report.latencyP99 = accumulators::quantile(metrics.latency, accumulators::quantile_probability = 0.99);
--- a/src/core/calls/slidingcounts.cpp
+++ b/src/core/calls/slidingcounts.cpp
@@ -24,11 +24,13 @@
 void SlidingCounts::add(TimePoint now, const CallCounts &counts)
 {
     const auto step = stepOf(now);
-    auto &bucket = m_buckets[static_cast<std::size_t>(step) % Steps];
-    if (bucket.step != step) {
-        bucket = {step, {}};
+    while (!m_buckets.empty() && m_buckets.front().step <= step - static_cast<std::int64_t>(Steps)) {
+        m_buckets.pop_front();
     }
-    bucket.counts += counts;
+    if (m_buckets.empty() || m_buckets.back().step < step) {
+        m_buckets.push_back({step, {}});
+    }
+    m_buckets.back().counts += counts;
 }
 
 CallCounts SlidingCounts::sum(TimePoint now, Milliseconds window) const
--- a/src/core/calls/slidingcounts.h
+++ b/src/core/calls/slidingcounts.h
@@ -2,8 +2,8 @@
 
 #include "common/identifiers.h"
 
-#include <array>
 #include <cstdint>
+#include <deque>
 
 namespace Galenahill {
 
@@ -21,8 +21,9 @@
     friend bool operator==(const CallCounts &, const CallCounts &) = default;
 };
 
-// Call counts of the last six hours in steps of half a minute, in constant
-// memory.
+// Call counts of the last six hours in steps of half a minute. Holds only the
+// steps that had calls: a node sees hundreds of routes, most of them for a few
+// calls, and the whole ring would be 23 KB for each.
 class SlidingCounts
 {
 public:
@@ -44,7 +45,8 @@
         CallCounts counts;
     };
 
-    std::array<Bucket, Steps> m_buckets;
+    // In the order of time.
+    std::deque<Bucket> m_buckets;
 };
 
 }
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -303,15 +303,16 @@
 
 // After a long partition both sides have given each other up, and nobody
 // probes across any more; with the store down they would stay apart for ever.
-// The answer to such a probe shows each side what it has to refute.
+// The answer to such a probe shows each side what it has to refute. A member
+// that left may come back in the same way: restarted as planned while the
+// store is out, it knows nobody.
 void Membership::Private::probeGoneMember(TimePoint now)
 {
     if (now - lastRevive < options.reviveInterval) {
         return;
     }
     lastRevive = now;
-    const auto givenUp = [](const Member &member) { return member.record.state == MemberState::Gone; };
-    for (const auto &peer : randomPeers(1, givenUp)) {
+    for (const auto &peer : randomPeers(1, [](const Member &member) { return isOut(member.record); })) {
         sendTo(peer.control(), {.kind = GossipKind::Ping});
     }
 }
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -171,6 +171,17 @@
     return d->open;
 }
 
+std::vector<Endpoint> FleetControl::otherAddresses() const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &member : d->membership.live()) {
+        if (member.name != d->membership.self().name) {
+            addresses.push_back(member.control());
+        }
+    }
+    return addresses;
+}
+
 std::size_t FleetControl::others() const
 {
     return d->membership.live().size() - 1;
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Galenahill {
 
@@ -70,8 +71,9 @@
     // can learn of.
     bool open() const;
 
-    // Other live members.
+    // Other live members: how many, and their control addresses.
     std::size_t others() const;
+    std::vector<Endpoint> otherAddresses() const;
 
 private:
     class Private;
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -130,7 +130,7 @@
 {
     const auto keep = shared_from_this();
     bool rechecked = false;
-    while (!options.stopping && !(registered && listed && rechecked && options.others() > 0)) {
+    while (!options.stopping && !(registered && listed && rechecked && !options.others().empty())) {
         if (!registered) {
             co_await registerSelf();
         }
@@ -138,7 +138,7 @@
         const auto found = co_await contacts();
         rechecked = rechecked || (before && listed);
         co_await askSome(found);
-        const bool settled = registered && listed && options.others() > 0;
+        const bool settled = registered && listed && !options.others().empty();
         co_await sleep(settled ? RecheckTime : RetryTime);
     }
 }
@@ -154,7 +154,9 @@
 
 asio::awaitable<std::vector<Endpoint>> MemberDirectory::Private::contacts()
 {
-    std::vector<Endpoint> found = options.seeds;
+    // Those that found this node while the store is out know the rest.
+    std::vector<Endpoint> found = options.others();
+    found.insert(found.end(), options.seeds.begin(), options.seeds.end());
     const auto documents = co_await options.store.list(Kind);
     if (!documents) {
         storeFailed("list", documents.error());
--- a/src/daemon/memberdirectory.h
+++ b/src/daemon/memberdirectory.h
@@ -29,8 +29,8 @@
         Logger log;
         // Members that were learnt.
         std::function<void(const std::vector<MemberRecord> &)> found;
-        // Number of other live members known.
-        std::function<std::size_t()> others;
+        // Addresses of the other live members known.
+        std::function<std::vector<Endpoint>()> others;
         const bool &stopping;
     };
 
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -364,7 +364,7 @@
         .seed = seed,
         .log = log,
         .found = [this](const std::vector<MemberRecord> &members) { fleet.membersReceived(members); },
-        .others = [this] { return fleet.others(); },
+        .others = [this] { return fleet.otherAddresses(); },
         .stopping = stopping};
 }
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -49,6 +49,12 @@
 // mean, and half of all calls take longer than usual.
 constexpr double TimeMargin = 1.3;
 
+// A call that nobody may repeat goes out on a connection that was in use so
+// lately. Targets are known to forget idle connections, the earliest after
+// 300 ms, and reset what comes next: the call didn't run, and can't be proven
+// not to have. A new connection costs a millisecond.
+constexpr Milliseconds MaxIdleOnce{200};
+
 // Time that the target is told to have less than the call has, so that its own
 // "too late" arrives while the ingress still waits and the connection can be
 // used again.
@@ -201,7 +207,9 @@
         admission.restart();
         times.clear();
     }
-    options.log(LogLevel::Info, "target-state", {{"state", toString(newState)}});
+    if (announcedSlots == 0) {
+        options.log(LogLevel::Info, "target-state", {{"state", toString(newState)}});
+    }
     options.stateChanged(newState);
 }
 
@@ -507,6 +515,9 @@
     companions.cancellation = &connection.cancellation();
     companions.requestBody = connection.requestBody();
     companions.answerBody = &rest;
+    if (forwarded.count(CallHeaders::RetriedAbove) == 0 && !dialect.notExecuted.empty()) {
+        companions.maxIdle = MaxIdleOnce;
+    }
     if (!dialect.requestId.empty()) {
         companions.belongs = [&](const http::fields &fields) {
             const auto id = fields[dialect.requestId];
