daemon: Split sidecar, ingress and platform node; write the operators' page

Change: SlotLine (slots and line), IngressCall (a call and how attempts end), the parts of the platform node apart from its life.

--- a/src/core/config/settingsreader.cpp
+++ b/src/core/config/settingsreader.cpp
@@ -121,7 +121,7 @@
             const auto section
                 = std::find_if(sections.begin(), sections.end(), [&, wanted = sectionName](const auto &candidate) { return candidate.name == wanted; });
             if (required && (section == sections.end() || section->find(name) == nullptr)) {
-                faults.push_back(fmt::format("{} [{}] {}: missing; add it, docs/OPERATING.md has an example", fileName, sectionName, name));
+                faults.push_back(fmt::format("{} [{}] {}: missing; add it, docs/OPERATIONS.md has an example", fileName, sectionName, name));
             }
         }
     }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -7,6 +7,7 @@
 #include "core/calls/trafficsplit.h"
 #include "core/config/configlimits.h"
 #include "daemon/callmessages.h"
+#include "daemon/ingresscall.h"
 
 #include <algorithm>
 #include <atomic>
@@ -28,101 +29,6 @@
 // Sidecars at which a call then waits for a slot, one after the other.
 constexpr std::size_t MaxWaits = 2;
 
-// One call on its way through the ingress.
-struct Call
-{
-    std::shared_ptr<const RoutingView> view;
-    const RouteDefinition *route = nullptr;
-    ServiceName service;
-    CallId id;
-    TimePoint begin;
-    TimePoint deadline;
-    // When the caller itself gives up.
-    TimePoint callerDeadline;
-    HttpRequest request;
-    ServerConnection &connection;
-    // Sidecars that were asked for a free slot, and those at which the call may
-    // not wait again.
-    std::vector<NodeName> asked;
-    std::vector<NodeName> waitedAt;
-    NodeName lastTarget;
-    // Times that the call was sent to a target, and how many of them may have
-    // run it.
-    std::uint32_t sent = 0;
-    std::uint32_t uncertain = 0;
-    std::optional<Milliseconds> toldWait;
-    std::string reason;
-    // A node nearer to the first caller repeats the call if it fails.
-    bool retriedAbove = false;
-    // A call that the target beside this node is running waits for this one.
-    bool forRunningCall = false;
-};
-
-// How one attempt ended.
-enum class AttemptEnd {
-    Answered,
-    // The target ran the call and failed.
-    Failed,
-    // The sidecar refused it.
-    NotRun,
-    // It was sent to the target, which says that it didn't run it.
-    NotRunByTarget,
-    // The target answered that it has no room. Unlike a sidecar's refusal,
-    // that doesn't prove that the call didn't run.
-    Shed,
-    OutcomeUnknown,
-};
-
-struct Attempt
-{
-    AttemptEnd end = AttemptEnd::NotRun;
-    HttpResponse response;
-    // What is still to come of a long answer.
-    std::unique_ptr<BodySource> rest;
-};
-
-// A sidecar to ask, and whether the call may wait there.
-struct Choice
-{
-    const MemberRecord *target = nullptr;
-    bool mayWait = false;
-};
-
-CallEnd endOf(const HttpResponse &response)
-{
-    if (saysNotRun(response)) {
-        return CallEnd::NotRun;
-    }
-    if (saysOutcomeUnknown(response)) {
-        return CallEnd::OutcomeUnknown;
-    }
-    return response.result_int() >= 500 ? CallEnd::TargetFailed : CallEnd::Answered;
-}
-
-std::string_view pathOf(const HttpRequest &request)
-{
-    const std::string_view target(request.target().data(), request.target().size());
-    return target.substr(0, target.find('?'));
-}
-
-// The host that the call names, without a port.
-std::string_view hostOf(const HttpRequest &request)
-{
-    const auto field = request[http::field::host];
-    const std::string_view host(field.data(), field.size());
-    return host.substr(0, host.find(':'));
-}
-
-bool isSent(AttemptEnd end)
-{
-    return end != AttemptEnd::NotRun;
-}
-
-bool mayHaveRun(AttemptEnd end)
-{
-    return end == AttemptEnd::OutcomeUnknown || end == AttemptEnd::Shed || end == AttemptEnd::Failed;
-}
-
 }
 
 class Ingress::Private
@@ -147,22 +53,21 @@
     std::uint64_t nextCall = 1;
 
     RetryBudget &budgetOf(const ServiceName &service);
-    void takeTimes(Call &call, const HttpRequest &request);
+    void takeTimes(IngressCall &call, const HttpRequest &request);
     bool isForRunningCall(const CallId &id) const;
-    asio::awaitable<HttpResponse> admit(Call &call);
-    asio::awaitable<HttpResponse> route(Call &call);
-    asio::awaitable<Attempt> attempt(Call &call, Choice choice);
-    asio::awaitable<Result<HttpResponse>> ask(Call &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest);
-    TimePoint attemptDeadline(const Call &call) const;
-    void setSidecarFields(Call &call, TimePoint deadline, bool mayWait) const;
+    asio::awaitable<HttpResponse> admit(IngressCall &call);
+    asio::awaitable<HttpResponse> route(IngressCall &call);
+    asio::awaitable<Attempt> attempt(IngressCall &call, Choice choice);
+    asio::awaitable<Result<HttpResponse>> ask(IngressCall &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest);
+    TimePoint attemptDeadline(const IngressCall &call) const;
+    void setSidecarFields(IngressCall &call, TimePoint deadline, bool mayWait) const;
     void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
-    AttemptEnd endOfAttempt(const Result<HttpResponse> &response) const;
-    Choice choose(Call &call);
-    bool mayRepeat(const Call &call) const;
-    bool mayRetry(Call &call, AttemptEnd end);
-    HttpResponse finalAnswer(Call &call, Attempt last);
-    void report(const Call &call, const HttpResponse &response) const;
-    void reportUnrouted(const Call &call, unsigned status, std::string reason) const;
+    Choice choose(IngressCall &call);
+    bool mayRepeat(const IngressCall &call) const;
+    bool mayRetry(IngressCall &call, AttemptEnd end);
+    HttpResponse finalAnswer(IngressCall &call, Attempt last);
+    void report(const IngressCall &call, const HttpResponse &response) const;
+    void reportUnrouted(const IngressCall &call, unsigned status, std::string reason) const;
 };
 
 Ingress::Ingress(Options options)
@@ -190,7 +95,7 @@
     return retries.try_emplace(service, options.retries).first->second;
 }
 
-void Ingress::Private::takeTimes(Call &call, const HttpRequest &request)
+void Ingress::Private::takeTimes(IngressCall &call, const HttpRequest &request)
 {
     call.begin = Clock::now();
     auto timeout = call.route->timeout;
@@ -216,7 +121,7 @@
 
 asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request, ServerConnection &connection)
 {
-    Call call{.connection = connection};
+    IngressCall call{.connection = connection};
     call.view = d->view;
     call.begin = Clock::now();
     const auto &idField = d->options.dialect.requestId;
@@ -253,7 +158,7 @@
     return d->retriesMade;
 }
 
-void Ingress::Private::report(const Call &call, const HttpResponse &response) const
+void Ingress::Private::report(const IngressCall &call, const HttpResponse &response) const
 {
     if (!options.callReported) {
         return;
@@ -277,7 +182,7 @@
         .reason = call.reason});
 }
 
-void Ingress::Private::reportUnrouted(const Call &call, unsigned status, std::string reason) const
+void Ingress::Private::reportUnrouted(const IngressCall &call, unsigned status, std::string reason) const
 {
     if (options.callReported) {
         options.callReported({.id = call.id,
@@ -289,7 +194,7 @@
     }
 }
 
-asio::awaitable<HttpResponse> Ingress::Private::admit(Call &call)
+asio::awaitable<HttpResponse> Ingress::Private::admit(IngressCall &call)
 {
     if (!routes.tryEnter(call.route->name)) {
         co_return notRunResponse(
@@ -303,14 +208,14 @@
 // Only one node in a tree of calls repeats what may have run: with seven
 // layers that each try three times, one failure would become two thousand
 // calls. What certainly didn't run is retried by the layer that was refused.
-bool Ingress::Private::mayRepeat(const Call &call) const
+bool Ingress::Private::mayRepeat(const IngressCall &call) const
 {
     return call.route->idempotent && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
 }
 
 // Whether the call goes on to another sidecar. A sidecar's refusal costs the
 // targets nothing, so only sends to a target draw on the budget.
-bool Ingress::Private::mayRetry(Call &call, AttemptEnd end)
+bool Ingress::Private::mayRetry(IngressCall &call, AttemptEnd end)
 {
     // Nobody waits for the answer, or a part of the body is gone for good.
     const auto *body = call.connection.requestBody();
@@ -341,7 +246,7 @@
 // left it is offered there without waiting if a slot seems free, since what is
 // known of the slots is some calls old; else it waits there, and where a sidecar
 // refuses that at once the next one is asked.
-Choice Ingress::Private::choose(Call &call)
+Choice Ingress::Private::choose(IngressCall &call)
 {
     const auto &targets = call.view->targetsOf(call.service);
     const auto now = Clock::now();
@@ -365,7 +270,7 @@
     return {target, true};
 }
 
-HttpResponse Ingress::Private::finalAnswer(Call &call, Attempt last)
+HttpResponse Ingress::Private::finalAnswer(IngressCall &call, Attempt last)
 {
     if (last.end == AttemptEnd::Answered || last.end == AttemptEnd::Failed || last.end == AttemptEnd::Shed) {
         stripFields(last.response, options.dialect);
@@ -383,7 +288,7 @@
         returnTime.after(call.toldWait.value_or(Milliseconds(0)), left));
 }
 
-asio::awaitable<HttpResponse> Ingress::Private::route(Call &call)
+asio::awaitable<HttpResponse> Ingress::Private::route(IngressCall &call)
 {
     budgetOf(call.service).callMade();
     Attempt last;
@@ -418,13 +323,13 @@
     co_return finalAnswer(call, std::move(last));
 }
 
-TimePoint Ingress::Private::attemptDeadline(const Call &call) const
+TimePoint Ingress::Private::attemptDeadline(const IngressCall &call) const
 {
     const bool leavesTime = options.policy.retryBudget && mayRepeat(call);
     return leavesTime ? attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline) : call.deadline;
 }
 
-void Ingress::Private::setSidecarFields(Call &call, TimePoint deadline, bool mayWait) const
+void Ingress::Private::setSidecarFields(IngressCall &call, TimePoint deadline, bool mayWait) const
 {
     auto &request = call.request;
     const auto now = Clock::now();
@@ -478,28 +383,9 @@
     }
 }
 
-AttemptEnd Ingress::Private::endOfAttempt(const Result<HttpResponse> &response) const
-{
-    if (!response) {
-        return response.error().kind == ErrorKind::Unavailable ? AttemptEnd::NotRun : AttemptEnd::OutcomeUnknown;
-    }
-    if (saysNotRunByTarget(*response)) {
-        return AttemptEnd::NotRunByTarget;
-    }
-    if (saysNotRun(*response)) {
-        return AttemptEnd::NotRun;
-    }
-    if (saysOutcomeUnknown(*response)) {
-        return AttemptEnd::OutcomeUnknown;
-    }
-    if (!options.dialect.notExecuted.empty()) {
-        return response->result_int() >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
-    }
-    return response->result() == http::status::service_unavailable ? AttemptEnd::Shed : AttemptEnd::Answered;
-}
-
 // Sends the call to the sidecar. An Unavailable error says that it wasn't sent.
-asio::awaitable<Result<HttpResponse>> Ingress::Private::ask(Call &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest)
+asio::awaitable<Result<HttpResponse>> Ingress::Private::ask(
+    IngressCall &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest)
 {
     const auto sidecar = target.sidecar();
     if (options.askOwnSidecar && sidecar == options.ownSidecar) {
@@ -513,7 +399,7 @@
     co_return co_await options.client.exchange(sidecar, call.request, deadline, companions);
 }
 
-asio::awaitable<Attempt> Ingress::Private::attempt(Call &call, Choice choice)
+asio::awaitable<Attempt> Ingress::Private::attempt(IngressCall &call, Choice choice)
 {
     const auto begin = Clock::now();
     const auto deadline = attemptDeadline(call);
@@ -526,7 +412,7 @@
     Attempt result;
     auto response = co_await ask(call, target, deadline, result.rest);
     picker.end(target.name);
-    result.end = endOfAttempt(response);
+    result.end = endOfAttempt(response, options.dialect);
     if (call.connection.cancellation().cancelled()) {
         // The caller ended it; that says nothing about the target.
         co_return result;
--- /dev/null
+++ b/src/daemon/platformnode_p.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+#include "adapters/udp/datagramsocket.h"
+#include "core/calls/latencyhistogram.h"
+#include "daemon/fleetcontrol.h"
+#include "daemon/ingress.h"
+#include "daemon/memberdirectory.h"
+#include "daemon/metricstext.h"
+#include "daemon/platformnode.h"
+#include "daemon/revisionexchange.h"
+#include "daemon/sidecar.h"
+
+#include <array>
+
+namespace Galenahill {
+
+// Revisions held: the one in force, and the ones before it as bases of deltas.
+inline constexpr std::size_t HeldRevisions = 3;
+
+class PlatformNode::Private
+{
+public:
+    Private(asio::io_context &ioContext, Options given);
+
+    asio::io_context &context;
+    Options options;
+    PlatformNodeSettings settings;
+    Logger log;
+    MemberRecord self;
+    std::uint64_t seed;
+    bool stopping = false;
+    bool wasReady = false;
+    std::shared_ptr<NodeState> state = std::make_shared<NodeState>(HeldRevisions);
+    ServiceLevelMetrics metrics;
+    // By CallStage.
+    std::array<LatencyHistogram, 3> stages;
+    HttpClient client;
+    std::unique_ptr<DocumentStore> store;
+    RevisionExchange exchange;
+    DatagramSocket datagrams;
+    Ingress ingress;
+    Sidecar sidecar;
+    TargetService targetService;
+    FleetControl fleet;
+    ConfigFollower follower;
+    MemberDirectory directory;
+    HttpServer ingressServer;
+    HttpServer sidecarServer;
+    HttpServer registrationServer;
+    HttpServer readinessServer;
+    HttpServer peerServer;
+    HttpServer metricsServer;
+    asio::steady_timer ticker;
+
+    HttpClient::Options clientOptions() const;
+    HttpServer::Options callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const;
+    RevisionExchange::Options exchangeOptions();
+    DatagramSocket::Options datagramOptions();
+    Ingress::Options ingressOptions();
+    Sidecar::Options sidecarOptions();
+    TargetService::Options targetOptions();
+    FleetControlOptions fleetOptions();
+    ConfigFollower::Options followerOptions();
+    MemberDirectory::Options directoryOptions();
+    RetryBudget::Options retryBudget(std::size_t members) const;
+
+    asio::awaitable<void> tick();
+    bool ready() const;
+    asio::awaitable<HttpResponse> answerReadiness();
+    asio::awaitable<HttpResponse> answerPeer(HttpRequest request);
+    NodeGauges gauges() const;
+    std::string stageText() const;
+    void stageEnded(CallStage stage, std::chrono::microseconds time);
+    std::string healthPath() const;
+    void report(const CallReport &call);
+    asio::awaitable<void> pull(Endpoint peer);
+    asio::awaitable<void> stopGracefully();
+    asio::awaitable<void> sleep(Milliseconds time);
+    std::size_t inFlight() const;
+};
+
+}
--- /dev/null
+++ b/src/daemon/platformnodeparts.cpp
@@ -0,0 +1,272 @@
+// The parts of a node, and how they are joined.
+
+#include "adapters/codec/binarycodec.h"
+#include "daemon/platformnode_p.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+namespace {
+
+// Bodies of calls and their answers pass through in parts, so that this
+// bounds time rather than memory.
+constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
+
+// A whole configuration document in one answer; the store takes no larger one.
+constexpr std::uint64_t MaxControlBodyBytes = std::uint64_t(8) << 20;
+
+// Time to connect to another node or the target. Round trips take a few
+// milliseconds; one lost packet more than this, and another target is nearer.
+constexpr Milliseconds ConnectTimeout{300};
+
+// A kept connection whose bytes stay unacknowledged is dead: many round trips,
+// and less than any call's objective of half a second and more.
+constexpr Milliseconds UnackedTimeout{500};
+
+// Datagrams between nodes carry up to eight member records.
+constexpr std::size_t MaxDatagramBytes = 8192;
+
+// Time that a watcher's own watch of the store has before a newer revision is
+// fetched from a member: more than the watch's pause after a change, and with
+// the fetch itself within the two seconds that a change may take.
+constexpr Milliseconds WatcherPatience{800};
+
+// Members of each data centre that watch the store. With eight of them in four
+// data centres, a third of all nodes cut from the store leaves some that aren't
+// but once in some thousand times.
+constexpr std::uint32_t Watchers = 2;
+
+// Deltas kept for the next peers; most nodes ask for the same one.
+constexpr std::size_t CachedDeltas = 2;
+
+// Members that came back, as from a partition while the store is out, are
+// looked for about once a second in a fleet of a dozen.
+constexpr Milliseconds ReviveInterval{1000};
+
+constexpr Milliseconds PullTimeout{1500};
+
+// A target counts as gone after four announcements in a row were missed; one
+// that is held up for seconds must not be.
+constexpr int MissedHeartbeats = 4;
+constexpr Milliseconds LateHeartbeat{2000};
+
+// Share of the fleet's budget for repeats that its nodes use: they don't agree
+// on it call by call, so each keeps below its part.
+constexpr double BudgetShare = 0.65;
+constexpr double LeastRepeats = 1.5;
+
+std::uint64_t wallClockIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
+MemberRecord selfRecord(const PlatformNodeSettings &settings)
+{
+    MemberRecord record;
+    record.name = settings.name;
+    record.dataCentre = settings.dataCentre;
+    record.service = settings.service;
+    record.address = settings.peers.address;
+    record.ingressPort = settings.ingress.port;
+    record.sidecarPort = settings.sidecar.port;
+    record.controlPort = settings.peers.port;
+    record.incarnation = wallClockIncarnation();
+    return record;
+}
+
+// What the target itself takes says how many calls it runs, and the objective
+// says how long they may wait.
+CallPolicy callPolicy()
+{
+    CallPolicy policy;
+    policy.adaptive = false;
+    policy.byUrgency = true;
+    return policy;
+}
+
+}
+
+PlatformNode::Private::Private(asio::io_context &ioContext, Options given)
+    : context(ioContext)
+    , options(std::move(given))
+    , settings(options.settings)
+    , log(options.log)
+    , self(selfRecord(settings))
+    , seed(self.incarnation ^ std::hash<std::string>{}(self.address))
+    , client(context, clientOptions())
+    , store(options.openStore(client))
+    , exchange(exchangeOptions())
+    , datagrams(context, datagramOptions())
+    , ingress(ingressOptions())
+    , sidecar(sidecarOptions())
+    , targetService(targetOptions())
+    , fleet(fleetOptions())
+    , follower(followerOptions())
+    , directory(directoryOptions())
+    , ingressServer(
+          context, callServerOptions(settings.ingress, [this](auto request, auto &connection) { return ingress.handle(std::move(request), connection); }))
+    , sidecarServer(
+          context, callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); }))
+    , registrationServer(context,
+          {.endpoint = settings.registration, .handler = [this](HttpRequest request, ServerConnection &) { return targetService.handle(std::move(request)); }})
+    , readinessServer(context, {.endpoint = settings.readiness, .handler = [this](HttpRequest, ServerConnection &) { return answerReadiness(); }})
+    , peerServer(context, {.endpoint = settings.peers, .handler = [this](HttpRequest request, ServerConnection &) { return answerPeer(std::move(request)); }})
+    , metricsServer(
+          context, {.endpoint = settings.metrics, .handler = [this](HttpRequest request, ServerConnection &) { return answerPeer(std::move(request)); }})
+    , ticker(context)
+{
+}
+
+HttpClient::Options PlatformNode::Private::clientOptions() const
+{
+    HttpClient::Options clientOptions;
+    clientOptions.maxBodyBytes = MaxControlBodyBytes;
+    clientOptions.connectTimeout = ConnectTimeout;
+    clientOptions.unackedTimeout = UnackedTimeout;
+    clientOptions.keepAliveProbes = true;
+    return clientOptions;
+}
+
+HttpServer::Options PlatformNode::Private::callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const
+{
+    HttpServer::Options serverOptions;
+    serverOptions.endpoint = endpoint;
+    serverOptions.handler = std::move(handler);
+    serverOptions.maxBodyBytes = MaxCallBodyBytes;
+    serverOptions.streamBodies = true;
+    return serverOptions;
+}
+
+RevisionExchange::Options PlatformNode::Private::exchangeOptions()
+{
+    return {.state = state,
+        .client = client,
+        .log = log,
+        .timeLimit = PullTimeout,
+        .maxCached = CachedDeltas,
+        .build = [this](ConfigBundle bundle) -> Result<std::shared_ptr<const ConfigRevision>> {
+            if (bundle.files.size() != 1) {
+                return failure(ErrorKind::Corrupt, "revision: not one document; check that all nodes run the same version");
+            }
+            return revisionOf(bundle.files.front().text, options.decodeConfig);
+        }};
+}
+
+DatagramSocket::Options PlatformNode::Private::datagramOptions()
+{
+    return {.endpoint = settings.peers,
+        .received = [this](const Endpoint &from, const std::string &bytes) { fleet.datagramReceived(from, bytes); },
+        .maxDatagramBytes = MaxDatagramBytes};
+}
+
+RetryBudget::Options PlatformNode::Private::retryBudget(std::size_t members) const
+{
+    const auto slack = settings.repeatSlack * BudgetShare / static_cast<double>(std::max<std::size_t>(members, 1));
+    return {.perCall = settings.repeatShare * BudgetShare, .most = std::max(LeastRepeats, slack)};
+}
+
+Ingress::Options PlatformNode::Private::ingressOptions()
+{
+    return {.client = client,
+        .node = settings.name,
+        .dataCentre = settings.dataCentre,
+        .seed = seed,
+        .policy = callPolicy(),
+        .dialect = options.dialect,
+        .callerService = settings.service,
+        .retries = retryBudget(1),
+        .ownSidecar = settings.sidecar,
+        .askOwnSidecar = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
+        .ownTargetRuns = [this](std::string_view id) { return sidecar.runs(id); },
+        .callEnded
+        = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); },
+        .callReported = [this](const CallReport &call) { report(call); }};
+}
+
+Sidecar::Options PlatformNode::Private::sidecarOptions()
+{
+    return {.context = context,
+        .client = client,
+        .service = settings.service,
+        .target = settings.target,
+        .healthPath = {},
+        .log = log,
+        .policy = callPolicy(),
+        .dialect = options.dialect,
+        .stateChanged = [](MemberState) {},
+        .targetLost = [this] { targetService.targetLost(); },
+        .stageEnded = [this](CallStage stage, std::chrono::microseconds time) { stageEnded(stage, time); }};
+}
+
+TargetService::Options PlatformNode::Private::targetOptions()
+{
+    return {.context = context,
+        .client = client,
+        .registration = {.address = settings.target,
+            .service = settings.service,
+            .firstStart = settings.firstStart,
+            .silence = MissedHeartbeats * settings.heartbeatInterval + LateHeartbeat},
+        .decode = options.decodeTarget,
+        .healthPath = [this] { return healthPath(); },
+        .targetIdField = options.dialect.targetId,
+        .log = log,
+        .changed =
+            [this](const TargetAnnouncement &target, MemberState newState) {
+                sidecar.announced(target, newState);
+                fleet.targetStateChanged(newState);
+            }};
+}
+
+FleetControlOptions PlatformNode::Private::fleetOptions()
+{
+    FleetControlOptions fleetOptions;
+    fleetOptions.self = self;
+    fleetOptions.seed = seed;
+    fleetOptions.state = state;
+    fleetOptions.log = log;
+    fleetOptions.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
+    fleetOptions.publishView = [this](std::shared_ptr<const RoutingView> view) {
+        ingress.setRetryBudget(retryBudget(state->members().size()));
+        ingress.setView(view);
+        sidecar.setView(view);
+    };
+    fleetOptions.pull = [this](const Endpoint &peer) { asio::co_spawn(context, pull(peer), asio::detached); };
+    fleetOptions.watcherPatience = WatcherPatience;
+    fleetOptions.watchers = Watchers;
+    fleetOptions.reviveInterval = ReviveInterval;
+    return fleetOptions;
+}
+
+ConfigFollower::Options PlatformNode::Private::followerOptions()
+{
+    return {.context = context,
+        .store = *store,
+        .kind = options.configKind,
+        .name = options.configName,
+        .decode = options.decodeConfig,
+        .seed = seed,
+        .log = log,
+        .found = [this](std::shared_ptr<const ConfigRevision> revision) { fleet.revisionReceived(revision); },
+        .storeAnswered = [this](Revision revision) { fleet.storeAnswered(revision); },
+        .storeFailed = [this] { fleet.storeFailed(); },
+        .watches = [this] { return state->watchesStore.load(); },
+        .stopping = stopping};
+}
+
+MemberDirectory::Options PlatformNode::Private::directoryOptions()
+{
+    return {.context = context,
+        .store = *store,
+        .client = client,
+        .self = self,
+        .seeds = settings.seeds,
+        .seed = seed,
+        .log = log,
+        .found = [this](const std::vector<MemberRecord> &members) { fleet.membersReceived(members); },
+        .others = [this] { return fleet.otherAddresses(); },
+        .stopping = stopping};
+}
+
+}
--- a/src/ports/logger.h
+++ b/src/ports/logger.h
@@ -50,7 +50,7 @@
     }
 };
 
-// Takes one log event. `event` is a fixed name that docs/OPERATING.md lists.
+// Takes one log event. `event` is a fixed name that docs/OPERATIONS.md lists.
 using Logger = std::function<void(LogLevel level, std::string_view event, const std::vector<LogField> &fields)>;
 
 }
