--- a/autotests/unit/httpclienttest.cpp
+++ b/autotests/unit/httpclienttest.cpp
@@ -257,3 +257,36 @@
     BOOST_TEST(refused == 7);
     BOOST_TEST(server.ask([](HttpServer &it) { return it.connections(); }) == 3U);
 }
+
+// A target forgets connections that rested for some hundred milliseconds, and
+// resets what comes next. A call that may run once only must not be the one that
+// finds out: it goes out on a new connection, and the next call that may be
+// repeated still uses the rested one.
+BOOST_FIXTURE_TEST_CASE(UsesNoRestedConnectionIfToldSo, Fixture)
+{
+    RunningServer server({.endpoint = Here,
+        .handler = [&](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> { co_return makeResponse(http::status::ok, "text/plain", "good"); }});
+    const auto send = [&](Milliseconds maxIdle) {
+        std::optional<Result<HttpResponse>> result;
+        HttpRequest request(http::verb::get, "/", 11);
+        request.set(http::field::host, "h");
+        HttpClient::Companions companions;
+        companions.maxIdle = maxIdle;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> { result = co_await client->exchange(Here, request, Clock::now() + Patience, companions); },
+            asio::detached);
+        context.restart();
+        context.run();
+        return result && result->has_value();
+    };
+    BOOST_TEST(send(std::chrono::hours(1)));
+    BOOST_TEST(send(std::chrono::hours(1)));
+    BOOST_TEST(client->openConnections(Here) == 1U);
+    std::this_thread::sleep_for(Milliseconds(30));
+    BOOST_TEST(send(Milliseconds(10)));
+    BOOST_TEST(client->openConnections(Here) == 2U);
+    std::this_thread::sleep_for(Milliseconds(30));
+    BOOST_TEST(send(HttpClient::Companions().maxIdle));
+    BOOST_TEST(client->openConnections(Here) == 2U);
+}
--- a/autotests/unit/revisionpullertest.cpp
+++ b/autotests/unit/revisionpullertest.cpp
@@ -68,3 +68,35 @@
     puller.ended(second, now);
     BOOST_TEST(asked.size() == 2U);
 }
+
+// A watcher of the store hears from a member of a revision that its own watch
+// is about to bring. It waits for that one as long as it may, and fetches only
+// then: the watch may hang. One that doesn't watch fetches at once.
+BOOST_FIXTURE_TEST_CASE(AWatcherGivesItsOwnWatchSomeTime, Fixture)
+{
+    bool watches = true;
+    RevisionPuller patient({.patience = [&] { return Milliseconds(watches ? 800 : 0); },
+        .pull = [this](const Endpoint &peer) { asked.push_back(peer); },
+        .held = [this] { return held; }});
+    patient.heard(first, Revision(5), now);
+    patient.tick(now + Milliseconds(700));
+    BOOST_TEST(asked.empty());
+    patient.tick(now + Milliseconds(900));
+    BOOST_TEST(asked.size() == 1U);
+    patient.ended(first, now + Milliseconds(950));
+    held = Revision(5);
+    watches = false;
+    patient.heard(second, Revision(6), now + Milliseconds(2000));
+    BOOST_TEST(asked.size() == 2U);
+}
+
+// The watch brings the revision within its time: nothing is fetched.
+BOOST_FIXTURE_TEST_CASE(NothingIsFetchedThatTheWatchBrought, Fixture)
+{
+    RevisionPuller patient(
+        {.patience = [] { return Milliseconds(800); }, .pull = [this](const Endpoint &peer) { asked.push_back(peer); }, .held = [this] { return held; }});
+    patient.heard(first, Revision(5), now);
+    held = Revision(5);
+    patient.tick(now + Milliseconds(900));
+    BOOST_TEST(asked.empty());
+}
