--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -297,21 +297,22 @@
     while (choice.target != nullptr) {
         call.lastTarget = choice.target->name;
         last = co_await attempt(call, choice);
-        call.sent += isSent(last.end) ? 1 : 0;
-        if (last.end == AttemptEnd::Answered || !mayRetry(call, last.end)) {
+        const auto end = last.end;
+        call.sent += isSent(end) ? 1 : 0;
+        if (end == AttemptEnd::Answered || !mayRetry(call, end)) {
             break;
         }
-        const bool sent = isSent(last.end);
-        if (last.end == AttemptEnd::Failed) {
+        if (end == AttemptEnd::Failed) {
             failed = std::move(last);
+            last = Attempt();
         }
         choice = choose(call);
-        retriesMade += choice.target != nullptr && sent ? 1 : 0;
+        retriesMade += choice.target != nullptr && isSent(end) ? 1 : 0;
     }
     // A target's own answer, though a failure, tells the caller more than that
-    // no other target had room to try again.
-    const bool worse = last.end == AttemptEnd::NotRun || last.end == AttemptEnd::NotRunByTarget;
-    if (failed && (worse || choice.target == nullptr)) {
+    // no other target had room to try again, or gave no answer.
+    const bool answered = last.end == AttemptEnd::Answered || last.end == AttemptEnd::Failed;
+    if (failed && !answered) {
         last = std::move(*failed);
     }
     if (last.rest) {
