cli: Explain a call from the nodes' logs

Cause: on-call engineers have an id and the logs of a dozen nodes; grep gives the lines node by node, without the calls that targets made. Change: galenahillctl explain ID [LOG...], a table or JSON, unreadable lines are counted, an id that no line names ends with 6. Sleeping and reading a settings file stood twice or thrice and stand once.

--- a/completions/galenahillctl.bash
+++ b/completions/galenahillctl.bash
@@ -4,7 +4,7 @@
 _galenahillctl()
 {
     local word=${COMP_WORDS[COMP_CWORD]}
-    local commands="apply burn check diff history outcome remove show status"
+    local commands="apply burn check diff explain history outcome remove show status"
     local command="" each
     for each in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
         case " $commands " in
@@ -18,7 +18,7 @@
         fi
     elif [[ -z $command ]]; then
         mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$word")
-    elif [[ $command == apply || $command == check || $command == diff ]]; then
+    elif [[ $command == apply || $command == check || $command == diff || $command == explain ]]; then
         mapfile -t COMPREPLY < <(compgen -f -- "$word")
     fi
 }
--- /dev/null
+++ b/src/adapters/http/sleep.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "adapters/http/asio.h"
+#include "common/identifiers.h"
+
+namespace Galenahill {
+
+// Lets that time pass without blocking the thread.
+asio::awaitable<void> sleepFor(asio::io_context &context, Milliseconds time);
+
+}
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/burncommand.h"
 #include "cli/diffcommand.h"
+#include "cli/explaincommand.h"
 #include "cli/localfile.h"
 #include "cli/nodeconnection.h"
 
@@ -19,6 +20,9 @@
 
 namespace {
 
+// Log files of one call to explain; a shell line holds no more than a fleet's.
+constexpr std::size_t MaxLogs = 10000;
+
 constexpr Milliseconds WaitInterval{200};
 
 // The revision in force when an apply id was made, which stands before the
@@ -265,6 +269,7 @@
         {"burn", {"burn", "Shows how fast each route uses up its error budget", 0, 0, {"plot"}, burn}},
         {"check", {"check FILE", "Says whether a file would be accepted now, and changes nothing", 1, 1, {"name"}, check}},
         {"diff", {"diff [FILE]", "Compares a file with the one in force, or two revisions", 0, 1, {"name", "revision"}, diff}},
+        {"explain", {"explain ID [LOG...]", "Tells from nodes' logs what became of a call", 1, MaxLogs, {}, explain}},
         {"history", {"history", "Lists the last accepted changes", 0, 0, {}, history}},
         {"outcome", {"outcome ID", "Says whether the apply of that id was accepted", 1, 1, {}, outcome}},
         {"remove",
--- a/src/cli/manualpage.cpp
+++ b/src/cli/manualpage.cpp
@@ -33,6 +33,10 @@
             "that differ between the revisions A and B, or between A and what is in force.\n"
             "Lines begin with '-' if they are only in the former, with '+' if only in the\n"
             "latter. The last 64 changes can be compared.\n"},
+        {"explain",
+            "Reads log files of nodes, or standard input if none is given, and prints the\n"
+            "lines about the call of that id and the calls that targets made for it, in the\n"
+            "order of time. Asks no node. Lines that can't be read are counted.\n"},
         {"history", "The last 64 changes, oldest first.\n"},
         {"outcome",
             "Looks among the last 64 changes. \"Not among them\" (6) doesn't prove that the\n"
--- a/src/core/config/settingsreader.cpp
+++ b/src/core/config/settingsreader.cpp
@@ -7,6 +7,8 @@
 #include <boost/algorithm/string.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <fstream>
+#include <sstream>
 
 namespace Galenahill::SettingsReader {
 
@@ -94,6 +96,17 @@
     return !value.empty() && value.size() <= MaxTextLength && std::all_of(value.begin(), value.end(), allowed);
 }
 
+Result<std::string> readText(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return failure(ErrorKind::Invalid, path + ": can't be read; give the settings file with --settings=FILE");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 bool isLogLevel(const std::string &value)
 {
     static const std::vector<std::string> levels = {"debug", "info", "warning", "error"};
--- a/src/core/config/settingsreader.h
+++ b/src/core/config/settingsreader.h
@@ -157,6 +157,9 @@
     };
 }
 
+// The text of a settings file. Invalid if it can't be read.
+Result<std::string> readText(const std::string &path);
+
 template <typename Settings>
 Result<Settings> parse(const std::string &fileName, const std::string &text, const Keys<Settings> &keys)
 {
@@ -190,4 +193,15 @@
     return settings;
 }
 
+// Reads the settings in a file.
+template <typename Settings>
+Result<Settings> readFile(const std::string &path)
+{
+    const auto text = readText(path);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return Settings::parse(path.substr(path.rfind('/') + 1), *text);
+}
+
 }
--- a/src/daemon/configfollower.cpp
+++ b/src/daemon/configfollower.cpp
@@ -1,5 +1,6 @@
 #include "daemon/configfollower.h"
 
+#include "adapters/http/sleep.h"
 #include "core/config/contenthash.h"
 
 #include <algorithm>
@@ -70,7 +71,6 @@
     bool take(const DocumentSet &documents);
     void failed(const Error &error);
     Milliseconds pauseAfterFailure();
-    asio::awaitable<void> sleep(Milliseconds time);
 };
 
 ConfigFollower::ConfigFollower(Options options)
@@ -85,13 +85,6 @@
     asio::co_spawn(d->options.context, d->run(), asio::detached);
 }
 
-asio::awaitable<void> ConfigFollower::Private::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(options.context, time);
-    ErrorCode ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<Result<DocumentSet>> ConfigFollower::Private::next()
 {
     if (version == ObjectVersion()) {
@@ -106,7 +99,7 @@
     while (!options.stopping) {
         if (version != ObjectVersion() && !options.watches()) {
             watched = false;
-            co_await sleep(RoleInterval);
+            co_await sleepFor(options.context, RoleInterval);
             continue;
         }
         // What changed while others watched is read as a whole: its history
@@ -118,7 +111,7 @@
         const auto documents = co_await next();
         if (!documents) {
             failed(documents.error());
-            co_await sleep(pauseAfterFailure());
+            co_await sleepFor(options.context, pauseAfterFailure());
             continue;
         }
         if (failures > 0) {
@@ -127,7 +120,7 @@
         failures = 0;
         version = documents->version;
         if (take(*documents)) {
-            co_await sleep(GatherTime);
+            co_await sleepFor(options.context, GatherTime);
         }
     }
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,12 +1,11 @@
 #include "adapters/log/jsonlogger.h"
+#include "core/config/settingsreader.h"
 #include "daemon/node.h"
 
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
-#include <fstream>
 #include <popt.h>
-#include <sstream>
 
 namespace {
 
@@ -16,17 +15,6 @@
 
 using namespace Galenahill;
 
-Result<NodeSettings> readSettings(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failure(ErrorKind::Invalid, path + ": can't be read; give the settings file with --settings=FILE");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return NodeSettings::parse(path.substr(path.rfind('/') + 1), text.str());
-}
-
 // The benchmarks alone set the variable. It isn't a key of the settings, so
 // that no copied file can switch a decision off.
 CallPolicy callPolicy()
@@ -82,7 +70,7 @@
         fmt::print(stderr, "galenahilld: --settings=FILE is missing; see galenahilld --help\n");
         return ExitUsage;
     }
-    const auto settings = readSettings(settingsPath);
+    const auto settings = SettingsReader::readFile<NodeSettings>(settingsPath);
     poptFreeContext(context);
     if (!settings) {
         fmt::print(stderr, "{}\n", settings.error().message);
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -1,6 +1,7 @@
 #include "daemon/memberdirectory.h"
 
 #include "adapters/codec/binarycodec.h"
+#include "adapters/http/sleep.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -83,7 +84,6 @@
     asio::awaitable<std::vector<Endpoint>> contacts();
     asio::awaitable<void> ask(Endpoint contact);
     asio::awaitable<void> askSome(std::vector<Endpoint> contacts);
-    asio::awaitable<void> sleep(Milliseconds time);
     void storeFailed(const char *call, const Error &error);
 };
 
@@ -119,13 +119,6 @@
     options.log(LogLevel::Warning, "contacts-unavailable", {{"call", call}, {"reason", error.message}});
 }
 
-asio::awaitable<void> MemberDirectory::Private::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(options.context, time);
-    ErrorCode ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void> MemberDirectory::Private::run()
 {
     const auto keep = shared_from_this();
@@ -139,7 +132,7 @@
         rechecked = rechecked || (before && listed);
         co_await askSome(found);
         const bool settled = registered && listed && !options.others().empty();
-        co_await sleep(settled ? RecheckTime : RetryTime);
+        co_await sleepFor(options.context, settled ? RecheckTime : RetryTime);
     }
 }
 
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -1,6 +1,7 @@
 #include "daemon/platformnode.h"
 
 #include "adapters/codec/binarycodec.h"
+#include "adapters/http/sleep.h"
 #include "daemon/platformnode_p.h"
 
 #include <algorithm>
@@ -69,13 +70,6 @@
     return {};
 }
 
-asio::awaitable<void> PlatformNode::Private::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(context, time);
-    ErrorCode ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void> PlatformNode::Private::tick()
 {
     for (;;) {
@@ -213,19 +207,19 @@
     log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}});
     ingressServer.closeAfterAnswers();
     asio::co_spawn(context, directory.withdraw(), asio::detached);
-    co_await sleep(ServeTargetTime);
+    co_await sleepFor(context, ServeTargetTime);
     fleet.leave();
-    co_await sleep(LeaveTime - ServeTargetTime);
+    co_await sleepFor(context, LeaveTime - ServeTargetTime);
     sidecar.drain();
     sidecarServer.closeAfterAnswers();
-    co_await sleep(LeastStopTime - LeaveTime);
+    co_await sleepFor(context, LeastStopTime - LeaveTime);
     // Callers that haven't noticed would keep the node from ever being idle,
     // and the last of them would be cut off at the end of the time.
     ingressServer.drain();
     ingressServer.closeIdle();
     const auto until = begin + settings.stopTimeout - StopMargin;
     while (inFlight() > 0 && Clock::now() < until) {
-        co_await sleep(StopCheckInterval);
+        co_await sleepFor(context, StopCheckInterval);
     }
     log(inFlight() > 0 ? LogLevel::Error : LogLevel::Info, "stopped", {{"in_flight", inFlight()}});
     context.stop();
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -77,7 +77,6 @@
     void report(const CallReport &call);
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
-    asio::awaitable<void> sleep(Milliseconds time);
     std::size_t inFlight() const;
 };
 
