calls: Spread calls over targets that wait equally long

Ruled out: a random one of them alone, since the load told says more. Change: among waits within 2 ms the less loaded of two random ones.

--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -113,4 +113,37 @@
     BOOST_TEST(picker.pick({targets[0]}, {targets[0].name}, now) == nullptr);
 }
 
+// A data centre of a larger fleet has several targets of a service, all idle. If
+// the choice of where to wait always fell on the first of equals, every node
+// would send its calls to that one until it is full, and be refused there.
+BOOST_AUTO_TEST_CASE(EqualWaitsAreSpreadOverTheTargets)
+{
+    for (auto &target : targets) {
+        target.dataCentre = DataCentre("rosario-a");
+    }
+    std::map<std::string, int> picked;
+    constexpr int Calls = 400;
+    for (int i = 0; i < Calls; ++i) {
+        ++picked[picker.pickToWait(targets, {}, now)->name.value()];
+    }
+    BOOST_TEST(picked.size() == targets.size());
+    for (const auto &[name, count] : picked) {
+        BOOST_TEST(count > Calls / 8, name << " " << count);
+    }
+}
+
+// A shorter wait goes before an equal share, and another data centre counts as
+// a longer wait.
+BOOST_AUTO_TEST_CASE(TheShortestWaitIsChosen)
+{
+    for (const auto &target : targets) {
+        picker.reported(target.name, {.calls = 7, .limit = 6}, now);
+        picker.reportedWait(target.name, Milliseconds(80), now);
+    }
+    picker.reportedWait(targets[2].name, Milliseconds(30), now);
+    BOOST_TEST(picker.pickToWait(targets, {}, now)->name == targets[2].name);
+    picker.reportedWait(targets[0].name, Milliseconds(40), now);
+    BOOST_TEST(picker.pickToWait(targets, {}, now)->name == targets[0].name);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -100,8 +100,17 @@
         const auto untilFree = std::max<Clock::duration>(state.freeAt - now, Clock::duration(0)) + state.begunSince * state.interval;
         return untilFree + (target->dataCentre == m_options.dataCentre ? Milliseconds(0) : m_options.crossing);
     };
-    const auto least = std::min_element(candidates.begin(), candidates.end(), [&](const auto *a, const auto *b) { return wait(a) < wait(b); });
-    return least == candidates.end() ? nullptr : *least;
+    auto shortest = Clock::duration::max();
+    for (const auto *target : candidates) {
+        shortest = std::min<Clock::duration>(shortest, wait(target));
+    }
+    std::vector<const MemberRecord *> least;
+    for (const auto *target : candidates) {
+        if (wait(target) <= shortest + m_options.sameWait) {
+            least.push_back(target);
+        }
+    }
+    return least.empty() ? nullptr : lessLoaded(least, now);
 }
 
 bool TargetPicker::seemsFree(const NodeName &target, TimePoint now)
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -29,6 +29,9 @@
         // Longer wait that is taken rather than crossing to another data
         // centre, whose bytes are paid for; several times the way there.
         Milliseconds crossing{15};
+        // Waits that differ by less count as the same, and the load decides:
+        // what is told of a wait is that much out of date.
+        Milliseconds sameWait{2};
         // Failures in a row before a target is ejected, and for how long the
         // first time and at the most.
         std::uint32_t failuresToEject = 3;
