--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/membership.h"
 
+#include "core/fleet/probes.h"
 #include "core/fleet/rumourqueue.h"
 
 #include <algorithm>
@@ -36,23 +37,6 @@
         Revision revision;
     };
 
-    struct Probe
-    {
-        std::uint32_t sequence = 0;
-        NodeName name;
-        TimePoint sent;
-        bool indirect = false;
-    };
-
-    // A ping sent on behalf of another member.
-    struct RelayedProbe
-    {
-        std::uint32_t ownSequence = 0;
-        std::uint32_t requestSequence = 0;
-        Endpoint requester;
-        TimePoint sent;
-    };
-
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
--- /dev/null
+++ b/src/core/fleet/probes.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "common/identifiers.h"
+
+#include <cstdint>
+
+namespace Galenahill {
+
+// A ping that was sent to see whether a member is there.
+struct Probe
+{
+    std::uint32_t sequence = 0;
+    NodeName name;
+    TimePoint sent;
+    bool indirect = false;
+};
+
+// A ping sent on behalf of another member.
+struct RelayedProbe
+{
+    std::uint32_t ownSequence = 0;
+    std::uint32_t requestSequence = 0;
+    Endpoint requester;
+    TimePoint sent;
+};
+
+}
