calls: Give a running attempt up only where another target has room

A repeatable call's attempt was ended after half of its time, whatever came next. While other targets were full, or the budget for repeats was used up, its caller then got a 502 of the ingress's own in place of the answer that was under way; at a stopping node that breaks the promise of a graceful stop.

Ruled out: the link between the two nodes (both logged the end as given up by the caller's side), the end of the stop's time (1.2 s after SIGTERM, 6 s are given), and the target (its run was cut by the close).

Change: the target is told the call's own deadline; after the attempt's time the ingress looks each 50 ms whether the call may be repeated, the budget has a repeat left and another target told that it has room, and only then ends the attempt. A stopping node ends none. A repeat no longer goes back to the target that failed it, and offers made before the failure don't use up the repeat's.

--- a/src/core/calls/retrybudget.cpp
+++ b/src/core/calls/retrybudget.cpp
@@ -21,9 +21,14 @@
     m_left = std::min(m_options.most, m_left + m_options.perCall);
 }
 
+bool RetryBudget::hasOne() const
+{
+    return m_left >= 1;
+}
+
 bool RetryBudget::tryTake()
 {
-    if (m_left < 1) {
+    if (!hasOne()) {
         return false;
     }
     m_left -= 1;
--- a/src/core/calls/retrybudget.h
+++ b/src/core/calls/retrybudget.h
@@ -25,6 +25,9 @@
     // A first attempt was made.
     void callMade();
 
+    // Whether a retry is left.
+    bool hasOne() const;
+
     // Takes one retry; false if none is left.
     bool tryTake();
 
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -113,6 +113,18 @@
     return least.empty() ? nullptr : lessLoaded(least, now);
 }
 
+// Unlike a call that has nowhere else to go, one that waits for its answer has
+// something to lose, so that a target which told that it is full and nothing
+// since isn't given the benefit of the doubt.
+bool TargetPicker::roomElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+{
+    const auto candidates = usable(targets, tried, now);
+    return std::any_of(candidates.begin(), candidates.end(), [this](const MemberRecord *target) {
+        const auto &state = m_states[target->name];
+        return state.reportedAt == TimePoint() || state.load.calls + state.begunSince < state.load.limit;
+    });
+}
+
 bool TargetPicker::seemsFree(const NodeName &target, TimePoint now)
 {
     return hasRoom(m_states[target], now);
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -51,6 +51,10 @@
     // is left.
     const MemberRecord *pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
+    // Whether another target than those tried is taken to have a free slot by
+    // the last that it told, however old.
+    bool roomElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+
     // Whether the target isn't known to have all its slots taken.
     bool seemsFree(const NodeName &target, TimePoint now);
 
--- /dev/null
+++ b/src/daemon/attemptconnection.cpp
@@ -0,0 +1,47 @@
+#include "daemon/attemptconnection.h"
+
+namespace Galenahill {
+
+AttemptConnection::AttemptConnection(ServerConnection &caller)
+    : m_caller(caller)
+{
+    m_caller.cancellation().setHook([this] { m_cancellation.cancel(); });
+}
+
+AttemptConnection::~AttemptConnection()
+{
+    m_caller.cancellation().setHook(nullptr);
+}
+
+bool AttemptConnection::peerClosed()
+{
+    return m_caller.peerClosed();
+}
+
+std::string AttemptConnection::peerAddress() const
+{
+    return m_caller.peerAddress();
+}
+
+Cancellation &AttemptConnection::cancellation()
+{
+    return m_cancellation;
+}
+
+BodySource *AttemptConnection::requestBody()
+{
+    return m_caller.requestBody();
+}
+
+asio::awaitable<void> AttemptConnection::sendStreamed(HttpResponse response, BodySource &rest)
+{
+    m_answering = true;
+    co_await m_caller.sendStreamed(std::move(response), rest);
+}
+
+bool AttemptConnection::answering() const
+{
+    return m_answering;
+}
+
+}
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -29,6 +29,13 @@
 // Sidecars at which a call then waits for a slot, one after the other.
 constexpr std::size_t MaxWaits = 2;
 
+// Sidecars that are offered a repeat: as many as are offered a first attempt.
+constexpr std::uint32_t MaxRepeatOffers = 2;
+
+// How often a call that has waited long for its target looks for another one
+// with room. Slots come free every few milliseconds to some tens of them.
+constexpr Milliseconds RepeatCheckInterval{50};
+
 }
 
 class Ingress::Private
@@ -51,6 +58,7 @@
     std::atomic<std::uint64_t> retriesMade = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
+    bool stopping = false;
 
     RetryBudget &budgetOf(const ServiceName &service);
     void takeTimes(IngressCall &call, const HttpRequest &request);
@@ -58,11 +66,15 @@
     asio::awaitable<HttpResponse> admit(IngressCall &call);
     asio::awaitable<HttpResponse> route(IngressCall &call);
     asio::awaitable<Attempt> attempt(IngressCall &call, Choice choice);
-    asio::awaitable<Result<HttpResponse>> ask(IngressCall &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest);
-    TimePoint attemptDeadline(const IngressCall &call) const;
-    void setSidecarFields(IngressCall &call, TimePoint deadline, bool mayWait) const;
+    asio::awaitable<Result<HttpResponse>> ask(IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest);
+    asio::awaitable<Result<HttpResponse>> askPatiently(
+        IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest);
+    void cutOnceRepeatable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
+    bool canRepeatElsewhere(const IngressCall &call);
+    void setSidecarFields(IngressCall &call, bool mayWait) const;
     void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
     Choice choose(IngressCall &call);
+    Choice chooseToRepeat(IngressCall &call);
     bool mayRepeat(const IngressCall &call) const;
     bool mayRetry(IngressCall &call, AttemptEnd end);
     HttpResponse finalAnswer(IngressCall &call, Attempt last);
@@ -153,6 +165,11 @@
     co_return response;
 }
 
+void Ingress::stop()
+{
+    d->stopping = true;
+}
+
 std::uint64_t Ingress::retries() const
 {
     return d->retriesMade;
@@ -238,6 +255,7 @@
             return false;
         }
         ++call.uncertain;
+        call.notToRepeatAt.push_back(call.lastTarget);
     }
     return !options.policy.retryBudget || budgetOf(call.service).tryTake();
 }
@@ -248,19 +266,19 @@
 // refuses that at once the next one is asked.
 Choice Ingress::Private::choose(IngressCall &call)
 {
+    if (call.uncertain > 0) {
+        return chooseToRepeat(call);
+    }
     const auto &targets = call.view->targetsOf(call.service);
     const auto now = Clock::now();
-    // A repeat goes only where there is room: under overload it would take the
-    // slot of a call that hasn't been tried yet.
-    const bool repeats = call.uncertain > 0;
     if (targets.size() > 1 && call.asked.size() < MaxAsked) {
-        const auto *target = repeats ? picker.pick(targets, call.asked, now, true) : picker.pickToWait(targets, call.asked, now);
-        if (target != nullptr && (repeats || picker.seemsFree(target->name, now))) {
+        const auto *target = picker.pickToWait(targets, call.asked, now);
+        if (target != nullptr && picker.seemsFree(target->name, now)) {
             call.asked.push_back(target->name);
             return {target, false};
         }
     }
-    if (repeats || call.waitedAt.size() >= MaxWaits) {
+    if (call.waitedAt.size() >= MaxWaits) {
         return {};
     }
     const auto *target = picker.pickToWait(targets, call.waitedAt, now);
@@ -270,6 +288,22 @@
     return {target, true};
 }
 
+// A repeat goes only where there is room: under overload it would take the
+// slot of a call that hasn't been tried yet. It doesn't go back to the target
+// that failed it.
+Choice Ingress::Private::chooseToRepeat(IngressCall &call)
+{
+    if (call.repeatsOffered >= MaxRepeatOffers) {
+        return {};
+    }
+    const auto *target = picker.pick(call.view->targetsOf(call.service), call.notToRepeatAt, Clock::now(), true);
+    if (target != nullptr) {
+        ++call.repeatsOffered;
+        call.notToRepeatAt.push_back(target->name);
+    }
+    return {target, false};
+}
+
 HttpResponse Ingress::Private::finalAnswer(IngressCall &call, Attempt last)
 {
     if (last.end == AttemptEnd::Answered || last.end == AttemptEnd::Failed || last.end == AttemptEnd::Shed) {
@@ -324,13 +358,7 @@
     co_return finalAnswer(call, std::move(last));
 }
 
-TimePoint Ingress::Private::attemptDeadline(const IngressCall &call) const
-{
-    const bool leavesTime = options.policy.retryBudget && mayRepeat(call);
-    return leavesTime ? attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline) : call.deadline;
-}
-
-void Ingress::Private::setSidecarFields(IngressCall &call, TimePoint deadline, bool mayWait) const
+void Ingress::Private::setSidecarFields(IngressCall &call, bool mayWait) const
 {
     auto &request = call.request;
     const auto now = Clock::now();
@@ -344,7 +372,7 @@
     }
     request.set(CallHeaders::Service, call.service.value());
     request.set(CallHeaders::Route, call.route->name.value());
-    request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(deadline - now).count()));
+    request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(call.deadline - now).count()));
     if (terms == CallTerms()) {
         request.erase(CallHeaders::Terms);
     } else {
@@ -386,32 +414,83 @@
 
 // Sends the call to the sidecar. An Unavailable error says that it wasn't sent.
 asio::awaitable<Result<HttpResponse>> Ingress::Private::ask(
-    IngressCall &call, const MemberRecord &target, TimePoint deadline, std::unique_ptr<BodySource> &rest)
+    IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest)
 {
     const auto sidecar = target.sidecar();
     if (options.askOwnSidecar && sidecar == options.ownSidecar) {
-        co_return co_await options.askOwnSidecar(call.request, call.connection);
+        co_return co_await options.askOwnSidecar(call.request, connection);
     }
     HttpClient::Companions companions;
-    companions.cancellation = &call.connection.cancellation();
-    companions.requestBody = call.connection.requestBody();
+    companions.cancellation = &connection.cancellation();
+    companions.requestBody = connection.requestBody();
     companions.askFirst = true;
     companions.answerBody = &rest;
-    co_return co_await options.client.exchange(sidecar, call.request, deadline, companions);
+    co_return co_await options.client.exchange(sidecar, call.request, call.deadline, companions);
+}
+
+// Asks, and gives the attempt up once it has taken long and the call can be
+// repeated elsewhere.
+asio::awaitable<Result<HttpResponse>> Ingress::Private::askPatiently(
+    IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest)
+{
+    const auto patience = attempts.attemptDeadline(call.route->name, Clock::now(), call.deadline);
+    const auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, patience);
+    cutOnceRepeatable(call, connection, timer);
+    co_return co_await ask(call, target, connection, rest);
+}
+
+// A target that is slow may still answer. Given up where no other target has
+// room, or the budget for repeats is used up, its work would be lost and its
+// caller would get an error in place of a late answer.
+void Ingress::Private::cutOnceRepeatable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer)
+{
+    timer->async_wait([this, &call, &connection, weak = std::weak_ptr(timer)](const ErrorCode &error) {
+        // Without its timer the attempt has ended, and call and connection with
+        // it.
+        const auto running = weak.lock();
+        if (error || !running || connection.answering()) {
+            return;
+        }
+        if (canRepeatElsewhere(call)) {
+            connection.cancellation().cancel();
+            return;
+        }
+        running->expires_after(RepeatCheckInterval);
+        cutOnceRepeatable(call, connection, running);
+    });
+}
+
+// A stopping node leaves running attempts alone: it would have no time left to
+// make good for a repeat that fails.
+bool Ingress::Private::canRepeatElsewhere(const IngressCall &call)
+{
+    const auto *body = call.connection.requestBody();
+    const bool bodyGone = body != nullptr && body->taken();
+    if (stopping || bodyGone || call.sent + 1 >= call.route->maxTargets || call.repeatsOffered >= MaxRepeatOffers) {
+        return false;
+    }
+    if (!budgetOf(call.service).hasOne()) {
+        return false;
+    }
+    auto passedOver = call.notToRepeatAt;
+    passedOver.push_back(call.lastTarget);
+    return picker.roomElsewhere(call.view->targetsOf(call.service), passedOver, Clock::now());
 }
 
 asio::awaitable<Attempt> Ingress::Private::attempt(IngressCall &call, Choice choice)
 {
     const auto begin = Clock::now();
-    const auto deadline = attemptDeadline(call);
-    if (deadline - begin < Milliseconds(1)) {
+    if (call.deadline - begin < Milliseconds(1)) {
         co_return Attempt{};
     }
     const auto &target = *choice.target;
-    setSidecarFields(call, deadline, choice.mayWait);
+    setSidecarFields(call, choice.mayWait);
     picker.begin(target.name);
     Attempt result;
-    auto response = co_await ask(call, target, deadline, result.rest);
+    auto &connection = call.attemptConnection.emplace(call.connection);
+    const bool repeatable = options.policy.retryBudget && mayRepeat(call);
+    auto asking = repeatable ? askPatiently(call, target, connection, result.rest) : ask(call, target, connection, result.rest);
+    auto response = co_await std::move(asking);
     picker.end(target.name);
     result.end = endOfAttempt(response, options.dialect);
     if (call.connection.cancellation().cancelled()) {
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -86,6 +86,10 @@
     // Handles one call from its request to its final answer.
     asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection);
 
+    // This node is about to stop: no running attempt is given up for another
+    // one from now on.
+    void stop();
+
     // Attempts made after a call's first.
     std::uint64_t retries() const;
 
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -4,6 +4,7 @@
 #include "adapters/http/serverconnection.h"
 #include "core/calls/routingview.h"
 #include "core/calls/servicelevelmetrics.h"
+#include "daemon/attemptconnection.h"
 #include "daemon/callmessages.h"
 
 #include <memory>
@@ -27,10 +28,16 @@
     TimePoint callerDeadline;
     HttpRequest request;
     ServerConnection &connection;
+    // As the last attempt sees it; stays while the rest of its answer is sent.
+    std::optional<AttemptConnection> attemptConnection;
     // Sidecars that were asked for a free slot, and those at which the call may
     // not wait again.
     std::vector<NodeName> asked;
     std::vector<NodeName> waitedAt;
+    // Targets that may have run the call, and sidecars that had no room for a
+    // repeat of it: a repeat goes to none of them.
+    std::vector<NodeName> notToRepeatAt;
+    std::uint32_t repeatsOffered = 0;
     NodeName lastTarget;
     // Times that the call was sent to a target, and how many of them may have
     // run it.
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -205,6 +205,7 @@
     const auto begin = Clock::now();
     stopping = true;
     log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}});
+    ingress.stop();
     ingressServer.closeAfterAnswers();
     asio::co_spawn(context, directory.withdraw(), asio::detached);
     co_await sleepFor(context, ServeTargetTime);
