calls: Split the choice of targets from the ingress

Change: CallRouter takes choice, repeats, budget and what is learned of targets; moves and renames only. Conclusion: no change in behaviour.

--- /dev/null
+++ b/src/daemon/callrouter.cpp
@@ -0,0 +1,193 @@
+#include "daemon/callrouter.h"
+
+#include "core/config/configlimits.h"
+
+#include <algorithm>
+
+namespace Galenahill {
+
+namespace {
+
+// Sidecars that seemed to have room and are asked for a slot that is free now.
+// What they tell is a few calls old, so one or two may have filled up since;
+// more such questions would cost their bytes and find the same.
+constexpr std::size_t MaxAsked = 2;
+
+// Sidecars at which a call then waits for a slot, one after the other.
+constexpr std::size_t MaxWaits = 2;
+
+// Sidecars that are offered a repeat: as many as are offered a first attempt.
+constexpr std::uint32_t MaxRepeatOffers = 2;
+
+}
+
+CallRouter::CallRouter(Options options)
+    : m_options(std::move(options))
+    , m_picker({.dataCentre = m_options.dataCentre, .seed = m_options.seed, .policy = m_options.policy})
+{
+}
+
+void CallRouter::setRetryBudget(RetryBudget::Options options)
+{
+    m_options.retries = options;
+    for (auto &[service, budget] : m_retries) {
+        budget.setOptions(options);
+    }
+}
+
+void CallRouter::stop()
+{
+    m_stopping = true;
+}
+
+void CallRouter::callMade(const ServiceName &service)
+{
+    budgetOf(service).callMade();
+}
+
+void CallRouter::begin(const NodeName &target)
+{
+    m_picker.begin(target);
+}
+
+void CallRouter::end(const NodeName &target)
+{
+    m_picker.end(target);
+}
+
+void CallRouter::reportedWait(const NodeName &target, Milliseconds wait)
+{
+    m_picker.reportedWait(target, wait, Clock::now());
+}
+
+RetryBudget &CallRouter::budgetOf(const ServiceName &service)
+{
+    return m_retries.try_emplace(service, m_options.retries).first->second;
+}
+
+// Only one node in a tree of calls repeats what may have run: with seven
+// layers that each try three times, one failure would become two thousand
+// calls. What certainly didn't run is retried by the layer that was refused.
+bool CallRouter::mayRepeat(const IngressCall &call) const
+{
+    return call.route->idempotent && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
+}
+
+// Whether the call goes on to another sidecar. A sidecar's refusal costs the
+// targets nothing, so only sends to a target draw on the budget.
+bool CallRouter::mayRetry(IngressCall &call, AttemptEnd end)
+{
+    // Nobody waits for the answer, or a part of the body is gone for good.
+    const auto *body = call.connection.requestBody();
+    if (call.connection.cancellation().cancelled() || (body != nullptr && body->taken())) {
+        return false;
+    }
+    if (Clock::now() >= call.deadline) {
+        return false;
+    }
+    if (!isSent(end)) {
+        return true;
+    }
+    if (call.sent >= call.route->maxTargets) {
+        return false;
+    }
+    if (mayHaveRun(end)) {
+        // Only here could a call run twice: what may have run is repeated
+        // only if the route says that repeating does no harm.
+        if (!mayRepeat(call)) {
+            return false;
+        }
+        ++call.uncertain;
+        call.notToRepeatAt.push_back(call.lastTarget);
+    }
+    return !m_options.policy.retryBudget || budgetOf(call.service).tryTake();
+}
+
+// The call goes where it is expected to wait least. While other targets are
+// left it is offered there without waiting if a slot seems free, since what is
+// known of the slots is some calls old; else it waits there, and where a sidecar
+// refuses that at once the next one is asked.
+Choice CallRouter::choose(IngressCall &call)
+{
+    if (call.uncertain > 0) {
+        return chooseToRepeat(call);
+    }
+    const auto &targets = call.view->targetsOf(call.service);
+    const auto now = Clock::now();
+    if (targets.size() > 1 && call.asked.size() < MaxAsked) {
+        const auto *target = m_picker.pickToWait(targets, call.asked, now);
+        if (target != nullptr && m_picker.seemsFree(target->name, now)) {
+            call.asked.push_back(target->name);
+            return {target, false};
+        }
+    }
+    if (call.waitedAt.size() >= MaxWaits) {
+        return {};
+    }
+    const auto *target = m_picker.pickToWait(targets, call.waitedAt, now);
+    if (target != nullptr) {
+        call.waitedAt.push_back(target->name);
+    }
+    return {target, true};
+}
+
+// A repeat goes only where there is room: under overload it would take the
+// slot of a call that hasn't been tried yet. It doesn't go back to the target
+// that failed it.
+Choice CallRouter::chooseToRepeat(IngressCall &call)
+{
+    if (call.repeatsOffered >= MaxRepeatOffers) {
+        return {};
+    }
+    const auto *target = m_picker.pick(call.view->targetsOf(call.service), call.notToRepeatAt, Clock::now(), true);
+    if (target != nullptr) {
+        ++call.repeatsOffered;
+        call.notToRepeatAt.push_back(target->name);
+    }
+    return {target, false};
+}
+
+// A stopping node leaves running attempts alone: it would have no time left to
+// make good for a repeat that fails.
+bool CallRouter::canRepeatElsewhere(const IngressCall &call)
+{
+    const auto *body = call.connection.requestBody();
+    const bool bodyGone = body != nullptr && body->taken();
+    if (m_stopping || bodyGone || call.sent + 1 >= call.route->maxTargets || call.repeatsOffered >= MaxRepeatOffers) {
+        return false;
+    }
+    if (!budgetOf(call.service).hasOne()) {
+        return false;
+    }
+    auto passedOver = call.notToRepeatAt;
+    passedOver.push_back(call.lastTarget);
+    return m_picker.roomElsewhere(call.view->targetsOf(call.service), passedOver, Clock::now());
+}
+
+void CallRouter::learn(const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response)
+{
+    const auto now = Clock::now();
+    const auto load = response ? loadHeader(*response) : std::nullopt;
+    if (load) {
+        m_picker.reported(target, *load, now);
+    }
+    switch (end) {
+    case AttemptEnd::Answered:
+        m_picker.succeeded(target);
+        break;
+    case AttemptEnd::Failed:
+    case AttemptEnd::NotRunByTarget:
+    case AttemptEnd::Shed:
+    case AttemptEnd::OutcomeUnknown:
+        m_picker.failed(target, now);
+        break;
+    case AttemptEnd::NotRun:
+        // A full target is told by its load; one that can't say it rests.
+        if (!load) {
+            m_picker.rest(target, now);
+        }
+        break;
+    }
+}
+
+}
--- /dev/null
+++ b/src/daemon/callrouter.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/calls/retrybudget.h"
+#include "core/calls/targetpicker.h"
+#include "daemon/ingresscall.h"
+
+#include <unordered_map>
+
+namespace Galenahill {
+
+// Decides for an ingress where a call goes next, and whether it goes on after
+// an attempt.
+class CallRouter
+{
+public:
+    struct Options
+    {
+        DataCentre dataCentre;
+        std::uint64_t seed = 1;
+        CallPolicy policy;
+        // Repeats of what may have run, for each service.
+        RetryBudget::Options retries;
+    };
+
+    explicit CallRouter(Options options);
+
+    // Bounds the repeats for each service from now on.
+    void setRetryBudget(RetryBudget::Options options);
+
+    // This node is about to stop: no running attempt is given up any more.
+    void stop();
+
+    // A call for the service came; it earns its part of a repeat.
+    void callMade(const ServiceName &service);
+
+    // The sidecar to ask next; none if the call has been offered enough.
+    Choice choose(IngressCall &call);
+
+    // Whether the call may be sent again though it may have run.
+    bool mayRepeat(const IngressCall &call) const;
+
+    // Whether the call goes on to another sidecar after an attempt that ended
+    // so; counts a repeat in.
+    bool mayRetry(IngressCall &call, AttemptEnd end);
+
+    // Whether the call could be repeated now at a target with room.
+    bool canRepeatElsewhere(const IngressCall &call);
+
+    // An attempt at the target began, ended, or told what it knows.
+    void begin(const NodeName &target);
+    void end(const NodeName &target);
+    void reportedWait(const NodeName &target, Milliseconds wait);
+    void learn(const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response);
+
+private:
+    RetryBudget &budgetOf(const ServiceName &service);
+    Choice chooseToRepeat(IngressCall &call);
+
+    Options m_options;
+    TargetPicker m_picker;
+    std::unordered_map<ServiceName, RetryBudget> m_retries;
+    bool m_stopping = false;
+};
+
+}
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -7,31 +7,20 @@
 #include "core/calls/trafficsplit.h"
 #include "core/config/configlimits.h"
 #include "daemon/callmessages.h"
+#include "daemon/callrouter.h"
 #include "daemon/ingresscall.h"
 
 #include <algorithm>
 #include <atomic>
 #include <fmt/format.h>
-#include <unordered_map>
 
 namespace Galenahill {
 
 namespace {
 
-// Sidecars that seemed to have room and are asked for a slot that is free now.
-// What they tell is a few calls old, so one or two may have filled up since;
-// more such questions would cost their bytes and find the same.
-constexpr std::size_t MaxAsked = 2;
-
 // Bytes of a failed attempt's answer that go into the log.
 constexpr std::size_t MaxReasonBytes = 120;
 
-// Sidecars at which a call then waits for a slot, one after the other.
-constexpr std::size_t MaxWaits = 2;
-
-// Sidecars that are offered a repeat: as many as are offered a first attempt.
-constexpr std::uint32_t MaxRepeatOffers = 2;
-
 // How often a call that has waited long for its target looks for another one
 // with room. Slots come free every few milliseconds to some tens of them.
 constexpr Milliseconds RepeatCheckInterval{50};
@@ -43,24 +32,21 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , picker({.dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy})
+        , router({.dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy, .retries = options.retries})
         , returnTime(options.seed)
     {
     }
 
     Options options;
-    TargetPicker picker;
+    CallRouter router;
     TrafficSplit split;
     ReturnTime returnTime;
-    std::unordered_map<ServiceName, RetryBudget> retries;
     AttemptTimer attempts;
     RouteLimiter routes{{}};
     std::atomic<std::uint64_t> retriesMade = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
-    bool stopping = false;
 
-    RetryBudget &budgetOf(const ServiceName &service);
     void takeTimes(IngressCall &call, const HttpRequest &request);
     bool isForRunningCall(const CallId &id) const;
     asio::awaitable<HttpResponse> admit(IngressCall &call);
@@ -70,13 +56,7 @@
     asio::awaitable<Result<HttpResponse>> askPatiently(
         IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest);
     void cutOnceRepeatable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
-    bool canRepeatElsewhere(const IngressCall &call);
     void setSidecarFields(IngressCall &call, bool mayWait) const;
-    void learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response);
-    Choice choose(IngressCall &call);
-    Choice chooseToRepeat(IngressCall &call);
-    bool mayRepeat(const IngressCall &call) const;
-    bool mayRetry(IngressCall &call, AttemptEnd end);
     HttpResponse finalAnswer(IngressCall &call, Attempt last);
     void report(const IngressCall &call, const HttpResponse &response) const;
     void reportUnrouted(const IngressCall &call, unsigned status, std::string reason) const;
@@ -96,15 +76,7 @@
 
 void Ingress::setRetryBudget(RetryBudget::Options options)
 {
-    d->options.retries = options;
-    for (auto &[service, budget] : d->retries) {
-        budget.setOptions(options);
-    }
-}
-
-RetryBudget &Ingress::Private::budgetOf(const ServiceName &service)
-{
-    return retries.try_emplace(service, options.retries).first->second;
+    d->router.setRetryBudget(options);
 }
 
 void Ingress::Private::takeTimes(IngressCall &call, const HttpRequest &request)
@@ -167,7 +139,7 @@
 
 void Ingress::stop()
 {
-    d->stopping = true;
+    d->router.stop();
 }
 
 std::uint64_t Ingress::retries() const
@@ -222,88 +194,6 @@
     co_return response;
 }
 
-// Only one node in a tree of calls repeats what may have run: with seven
-// layers that each try three times, one failure would become two thousand
-// calls. What certainly didn't run is retried by the layer that was refused.
-bool Ingress::Private::mayRepeat(const IngressCall &call) const
-{
-    return call.route->idempotent && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
-}
-
-// Whether the call goes on to another sidecar. A sidecar's refusal costs the
-// targets nothing, so only sends to a target draw on the budget.
-bool Ingress::Private::mayRetry(IngressCall &call, AttemptEnd end)
-{
-    // Nobody waits for the answer, or a part of the body is gone for good.
-    const auto *body = call.connection.requestBody();
-    if (call.connection.cancellation().cancelled() || (body != nullptr && body->taken())) {
-        return false;
-    }
-    if (Clock::now() >= call.deadline) {
-        return false;
-    }
-    if (!isSent(end)) {
-        return true;
-    }
-    if (call.sent >= call.route->maxTargets) {
-        return false;
-    }
-    if (mayHaveRun(end)) {
-        // Only here could a call run twice: what may have run is repeated
-        // only if the route says that repeating does no harm.
-        if (!mayRepeat(call)) {
-            return false;
-        }
-        ++call.uncertain;
-        call.notToRepeatAt.push_back(call.lastTarget);
-    }
-    return !options.policy.retryBudget || budgetOf(call.service).tryTake();
-}
-
-// The call goes where it is expected to wait least. While other targets are
-// left it is offered there without waiting if a slot seems free, since what is
-// known of the slots is some calls old; else it waits there, and where a sidecar
-// refuses that at once the next one is asked.
-Choice Ingress::Private::choose(IngressCall &call)
-{
-    if (call.uncertain > 0) {
-        return chooseToRepeat(call);
-    }
-    const auto &targets = call.view->targetsOf(call.service);
-    const auto now = Clock::now();
-    if (targets.size() > 1 && call.asked.size() < MaxAsked) {
-        const auto *target = picker.pickToWait(targets, call.asked, now);
-        if (target != nullptr && picker.seemsFree(target->name, now)) {
-            call.asked.push_back(target->name);
-            return {target, false};
-        }
-    }
-    if (call.waitedAt.size() >= MaxWaits) {
-        return {};
-    }
-    const auto *target = picker.pickToWait(targets, call.waitedAt, now);
-    if (target != nullptr) {
-        call.waitedAt.push_back(target->name);
-    }
-    return {target, true};
-}
-
-// A repeat goes only where there is room: under overload it would take the
-// slot of a call that hasn't been tried yet. It doesn't go back to the target
-// that failed it.
-Choice Ingress::Private::chooseToRepeat(IngressCall &call)
-{
-    if (call.repeatsOffered >= MaxRepeatOffers) {
-        return {};
-    }
-    const auto *target = picker.pick(call.view->targetsOf(call.service), call.notToRepeatAt, Clock::now(), true);
-    if (target != nullptr) {
-        ++call.repeatsOffered;
-        call.notToRepeatAt.push_back(target->name);
-    }
-    return {target, false};
-}
-
 HttpResponse Ingress::Private::finalAnswer(IngressCall &call, Attempt last)
 {
     if (last.end == AttemptEnd::Answered || last.end == AttemptEnd::Failed || last.end == AttemptEnd::Shed) {
@@ -324,23 +214,23 @@
 
 asio::awaitable<HttpResponse> Ingress::Private::route(IngressCall &call)
 {
-    budgetOf(call.service).callMade();
+    router.callMade(call.service);
     Attempt last;
     std::optional<Attempt> failed;
-    auto choice = choose(call);
+    auto choice = router.choose(call);
     while (choice.target != nullptr) {
         call.lastTarget = choice.target->name;
         last = co_await attempt(call, choice);
         const auto end = last.end;
         call.sent += isSent(end) ? 1 : 0;
-        if (end == AttemptEnd::Answered || !mayRetry(call, end)) {
+        if (end == AttemptEnd::Answered || !router.mayRetry(call, end)) {
             break;
         }
         if (end == AttemptEnd::Failed) {
             failed = std::move(last);
             last = Attempt();
         }
-        choice = choose(call);
+        choice = router.choose(call);
         retriesMade += choice.target != nullptr && isSent(end) ? 1 : 0;
     }
     // A target's own answer, though a failure, tells the caller more than that
@@ -386,32 +276,6 @@
     }
 }
 
-void Ingress::Private::learn(const MemberRecord &target, const Attempt &attempt, const Result<HttpResponse> &response)
-{
-    const auto now = Clock::now();
-    const auto load = response ? loadHeader(*response) : std::nullopt;
-    if (load) {
-        picker.reported(target.name, *load, now);
-    }
-    switch (attempt.end) {
-    case AttemptEnd::Answered:
-        picker.succeeded(target.name);
-        break;
-    case AttemptEnd::Failed:
-    case AttemptEnd::NotRunByTarget:
-    case AttemptEnd::Shed:
-    case AttemptEnd::OutcomeUnknown:
-        picker.failed(target.name, now);
-        break;
-    case AttemptEnd::NotRun:
-        // A full target is told by its load; one that can't say it rests.
-        if (!load) {
-            picker.rest(target.name, now);
-        }
-        break;
-    }
-}
-
 // Sends the call to the sidecar. An Unavailable error says that it wasn't sent.
 asio::awaitable<Result<HttpResponse>> Ingress::Private::ask(
     IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest)
@@ -451,7 +315,7 @@
         if (error || !running || connection.answering()) {
             return;
         }
-        if (canRepeatElsewhere(call)) {
+        if (router.canRepeatElsewhere(call)) {
             connection.cancellation().cancel();
             return;
         }
@@ -460,23 +324,6 @@
     });
 }
 
-// A stopping node leaves running attempts alone: it would have no time left to
-// make good for a repeat that fails.
-bool Ingress::Private::canRepeatElsewhere(const IngressCall &call)
-{
-    const auto *body = call.connection.requestBody();
-    const bool bodyGone = body != nullptr && body->taken();
-    if (stopping || bodyGone || call.sent + 1 >= call.route->maxTargets || call.repeatsOffered >= MaxRepeatOffers) {
-        return false;
-    }
-    if (!budgetOf(call.service).hasOne()) {
-        return false;
-    }
-    auto passedOver = call.notToRepeatAt;
-    passedOver.push_back(call.lastTarget);
-    return picker.roomElsewhere(call.view->targetsOf(call.service), passedOver, Clock::now());
-}
-
 asio::awaitable<Attempt> Ingress::Private::attempt(IngressCall &call, Choice choice)
 {
     const auto begin = Clock::now();
@@ -485,19 +332,19 @@
     }
     const auto &target = *choice.target;
     setSidecarFields(call, choice.mayWait);
-    picker.begin(target.name);
+    router.begin(target.name);
     Attempt result;
     auto &connection = call.attemptConnection.emplace(call.connection);
-    const bool repeatable = options.policy.retryBudget && mayRepeat(call);
+    const bool repeatable = options.policy.retryBudget && router.mayRepeat(call);
     auto asking = repeatable ? askPatiently(call, target, connection, result.rest) : ask(call, target, connection, result.rest);
     auto response = co_await std::move(asking);
-    picker.end(target.name);
+    router.end(target.name);
     result.end = endOfAttempt(response, options.dialect);
     if (call.connection.cancellation().cancelled()) {
         // The caller ended it; that says nothing about the target.
         co_return result;
     }
-    learn(target, result, response);
+    router.learn(target.name, result.end, response);
     if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::OutcomeUnknown) {
         attempts.observed(call.route->name, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
     }
@@ -507,7 +354,7 @@
     }
     const auto wait = waitHeader(*response);
     if (wait || loadHeader(*response)) {
-        picker.reportedWait(target.name, wait.value_or(Milliseconds(0)), Clock::now());
+        router.reportedWait(target.name, wait.value_or(Milliseconds(0)));
     }
     if (wait && result.end == AttemptEnd::NotRun) {
         call.toldWait = std::min(call.toldWait.value_or(*wait), *wait);
