--- /dev/null
+++ b/autotests/processes/explainfailuretest.cpp
@@ -0,0 +1,172 @@
+// Three kinds of failed call on real processes, each explained from the nodes' logs
+// alone, as an on-call engineer has to. The test knows the cause since it brought
+// it about; the story that the client tells of the call's id must name it.
+
+#include "adapters/http/httpclient.h"
+#include "cli/callstory.h"
+#include "platform/calldialect.h"
+#include "platformfleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <thread>
+
+using namespace Galenahill;
+
+namespace {
+
+constexpr Milliseconds Limit{15000};
+
+std::string argument(int index)
+{
+    const auto &suite = boost::unit_test::framework::master_test_suite();
+    BOOST_REQUIRE_MESSAGE(suite.argc > index, "give the build folder and the sources after --");
+    return suite.argv[index];
+}
+
+std::string route(const std::string &name, const std::string &type, double objective)
+{
+    return fmt::format(
+        R"({{"name":"{0}","path-prefix":"/{0}/","type":"{1}","timeout-s":5,"target-latency-s":{2},"priority":1,"service":"ventas","attempts":2}})",
+        name,
+        type,
+        objective);
+}
+
+std::string document(int revision, const std::string &routes)
+{
+    return fmt::format(R"({{"version":"r{}","services":[{{"name":"ventas","health-check-path":"/health","max-connections":120}}],)"
+                       R"("virtual-hosts":[{{"host":"pedidos.example","paths":[{}]}}]}})",
+        revision,
+        routes);
+}
+
+const std::string BothRoutes = route("cola", "safe", 0.3) + "," + route("orden", "unsafe", 4);
+
+// One node and a target with one slot whose calls take 400 ms.
+struct Fixture
+{
+    PlatformFleet fleet{{.programs = argument(1),
+        .sources = argument(2),
+        .folder = argument(1) + "/explainfailure",
+        .network = 31,
+        .nodes = 1,
+        .services = {"ventas"},
+        .slots = 1,
+        .serviceTime = std::chrono::milliseconds(400)}};
+
+    Fixture()
+    {
+        const auto started = fleet.start(document(1, BothRoutes));
+        BOOST_REQUIRE_MESSAGE(started.has_value(), started.error().message);
+        // Ready says that the node has a configuration; its target is heard of
+        // with the next announcement.
+        const auto until = Clock::now() + Limit;
+        for (int i = 0; statusOf(callAll({fmt::format("first-{}", i)}, "cola").front()) != 200; ++i) {
+            BOOST_REQUIRE(Clock::now() < until);
+        }
+    }
+
+    static int statusOf(const Result<HttpResponse> &answer)
+    {
+        return answer ? static_cast<int>(answer->result_int()) : 0;
+    }
+
+    // Sends a call of the route with each id at the same moment.
+    std::vector<Result<HttpResponse>> callAll(const std::vector<std::string> &ids, const std::string &routeName)
+    {
+        asio::io_context context(1);
+        HttpClient client(context, {});
+        const auto dialect = Platform::callDialect();
+        std::vector<Result<HttpResponse>> answers(ids.size());
+        const auto send = [&](std::size_t i) -> asio::awaitable<void> {
+            HttpRequest request(http::verb::get, "/" + routeName + "/1", 11);
+            request.set(http::field::host, "pedidos.example");
+            request.set(dialect.requestId, ids[i]);
+            request.set(dialect.timeLeft, "5000");
+            answers[i] = co_await client.exchange(fleet.ingress(0), std::move(request), Clock::now() + Limit);
+        };
+        for (std::size_t i = 0; i < ids.size(); ++i) {
+            asio::co_spawn(context, send(i), asio::detached);
+        }
+        context.run();
+        return answers;
+    }
+
+    // What the node's log says of the call, once its last line is there.
+    std::string explain(const std::string &id, const std::string &lastEvent) const
+    {
+        const auto until = Clock::now() + Limit;
+        std::string table;
+        while (table.find(lastEvent) == std::string::npos && Clock::now() < until) {
+            std::this_thread::sleep_for(Milliseconds(50));
+            CallStory story(id);
+            std::ifstream log(fleet.nodeLog(0));
+            story.read(log);
+            table = story.table();
+        }
+        return table;
+    }
+};
+
+}
+
+// Four calls come at once to one slot. What can't be served within its objective of
+// 300 ms behind calls of 400 ms is refused; its story says that all slots were
+// taken, how many there are, and how long the wait would have been.
+BOOST_FIXTURE_TEST_CASE(ExplainsARefusalUnderOverload, Fixture)
+{
+    const std::vector<std::string> ids = {"over-1", "over-2", "over-3", "over-4"};
+    const auto answers = callAll(ids, "cola");
+    const auto refused = std::find_if(answers.begin(), answers.end(), [](const auto &answer) { return statusOf(answer) == 503; });
+    BOOST_REQUIRE(refused != answers.end());
+    const auto table = explain(ids[static_cast<std::size_t>(refused - answers.begin())], "call-refused");
+    BOOST_TEST_MESSAGE(table);
+    BOOST_TEST(table.find("sidecar-refused") != std::string::npos);
+    BOOST_TEST(table.find("reason=no slot in time") != std::string::npos);
+    BOOST_TEST(table.find("running=1 slots=1") != std::string::npos);
+    BOOST_TEST(table.find("expected_wait_ms=") != std::string::npos);
+}
+
+// The target is killed while it runs a call that must not be repeated. The caller
+// gets 502; the story says which target had it, and that its connection broke.
+BOOST_FIXTURE_TEST_CASE(ExplainsALostTarget, Fixture)
+{
+    std::thread killer([this] {
+        std::this_thread::sleep_for(Milliseconds(150));
+        fleet.targetProcess(0).signal(SIGKILL);
+    });
+    const auto answers = callAll({"lost-1"}, "orden");
+    killer.join();
+    BOOST_TEST(statusOf(answers.front()) == 502);
+    const auto table = explain("lost-1", "call-unknown");
+    BOOST_TEST_MESSAGE(table);
+    BOOST_TEST(table.find("target-gave-no-answer") != std::string::npos);
+    BOOST_TEST(table.find("target=t-0-1") != std::string::npos);
+    BOOST_TEST(table.find("late=false cancelled=false") != std::string::npos);
+    BOOST_TEST(table.find("status=502") != std::string::npos);
+}
+
+// The operator removes a route. Its callers get 404; the story names the revision
+// that has no such route, and the log when that came into force.
+BOOST_FIXTURE_TEST_CASE(ExplainsARemovedRoute, Fixture)
+{
+    BOOST_REQUIRE(fleet.configure(document(2, route("cola", "safe", 0.3))).has_value());
+    int status = 200;
+    std::string id;
+    const auto until = Clock::now() + Limit;
+    for (int i = 0; status != 404 && Clock::now() < until; ++i) {
+        id = fmt::format("gone-{}", i);
+        status = statusOf(callAll({id}, "orden").front());
+    }
+    BOOST_TEST(status == 404);
+    const auto table = explain(id, "no route takes");
+    BOOST_TEST_MESSAGE(table);
+    BOOST_TEST(table.find("no route takes GET pedidos.example /orden/1") != std::string::npos);
+    BOOST_TEST(table.find("revision=2") != std::string::npos);
+    std::ifstream log(fleet.nodeLog(0));
+    const std::string text(std::istreambuf_iterator<char>(log), {});
+    BOOST_TEST(text.find(R"("event":"revision-in-force","revision":2)") != std::string::npos);
+}
--- a/autotests/support/memberships.h
+++ b/autotests/support/memberships.h
@@ -29,7 +29,7 @@
         }
         const auto records = recordsOf(count);
         for (auto &member : members) {
-            member->merge(records, now);
+            member->mergeFromStore(records, now);
         }
     }
 
--- a/autotests/support/scriptedstore.h
+++ b/autotests/support/scriptedstore.h
@@ -27,13 +27,25 @@
         co_return co_await next();
     }
 
+    asio::awaitable<Result<StoredDocument>> read(std::string kind, std::string name) override
+    {
+        calledWith.push_back("read " + kind + " " + name);
+        co_return failure(ErrorKind::NotFound, name);
+    }
+
+    asio::awaitable<Result<ObjectVersion>> write(std::string kind, std::string name, std::string, ObjectVersion) override
+    {
+        calledWith.push_back("write " + kind + " " + name);
+        co_return putAnswer.map([] { return ObjectVersion(); });
+    }
+
     asio::awaitable<Result<void>> put(std::string kind, std::string name, std::string) override
     {
         calledWith.push_back("put " + kind + " " + name);
         co_return putAnswer;
     }
 
-    asio::awaitable<Result<void>> remove(std::string kind, std::string name) override
+    asio::awaitable<Result<void>> remove(std::string kind, std::string name, ObjectVersion) override
     {
         calledWith.push_back("remove " + kind + " " + name);
         co_return Result<void>();
--- a/autotests/unit/callpathtest.cpp
+++ b/autotests/unit/callpathtest.cpp
@@ -99,12 +99,12 @@
     HttpServer ingressServer{context,
         {.endpoint = IngressEndpoint,
             .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
-            .maxBodyBytes = 1U << 30U,
+            .limits = {.bodyBytes = 1U << 30U},
             .streamBodies = true}};
     HttpServer sidecarServer{context,
         {.endpoint = SidecarEndpoint,
             .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
-            .maxBodyBytes = 1U << 30U,
+            .limits = {.bodyBytes = 1U << 30U},
             .streamBodies = true}};
     HttpServer refusingServer{context,
         {.endpoint = RefusingEndpoint,
@@ -115,7 +115,7 @@
     HttpServer target{context,
         {.endpoint = TargetEndpoint,
             .handler = [this](HttpRequest request, ServerConnection &connection) { return serve(std::move(request), connection); },
-            .maxBodyBytes = 1U << 30U,
+            .limits = {.bodyBytes = 1U << 30U},
             .streamBodies = true}};
     std::thread thread;
 
--- a/autotests/unit/httpservertest.cpp
+++ b/autotests/unit/httpservertest.cpp
@@ -177,6 +177,7 @@
 BOOST_FIXTURE_TEST_CASE(EndsSlowCallers, Fixture)
 {
     options.readTimeout = Milliseconds(200);
+    options.limits.headerTimeout = Milliseconds(200);
     RunningServer server(options);
     for (const std::string start : {"GET /a HTTP/1.1\r\nX: ", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"}) {
         RawCaller caller(Here);
@@ -281,3 +282,35 @@
     }
     BOOST_TEST(handled == 3);
 }
+
+// An operator lowers and raises the limits while callers are connected. A caller
+// that keeps within the present ones must be served, and one beyond them gets the
+// status that says which one it broke and never reaches the handler.
+BOOST_FIXTURE_TEST_CASE(HoldsCallersToThePresentLimits, Fixture)
+{
+    RunningServer server(options);
+    const auto withField
+        = [](std::size_t bytes) { return "POST /fine HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nX-Long: " + std::string(bytes, 'x') + "\r\n\r\nb"; };
+    const auto statusFor = [&](std::size_t bytes) {
+        RawCaller caller(Here);
+        caller.send(withField(bytes));
+        return statusOf(caller.readTo("\r\n\r\n"));
+    };
+    BOOST_TEST(statusFor(20'000) == 431);
+    server.ask([](HttpServer &it) {
+        it.limitPeers({.headerBytes = 32 * 1024, .bodyBytes = 1024, .headerTimeout = Milliseconds(100), .idleTimeout = Milliseconds(100)});
+        return 0;
+    });
+    BOOST_TEST(statusFor(20'000) == 200);
+    BOOST_TEST(statusFor(40'000) == 431);
+    RawCaller large(Here);
+    large.send("POST /fine HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n");
+    BOOST_TEST(statusOf(large.readTo("\r\n\r\n")) == 413);
+    RawCaller slow(Here);
+    slow.send("GET /fine HT");
+    BOOST_TEST(statusOf(slow.readToEnd().value_or("")) == 408);
+    RawCaller idle(Here);
+    idle.send(get("/fine"));
+    BOOST_TEST(idle.readToEnd().has_value());
+    BOOST_TEST(handled == 2);
+}
--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -39,12 +39,13 @@
             .client = client,
             .self = record("b"),
             .log = [this](LogLevel, std::string_view event, const std::vector<LogField> &) { events.emplace_back(event); },
-            .found =
+            .listed =
                 [this](const std::vector<MemberRecord> &members) {
                     for (const auto &member : members) {
                         others.push_back(member.control());
                     }
                 },
+            .found = [](const std::vector<MemberRecord> &) {},
             .others = [this] { return others; },
             .stopping = stopping});
         directory.start();
--- a/autotests/unit/membershipfaulttest.cpp
+++ b/autotests/unit/membershipfaulttest.cpp
@@ -52,6 +52,31 @@
     BOOST_TEST(fleet.allSee(4, MemberState::Starting));
 }
 
+// Two groups that know only themselves, as nodes that joined through contacts of
+// their own. One member hears from a contact who is in the other group; it alone
+// knows both, and unless it tells, the groups go on as two fleets, each of which
+// routes calls to its own targets only.
+BOOST_AUTO_TEST_CASE(OneMemberThatKnowsBothGroupsJoinsThem)
+{
+    Memberships fleet(20);
+    fleet.run(Settle);
+    for (std::size_t i = 0; i < 20; ++i) {
+        fleet.start(i);
+    }
+    const auto records = fleet.recordsOf(20);
+    const std::vector<MemberRecord> groups[] = {{records.begin(), records.begin() + 10}, {records.begin() + 10, records.end()}};
+    for (std::size_t i = 0; i < 20; ++i) {
+        fleet.members[i]->mergeFromStore(groups[i / 10], fleet.now);
+    }
+    fleet.run(Minute);
+    BOOST_REQUIRE(fleet.members[3]->live().size() == 10U);
+    fleet.members[3]->merge(groups[1], fleet.now);
+    fleet.run(Minute);
+    for (const auto &member : fleet.members) {
+        BOOST_TEST(member->live().size() == 20U);
+    }
+}
+
 // Two halves lose each other until each has given the other up, then the
 // network heals, with the store down. Nobody probes a member that is gone, so
 // without probing those too the halves would stay apart for ever.
--- /dev/null
+++ b/autotests/unit/platformnodetest.cpp
@@ -0,0 +1,89 @@
+// A whole node of the users' platform in one process, on real sockets, with the
+// store played by the test.
+
+#include "daemon/platformnode.h"
+#include "httptest.h"
+#include "platform/calldialect.h"
+#include "platform/configuration.h"
+#include "platform/heartbeat.h"
+#include "scriptedstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string Address = testAddress(11);
+
+PlatformNodeSettings settings()
+{
+    PlatformNodeSettings settings;
+    settings.name = NodeName("sidecar-1");
+    settings.dataCentre = DataCentre("rosario-a");
+    settings.service = ServiceName("ventas");
+    settings.ingress = {Address, 8080};
+    settings.sidecar = {Address, 8081};
+    settings.registration = {Address, 8082};
+    settings.readiness = {Address, 8083};
+    settings.peers = {Address, 8084};
+    settings.target = {Address, 9000};
+    settings.store = {Address, 7000};
+    return settings;
+}
+
+struct Fixture
+{
+    explicit Fixture(std::deque<Result<DocumentSet>> answers)
+        : node(context,
+            {.settings = settings(),
+                .dialect = Platform::callDialect(),
+                .configKind = Platform::ConfigKind,
+                .configName = Platform::ConfigName,
+                .decodeConfig = Platform::decodeConfiguration,
+                .decodeTarget = Platform::decodeTargetMessage,
+                .openStore =
+                    [&](HttpClient &) {
+                        auto store = std::make_unique<ScriptedStore>(context);
+                        store->answers = std::move(answers);
+                        return store;
+                    },
+                .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {}})
+    {
+        BOOST_REQUIRE(node.start().has_value());
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~Fixture()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    static std::string get(const Endpoint &endpoint, const std::string &path)
+    {
+        RawCaller caller(endpoint);
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return caller.readToEnd().value_or("");
+    }
+
+    asio::io_context context{1};
+    PlatformNode node;
+    std::thread thread;
+};
+
+}
+
+// All nodes start before the operator has written the first configuration: the
+// store answers, and has none. A node that takes that for an empty configuration
+// would tell callers that their routes don't exist, and one that ends over it
+// would be missing when the first comes. It says that it isn't ready, and that
+// calls didn't run.
+BOOST_AUTO_TEST_CASE(WaitsForTheFirstConfiguration)
+{
+    Fixture fixture({DocumentSet{{}, ObjectVersion(5)}, DocumentSet{{}, ObjectVersion(5)}});
+    // Long enough for the node to have read the store and looked at its answer.
+    std::this_thread::sleep_for(Milliseconds(500));
+    BOOST_TEST(Fixture::get(settings().readiness, "/ready").find("503") != std::string::npos);
+    BOOST_TEST(Fixture::get(settings().ingress, "/orders/1").find("503") != std::string::npos);
+}
--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -2,11 +2,14 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <random>
 
 using namespace Galenahill;
 
 namespace {
 
+const ServiceName Service("tablero");
+
 // Four targets, the first of them in the own data centre.
 struct Fixture
 {
@@ -34,7 +37,7 @@
     void fail(std::size_t target, int times)
     {
         for (int i = 0; i < times; ++i) {
-            picker.failed(targets[target].name, now);
+            picker.failed(Service, targets[target].name, now);
         }
     }
 
@@ -81,11 +84,38 @@
     now += Milliseconds(501);
     BOOST_TEST(pickMany().count("n0") == 0U);
     now += Milliseconds(501);
-    picker.succeeded(targets[0].name);
+    picker.succeeded(Service, targets[0].name);
     fail(0, 2);
     BOOST_TEST(pickMany().count("n0") == 1U);
 }
 
+// The pattern: each target of a service rejects half of its calls for some
+// seconds. Runs of three failures are then common and say nothing of a target;
+// ejected for them, two of four at a time left the rest twice their load. Each
+// goes on getting about a quarter.
+BOOST_AUTO_TEST_CASE(aServiceThatRejectsHalfOfItsCallsKeepsAllTargets)
+{
+    for (auto &target : targets) {
+        target.dataCentre = DataCentre("rosario-a");
+    }
+    std::mt19937 random(5);
+    std::map<std::string, int> picked;
+    constexpr int Calls = 2000;
+    for (int call = 0; call < Calls; ++call) {
+        now += Milliseconds(4);
+        const auto *target = picker.pick(targets, {}, now);
+        ++picked[target->name.value()];
+        if (random() % 100 < 55) {
+            picker.failed(Service, target->name, now);
+        } else {
+            picker.succeeded(Service, target->name);
+        }
+    }
+    for (const auto &target : targets) {
+        BOOST_TEST(picked[target.name.value()] > Calls / 5, target.name.value());
+    }
+}
+
 // A fault that all share (a network, one poisonous call) makes three of four
 // targets fail. With all three passed over, the last one would get four times
 // its load and fail as well, so none is.
--- a/bench/datapath.cpp
+++ b/bench/datapath.cpp
@@ -127,12 +127,12 @@
     HttpServer sidecarServer(sidecarReactor.context,
         {.endpoint = sidecarEndpoint,
             .handler = [&](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
-            .maxBodyBytes = MaxBodyBytes,
+            .limits = {.bodyBytes = MaxBodyBytes},
             .streamBodies = true});
     HttpServer ingressServer(ingressReactor.context,
         {.endpoint = ingressEndpoint,
             .handler = [&](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
-            .maxBodyBytes = MaxBodyBytes,
+            .limits = {.bodyBytes = MaxBodyBytes},
             .streamBodies = true});
     const auto view = viewOf(sidecarEndpoint);
     targetReactor.run([&] { (void)target.listen(); });
--- /dev/null
+++ b/bench/platformfleet.cpp
@@ -0,0 +1,239 @@
+#include "platformfleet.h"
+
+#include "adapters/http/blockinghttpclient.h"
+#include "adapters/http/httpclient.h"
+#include "platform/configuration.h"
+#include "platform/objectstore.h"
+
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr std::uint16_t StorePort = 7000;
+constexpr std::uint16_t IngressPort = 8080;
+constexpr std::uint16_t SidecarPort = 8081;
+constexpr std::uint16_t RegistrationPort = 8082;
+constexpr std::uint16_t ReadinessPort = 8083;
+constexpr std::uint16_t PeerPort = 8084;
+constexpr std::uint16_t MetricsPort = 9464;
+constexpr std::uint16_t TargetPort = 9000;
+
+constexpr Milliseconds ReadinessTimeout{500};
+constexpr Milliseconds PollInterval{50};
+constexpr Milliseconds StartLimit{20000};
+
+}
+
+class PlatformFleet::Private
+{
+public:
+    struct Slot
+    {
+        std::unique_ptr<ChildProcess> node;
+        std::unique_ptr<ChildProcess> target;
+        // Each start of a target is another one to the fleet.
+        int targetStarts = 0;
+        bool startedBefore = false;
+    };
+
+    Options options;
+    std::unique_ptr<ChildProcess> store;
+    std::vector<Slot> slots;
+
+    std::string address(std::size_t node) const
+    {
+        return fmt::format("127.{}.1.{}", options.network, node + 1);
+    }
+
+    std::string path(const std::string &name) const
+    {
+        return options.folder + "/" + name;
+    }
+
+    std::string settings(std::size_t node, const Endpoint &storeAt) const;
+};
+
+std::string PlatformFleet::Private::settings(std::size_t node, const Endpoint &storeAt) const
+{
+    const auto ip = address(node);
+    return fmt::format("[node]\nname = node-{0}\ndata-centre = rosario-a\nservice = {1}\nfirst-start = {2}\nlog-level = info\nstop-timeout-s = 6\n"
+                       "[listen]\ningress = {3}:{4}\nsidecar = {3}:{5}\nregistration = {3}:{6}\nreadiness = {3}:{7}\npeers = {3}:{8}\nmetrics = {3}:{9}\n"
+                       "[target]\naddress = {3}:{10}\nheartbeat-interval-s = 0.2\n[store]\naddress = {11}\n"
+                       "[fleet]\nrepeat-share = 0.2\nrepeat-slack = 60\n",
+        node,
+        options.services[node % options.services.size()],
+        !slots[node].startedBefore,
+        ip,
+        IngressPort,
+        SidecarPort,
+        RegistrationPort,
+        ReadinessPort,
+        PeerPort,
+        MetricsPort,
+        TargetPort,
+        toString(storeAt));
+}
+
+PlatformFleet::PlatformFleet(Options options)
+    : d(std::make_unique<Private>())
+{
+    d->options = std::move(options);
+    d->slots.resize(d->options.nodes);
+    std::filesystem::remove_all(d->options.folder);
+    std::filesystem::create_directories(d->options.folder);
+}
+
+PlatformFleet::~PlatformFleet() = default;
+
+std::size_t PlatformFleet::size() const
+{
+    return d->slots.size();
+}
+
+Endpoint PlatformFleet::store() const
+{
+    return {fmt::format("127.{}.0.1", d->options.network), StorePort};
+}
+
+Endpoint PlatformFleet::ingress(std::size_t node) const
+{
+    return {d->address(node), IngressPort};
+}
+
+Endpoint PlatformFleet::target(std::size_t node) const
+{
+    return {d->address(node), TargetPort};
+}
+
+Result<void> PlatformFleet::start(const std::string &configuration)
+{
+    startStore();
+    for (std::size_t node = 0; node < size(); ++node) {
+        startTarget(node);
+        startNode(node);
+    }
+    const auto until = Clock::now() + StartLimit;
+    auto written = configure(configuration);
+    while (!written && Clock::now() < until) {
+        std::this_thread::sleep_for(PollInterval);
+        written = configure(configuration);
+    }
+    if (!written) {
+        return written;
+    }
+    if (!waitUntilReady(StartLimit)) {
+        return failure(ErrorKind::Unavailable, "the fleet didn't get ready; see the logs in " + d->options.folder);
+    }
+    return {};
+}
+
+Result<void> PlatformFleet::configure(const std::string &configuration)
+{
+    asio::io_context context(1);
+    HttpClient client(context, {});
+    Platform::ObjectStoreClient objects(client, store());
+    std::optional<Result<void>> result;
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> { result = co_await objects.put(Platform::ConfigKind, Platform::ConfigName, configuration); }, asio::detached);
+    context.run();
+    return *result;
+}
+
+bool PlatformFleet::ready(std::size_t node) const
+{
+    HttpRequest request(http::verb::get, "/ready", 11);
+    request.set(http::field::host, "node");
+    const auto answer = blockingExchange({d->address(node), ReadinessPort}, std::move(request), ReadinessTimeout);
+    return answer && answer->result() == http::status::ok;
+}
+
+bool PlatformFleet::waitUntilReady(Milliseconds limit) const
+{
+    const auto until = Clock::now() + limit;
+    std::size_t known = 0;
+    while (known < size() && Clock::now() < until) {
+        if (ready(known)) {
+            ++known;
+        } else {
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+    return known == size();
+}
+
+void PlatformFleet::startStore()
+{
+    d->store = std::make_unique<ChildProcess>(
+        std::vector<std::string>{d->options.programs + "/standins/platformstandin", "--address=" + store().address, fmt::format("--port={}", StorePort)},
+        d->path("store.log"));
+}
+
+void PlatformFleet::startNode(std::size_t node)
+{
+    const auto file = d->path(fmt::format("node-{}.ini", node));
+    std::ofstream(file) << d->settings(node, store());
+    d->slots[node].startedBefore = true;
+    d->slots[node].node = std::make_unique<ChildProcess>(
+        std::vector<std::string>{d->options.programs + "/platform/galenahillnode", "--settings=" + file}, d->path(fmt::format("node-{}.log", node)));
+}
+
+void PlatformFleet::startTarget(std::size_t node)
+{
+    auto &slot = d->slots[node];
+    const std::vector<std::string> command{d->options.programs + "/standins/targetstandin",
+        "--address=" + d->address(node),
+        fmt::format("--port={}", TargetPort),
+        fmt::format("--slots={}", d->options.slots),
+        fmt::format("--service-us={}", d->options.serviceTime.count()),
+        fmt::format("--announce={}:{}", d->address(node), RegistrationPort),
+        "--heartbeat=" + d->options.sources + "/platform/heartbeat.sample",
+        fmt::format("--id=t-{}-{}", node, ++slot.targetStarts),
+        "--service=" + d->options.services[node % d->options.services.size()],
+        "--data-centre=rosario-a",
+        "--log-runs"};
+    slot.target = std::make_unique<ChildProcess>(command, d->path(fmt::format("target-{}.log", node)));
+}
+
+ChildProcess &PlatformFleet::storeProcess()
+{
+    return *d->store;
+}
+
+ChildProcess &PlatformFleet::nodeProcess(std::size_t node)
+{
+    return *d->slots[node].node;
+}
+
+ChildProcess &PlatformFleet::targetProcess(std::size_t node)
+{
+    return *d->slots[node].target;
+}
+
+std::string PlatformFleet::nodeLog(std::size_t node) const
+{
+    return d->path(fmt::format("node-{}.log", node));
+}
+
+std::vector<std::string> PlatformFleet::runs() const
+{
+    std::vector<std::string> ids;
+    for (std::size_t node = 0; node < size(); ++node) {
+        std::ifstream log(d->path(fmt::format("target-{}.log", node)));
+        std::string word;
+        std::string id;
+        while (log >> word) {
+            if (word == "ran" && log >> id) {
+                ids.push_back(id);
+            }
+        }
+    }
+    return ids;
+}
+
+}
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -125,6 +125,11 @@
     connections.erase(connection);
 }
 
+void HttpServer::limitPeers(const CallerLimits &limits)
+{
+    d->state->options.limits = limits;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     d->state->draining = true;
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -6,6 +6,7 @@
 #include "common/endpoint.h"
 #include "common/error.h"
 #include "common/identifiers.h"
+#include "core/config/configdefinitions.h"
 
 #include <functional>
 #include <memory>
@@ -23,17 +24,15 @@
     {
         Endpoint endpoint;
         Handler handler;
-        std::uint32_t maxHeaderBytes = 16 * 1024;
-        std::uint64_t maxBodyBytes = 1024 * 1024;
+        // What peers may send, and how long they may take or stay idle.
+        CallerLimits limits{.bodyBytes = 1024 * 1024};
         // Whether bodies longer than this are given to the handler while they
         // arrive.
         bool streamBodies = false;
         std::size_t bufferedBodyBytes = 64 * 1024;
-        // Time for a whole request to arrive once its first byte has, and for
-        // each part of a streamed body to be sent or taken.
+        // Time for a body that is held whole to arrive, and for each part of a
+        // streamed one to be sent or taken.
         Milliseconds readTimeout{10000};
-        // Time that a connection may be without a request.
-        Milliseconds idleTimeout{60000};
         std::size_t maxConnections = 4096;
     };
 
@@ -43,6 +42,9 @@
     // Binds and starts to accept. Invalid if the address is taken.
     Result<void> listen();
 
+    // Holds peers to these limits from their next request on.
+    void limitPeers(const CallerLimits &limits);
+
     // Closes each connection after its next answer from now on, and tells the
     // peer so; new connections are still accepted.
     void closeAfterAnswers();
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -105,8 +105,9 @@
 };
 
 HttpServerConnection::Exchange::Exchange(TcpChannel &channel, const HttpServer::Options &options)
-    : reader(channel, options.maxHeaderBytes, options.maxBodyBytes)
+    : reader(channel, options.limits.headerBytes, options.limits.bodyBytes)
 {
+    channel.buffer.max_size(std::max<std::size_t>(ReadAheadBytes, options.limits.headerBytes));
 }
 
 HttpServerConnection::HttpServerConnection(Tcp::socket socket, std::shared_ptr<HttpServerState> state)
@@ -200,7 +201,7 @@
         co_return true;
     }
     m_since = Clock::now();
-    limitTime(m_state->options.idleTimeout);
+    limitTime(m_state->options.limits.idleTimeout);
     const auto error = co_await m_channel.readMore();
     co_return !error;
 }
@@ -211,7 +212,7 @@
     m_exchange.emplace(m_channel, options);
     auto &exchange = *m_exchange;
     HttpRequest request;
-    limitTime(options.readTimeout);
+    limitTime(options.limits.headerTimeout);
     auto fault = co_await readRequest(request);
     if (fault) {
         if (fault->status != http::status::unknown) {
@@ -274,6 +275,7 @@
     auto &reader = exchange.reader;
     const auto &options = m_state->options;
     const auto length = reader.contentLength();
+    limitTime(options.readTimeout);
     const bool held = !options.streamBodies || (length ? *length <= options.bufferedBodyBytes : true);
     while (held && !reader.done() && !(options.streamBodies && request.body().size() >= options.bufferedBodyBytes)) {
         ErrorCode error = co_await sendContinue();
--- a/src/adapters/platform/httpobjectstore.h
+++ b/src/adapters/platform/documentobjectstore.h
@@ -1,26 +1,26 @@
 #pragma once
 
-#include "common/endpoint.h"
+#include "adapters/http/httpclient.h"
+#include "adapters/platform/documentstore.h"
 #include "ports/objectstore.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace Galenahill {
 
-// The platform's object API over HTTP. Usable from several threads.
-class HttpObjectStore : public ObjectStore
+// Objects by key in a store of documents by kind and name, for threads that may
+// block. The last part of a key is the name, what stands before it the kind. A
+// value is any text; its document holds it as one JSON string. Usable from several
+// threads: each call has an I/O context and a connection of its own.
+class DocumentObjectStore : public ObjectStore
 {
 public:
-    struct Options
-    {
-        Endpoint endpoint;
-        // Limit of one call other than a watch.
-        Milliseconds callTimeout{3000};
-    };
-
-    explicit HttpObjectStore(Options options);
-    ~HttpObjectStore() override;
+    using Open = std::function<std::unique_ptr<DocumentStore>(HttpClient &client)>;
+
+    explicit DocumentObjectStore(Open open);
+    ~DocumentObjectStore() override;
 
     Result<StoredObject> read(const std::string &key) override;
     Result<ObjectVersion> write(const std::string &key, const std::string &value, ObjectVersion expected) override;
--- a/src/adapters/platform/documentstore.h
+++ b/src/adapters/platform/documentstore.h
@@ -16,6 +16,8 @@
     // JSON text that its writer put in.
     std::string content;
     bool removed = false;
+    // The store's version at its last change.
+    ObjectVersion version;
 };
 
 // Documents of one kind at one moment, or those that changed up to it.
@@ -30,7 +32,8 @@
 // blocking the thread.
 //
 // Errors: Unavailable if the call wasn't done, OutcomeUnknown if a write may
-// have been done or may still be.
+// have been done or may still be, Conflict if the document isn't at the expected
+// version.
 class DocumentStore
 {
 public:
@@ -44,10 +47,19 @@
     // the changes: list the kind again.
     virtual asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds timeLimit) = 0;
 
+    // One document; NotFound if there is none.
+    virtual asio::awaitable<Result<StoredDocument>> read(std::string kind, std::string name) = 0;
+
+    // Replaces the content if the document still has the expected version, or
+    // creates it if that is zero; gives the new version.
+    virtual asio::awaitable<Result<ObjectVersion>> write(std::string kind, std::string name, std::string content, ObjectVersion expected) = 0;
+
     // Creates the document or replaces its content.
     virtual asio::awaitable<Result<void>> put(std::string kind, std::string name, std::string content) = 0;
 
-    virtual asio::awaitable<Result<void>> remove(std::string kind, std::string name) = 0;
+    // Removes the document, if it still has the expected version; zero: whatever
+    // it has.
+    virtual asio::awaitable<Result<void>> remove(std::string kind, std::string name, ObjectVersion expected = ObjectVersion()) = 0;
 
     // Calls made so far.
     virtual std::uint64_t calls() const = 0;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -19,21 +19,6 @@
 constexpr const char *Version = "0.1.0";
 constexpr const char *DefaultNode = "127.0.0.1:8082";
 
-std::optional<Endpoint> parseEndpoint(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
-        return std::nullopt;
-    }
-    return Endpoint{text.substr(0, colon), port};
-}
-
 int usageError(const std::string &message)
 {
     fmt::print(stderr, "galenahillctl: {}; see galenahillctl --help\n", message);
@@ -177,7 +162,7 @@
         options.arguments.emplace_back(argument);
     }
     const auto address = textOr(node, textOr(std::getenv("GALENAHILL_NODE"), DefaultNode));
-    const auto endpoint = parseEndpoint(address);
+    const auto endpoint = endpointOf(address);
     if (!endpoint) {
         return usageError(fmt::format("--node={}: give IP:PORT of a node's control address", address));
     }
--- a/src/common/endpoint.h
+++ b/src/common/endpoint.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Galenahill {
@@ -24,4 +25,10 @@
 // Written as address:port.
 std::string toString(const Endpoint &endpoint);
 
+// Whether the text is an IP number.
+bool isAddress(const std::string &text);
+
+// Reads IP:PORT; nothing if it is anything else.
+std::optional<Endpoint> endpointOf(const std::string &text);
+
 }
--- a/src/core/calls/retrybudget.cpp
+++ b/src/core/calls/retrybudget.cpp
@@ -35,4 +35,9 @@
     return true;
 }
 
+void RetryBudget::giveBack()
+{
+    m_left = std::min(m_options.most, m_left + 1);
+}
+
 }
--- a/src/core/calls/retrybudget.h
+++ b/src/core/calls/retrybudget.h
@@ -31,6 +31,9 @@
     // Takes one retry; false if none is left.
     bool tryTake();
 
+    // The retry that was taken wasn't made.
+    void giveBack();
+
 private:
     Options m_options;
     double m_left = 0;
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -1,9 +1,25 @@
 #include "core/calls/targetpicker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Galenahill {
 
+namespace {
+
+// Weight of one attempt in a service's share of failures: follows a service that
+// begins to reject calls within some thirty of them, and not one or two targets.
+constexpr double FailingWeight = 24;
+
+// A run of failures as rare as this is taken for the target's own fault.
+constexpr double RareRun = 0.03;
+
+// Beyond this share of failures any run is taken to be by chance up to the one of
+// this share, 35 in a row.
+constexpr double MaxFailing = 0.9;
+
+}
+
 TargetPicker::TargetPicker(Options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
@@ -162,23 +178,42 @@
     state.reportedAt = now;
 }
 
-void TargetPicker::succeeded(const NodeName &target)
+void TargetPicker::succeeded(const ServiceName &service, const NodeName &target)
 {
+    m_failing[service] -= m_failing[service] / FailingWeight;
     auto &state = m_states[target];
     state.failures = 0;
     state.ejections = 0;
 }
 
-void TargetPicker::failed(const NodeName &target, TimePoint now)
+// Failures in a row that chance alone makes rarely, given how often the whole
+// service fails. When all of its targets reject every other call, three in a row
+// say nothing of one target; ejected for them, half of the targets would leave
+// their calls to the other half.
+std::uint32_t TargetPicker::failuresToEject(const ServiceName &service) const
+{
+    const auto failing = m_failing.find(service);
+    const auto share = failing == m_failing.end() ? 0 : std::clamp(failing->second, 0.0, MaxFailing);
+    if (share == 0) {
+        return m_options.failuresToEject;
+    }
+    const auto byChance = static_cast<std::uint32_t>(std::ceil(std::log(RareRun) / std::log(share)));
+    return std::max(m_options.failuresToEject, byChance);
+}
+
+void TargetPicker::failed(const ServiceName &service, const NodeName &target, TimePoint now)
 {
+    const auto needed = failuresToEject(service);
+    m_failing[service] += (1 - m_failing[service]) / FailingWeight;
     auto &state = m_states[target];
-    if (!m_options.policy.ejection || state.ejectedUntil > now || ++state.failures < m_options.failuresToEject) {
+    if (!m_options.policy.ejection || state.ejectedUntil > now || ++state.failures < needed) {
         return;
     }
     // After the time is over a single failure ejects again, for twice as long.
     const auto time = m_options.ejectTime * (1 << std::min<std::uint32_t>(state.ejections, 8));
     state.ejectedUntil = now + std::min<Milliseconds>(time, m_options.maxEjectTime);
-    state.failures = m_options.failuresToEject - 1;
+    const bool othersAreWell = needed == m_options.failuresToEject;
+    state.failures = othersAreWell ? needed - 1 : 0;
     ++state.ejections;
 }
 
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -33,7 +33,8 @@
         // what is told of a wait is that much out of date.
         Milliseconds sameWait{2};
         // Failures in a row before a target is ejected, and for how long the
-        // first time and at the most.
+        // first time and at the most. More in a row where the whole service
+        // fails that often.
         std::uint32_t failuresToEject = 3;
         Milliseconds ejectTime{500};
         Milliseconds maxEjectTime{4000};
@@ -70,8 +71,8 @@
 
     // A call to the target was answered; it failed or wasn't answered; or the
     // target can't be reached.
-    void succeeded(const NodeName &target);
-    void failed(const NodeName &target, TimePoint now);
+    void succeeded(const ServiceName &service, const NodeName &target);
+    void failed(const ServiceName &service, const NodeName &target, TimePoint now);
     void rest(const NodeName &target, TimePoint now);
 
 private:
@@ -91,6 +92,7 @@
         std::uint32_t ejections = 0;
     };
 
+    std::uint32_t failuresToEject(const ServiceName &service) const;
     bool fresh(const State &state, TimePoint now) const;
     bool hasRoom(const State &state, TimePoint now) const;
     double score(const State &state, TimePoint now) const;
@@ -101,6 +103,8 @@
     std::mt19937_64 m_random;
     std::size_t m_turn = 0;
     std::unordered_map<NodeName, State> m_states;
+    // Share of the attempts at each service that failed of late.
+    std::unordered_map<ServiceName, double> m_failing;
 };
 
 }
--- a/src/core/config/settingsreader.cpp
+++ b/src/core/config/settingsreader.cpp
@@ -3,7 +3,6 @@
 #include "core/config/nearestname.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <boost/algorithm/string.hpp>
 #include <charconv>
 #include <fmt/format.h>
@@ -56,22 +55,6 @@
     return fits ? std::optional(value) : std::nullopt;
 }
 
-bool isAddress(const std::string &text)
-{
-    in_addr address{};
-    return inet_pton(AF_INET, text.c_str(), &address) == 1;
-}
-
-std::optional<Endpoint> endpointOf(const std::string &text)
-{
-    const auto colon = text.find(':');
-    const auto number = colon == std::string::npos ? std::nullopt : wholeNumber(text.substr(colon + 1), 1, 65535);
-    if (!number || !isAddress(text.substr(0, colon))) {
-        return std::nullopt;
-    }
-    return Endpoint{text.substr(0, colon), static_cast<std::uint16_t>(*number)};
-}
-
 std::string readEndpoints(std::vector<Endpoint> &endpoints, const std::string &text)
 {
     if (text.empty()) {
--- a/src/core/config/settingsreader.h
+++ b/src/core/config/settingsreader.h
@@ -32,8 +32,6 @@
 using Keys = std::map<std::string, std::map<std::string, Key<Settings>>>;
 
 std::optional<std::uint64_t> wholeNumber(const std::string &text, std::uint64_t least, std::uint64_t most);
-bool isAddress(const std::string &text);
-std::optional<Endpoint> endpointOf(const std::string &text);
 
 // Reads "IP:PORT, IP:PORT"; an empty text is an empty list.
 std::string readEndpoints(std::vector<Endpoint> &endpoints, const std::string &text);
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -55,6 +55,7 @@
 
     bool take(const MemberRecord &record, TimePoint now);
     void spread(const MemberRecord &record);
+    void spreadSelf();
     void refute(const MemberRecord &claim);
     void checkSender(const Endpoint &from, const GossipMessage &message);
     void acknowledged(std::uint32_t sequence);
@@ -420,17 +421,33 @@
     d->gossip(now);
 }
 
-// What a contact lists, the others have been told already. Passed on by each
-// node that starts, the lists of a fleet that returns as a whole would be most of
-// its traffic.
+// What a list says of known members, the others are told by those themselves.
+// Passed on by each node that starts, the lists of a fleet that returns as a whole
+// would be most of its traffic.
 void Membership::merge(const std::vector<MemberRecord> &records, TimePoint now)
+{
+    for (const auto &record : records) {
+        const bool unknown = d->members.find(record.name) == nullptr;
+        if (d->take(record, now) && unknown) {
+            d->spread(record);
+        }
+    }
+    d->spreadSelf();
+}
+
+void Membership::mergeFromStore(const std::vector<MemberRecord> &records, TimePoint now)
 {
     for (const auto &record : records) {
         d->take(record, now);
     }
-    // The rumour of this member's start may have run out before it had
-    // anybody to tell.
-    d->rumours.add(d->options.self, d->members.size());
+    d->spreadSelf();
+}
+
+// The rumour of this member's start may have run out before it had anybody to
+// tell.
+void Membership::Private::spreadSelf()
+{
+    spread(options.self);
 }
 
 void Membership::setState(MemberState state, TimePoint now)
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -64,9 +64,14 @@
     // Does what is due; call it every 50 to 100 ms.
     void tick(TimePoint now);
 
-    // Takes the list of members that a contact gave.
+    // Takes the list of members that a contact gave, and tells others of those
+    // that were unknown here: they may be of a group that knows nobody else.
     void merge(const std::vector<MemberRecord> &records, TimePoint now);
 
+    // Takes the list of all members that the store has. Every member reads it
+    // there itself, so that nobody is told.
+    void mergeFromStore(const std::vector<MemberRecord> &records, TimePoint now);
+
     // Changes what this member says of itself and its target. Left is final.
     void setState(MemberState state, TimePoint now);
 
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -3,6 +3,7 @@
 #include "core/config/configlimits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Galenahill {
 
@@ -100,7 +101,28 @@
         ++call.uncertain;
         call.notToRepeatAt.push_back(call.lastTarget);
     }
-    return !m_options.policy.retryBudget || budgetOf(call.service).tryTake();
+    if (m_options.policy.retryBudget && !budgetOf(call.service).tryTake()) {
+        return false;
+    }
+    call.holdsRepeat = m_options.policy.retryBudget;
+    return true;
+}
+
+void CallRouter::attemptEnded(IngressCall &call, AttemptEnd end)
+{
+    if (isSent(end)) {
+        ++call.sent;
+        call.holdsRepeat = false;
+    }
+}
+
+// A repeat that found no room cost the targets nothing, and another call can
+// have it.
+void CallRouter::callEnded(IngressCall &call)
+{
+    if (std::exchange(call.holdsRepeat, false)) {
+        budgetOf(call.service).giveBack();
+    }
 }
 
 // The call goes where it is expected to wait least. While other targets are
@@ -164,7 +186,7 @@
     return m_picker.roomElsewhere(call.view->targetsOf(call.service), passedOver, Clock::now());
 }
 
-void CallRouter::learn(const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response)
+void CallRouter::learn(const ServiceName &service, const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response)
 {
     const auto now = Clock::now();
     const auto load = response ? loadHeader(*response) : std::nullopt;
@@ -173,13 +195,13 @@
     }
     switch (end) {
     case AttemptEnd::Answered:
-        m_picker.succeeded(target);
+        m_picker.succeeded(service, target);
         break;
     case AttemptEnd::Failed:
     case AttemptEnd::NotRunByTarget:
     case AttemptEnd::Shed:
     case AttemptEnd::OutcomeUnknown:
-        m_picker.failed(target, now);
+        m_picker.failed(service, target, now);
         break;
     case AttemptEnd::NotRun:
         // A full target is told by its load; one that can't say it rests.
--- a/src/daemon/callrouter.h
+++ b/src/daemon/callrouter.h
@@ -39,8 +39,14 @@
     // Whether the call may be sent again though it may have run.
     bool mayRepeat(const IngressCall &call) const;
 
+    // An attempt of the call ended so.
+    void attemptEnded(IngressCall &call, AttemptEnd end);
+
+    // No further attempt follows.
+    void callEnded(IngressCall &call);
+
     // Whether the call goes on to another sidecar after an attempt that ended
-    // so; counts a repeat in.
+    // so; takes a repeat out of the budget if that is one.
     bool mayRetry(IngressCall &call, AttemptEnd end);
 
     // Whether the call could be repeated now at a target with room.
@@ -50,7 +56,7 @@
     void begin(const NodeName &target);
     void end(const NodeName &target);
     void reportedWait(const NodeName &target, Milliseconds wait);
-    void learn(const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response);
+    void learn(const ServiceName &service, const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response);
 
 private:
     RetryBudget &budgetOf(const ServiceName &service);
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -165,6 +165,11 @@
     d->membership.merge(members, Clock::now());
 }
 
+void FleetControl::storedMembersReceived(const std::vector<MemberRecord> &members)
+{
+    d->membership.mergeFromStore(members, Clock::now());
+}
+
 void FleetControl::targetStateChanged(MemberState state)
 {
     d->membership.setState(state, Clock::now());
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -55,7 +55,9 @@
 
     void tick();
     void datagramReceived(const Endpoint &from, const std::string &bytes);
+    // Members that another member listed, and those that the store lists.
     void membersReceived(const std::vector<MemberRecord> &members);
+    void storedMembersReceived(const std::vector<MemberRecord> &members);
     void targetStateChanged(MemberState state);
 
     // A revision came from the store or a member. It is taken if it is above
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -222,7 +222,7 @@
         call.lastTarget = choice.target->name;
         last = co_await attempt(call, choice);
         const auto end = last.end;
-        call.sent += isSent(end) ? 1 : 0;
+        router.attemptEnded(call, end);
         if (end == AttemptEnd::Answered || !router.mayRetry(call, end)) {
             break;
         }
@@ -233,6 +233,7 @@
         choice = router.choose(call);
         retriesMade += choice.target != nullptr && isSent(end) ? 1 : 0;
     }
+    router.callEnded(call);
     // A target's own answer, though a failure, tells the caller more than that
     // no other target had room to try again, or gave no answer.
     const bool answered = last.end == AttemptEnd::Answered || last.end == AttemptEnd::Failed;
@@ -344,7 +345,7 @@
         // The caller ended it; that says nothing about the target.
         co_return result;
     }
-    router.learn(target.name, result.end, response);
+    router.learn(call.service, target.name, result.end, response);
     if (result.end == AttemptEnd::Answered || result.end == AttemptEnd::OutcomeUnknown) {
         attempts.observed(call.route->name, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin));
     }
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -38,6 +38,8 @@
     // repeat of it: a repeat goes to none of them.
     std::vector<NodeName> notToRepeatAt;
     std::uint32_t repeatsOffered = 0;
+    // Whether a repeat was taken out of the budget for the next send.
+    bool holdsRepeat = false;
     NodeName lastTarget;
     // Times that the call was sent to a target, and how many of them may have
     // run it.
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -170,7 +170,7 @@
             members.push_back(std::move(*record));
         }
     }
-    options.found(members);
+    options.listed(members);
     co_return found;
 }
 
--- a/src/daemon/memberdirectory.h
+++ b/src/daemon/memberdirectory.h
@@ -27,7 +27,8 @@
         std::vector<Endpoint> seeds;
         std::uint64_t seed = 1;
         Logger log;
-        // Members that were learnt.
+        // Members that the store lists, and those that another member does.
+        std::function<void(const std::vector<MemberRecord> &)> listed;
         std::function<void(const std::vector<MemberRecord> &)> found;
         // Addresses of the other live members known.
         std::function<std::vector<Endpoint>()> others;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,7 +5,6 @@
 #include "adapters/http/httpclient.h"
 #include "adapters/http/httpserver.h"
 #include "adapters/platform/budgetedstore.h"
-#include "adapters/platform/httpobjectstore.h"
 #include "adapters/udp/datagramsocket.h"
 #include "daemon/contactkeeper.h"
 #include "daemon/controlactor.h"
@@ -95,7 +94,7 @@
         , log(std::move(options.log))
         , state(std::make_shared<NodeState>())
         , self(selfRecord())
-        , store({.endpoint = settings.store, .callTimeout = settings.storeTimeout})
+        , store(std::move(options.openStore))
         , repository({.store = store,
               .inForce = [this] { return state->revisions.current(); },
               .highestKnown = [this] { return Revision(state->highestKnown); },
@@ -146,12 +145,12 @@
         , ingressServer(dataContext,
               {.endpoint = {settings.address, settings.ingressPort},
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
-                  .maxBodyBytes = MaxCallBodyBytes,
+                  .limits = {.bodyBytes = MaxCallBodyBytes},
                   .streamBodies = true})
         , sidecarServer(dataContext,
               {.endpoint = self.sidecar(),
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
-                  .maxBodyBytes = MaxCallBodyBytes,
+                  .limits = {.bodyBytes = MaxCallBodyBytes},
                   .streamBodies = true})
     {
     }
@@ -164,7 +163,7 @@
 
     asio::io_context controlContext{1};
     asio::io_context dataContext{1};
-    HttpObjectStore store;
+    DocumentObjectStore store;
     ConfigRepository repository;
     BudgetedStore budgetedStore;
     // For the node's standing work; operators' requests use the one above.
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/platform/documentobjectstore.h"
 #include "common/error.h"
 #include "core/calls/callpolicy.h"
 #include "core/config/nodesettings.h"
@@ -17,6 +18,8 @@
     struct Options
     {
         NodeSettings settings;
+        // Opens the platform's store; connections come from the client.
+        DocumentObjectStore::Open openStore;
         Logger log;
         CallPolicy calls;
     };
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -60,6 +60,7 @@
     Sidecar::Options sidecarOptions();
     TargetService::Options targetOptions();
     FleetControlOptions fleetOptions();
+    void limitCallers(const CallerLimits &limits);
     ConfigFollower::Options followerOptions();
     MemberDirectory::Options directoryOptions();
     RetryBudget::Options retryBudget(std::size_t members) const;
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -13,6 +13,14 @@
 // bounds time rather than memory.
 constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
 
+// Largest header that a node takes, whatever the configuration says: it is held
+// in memory for each connection that sends one.
+constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+
+// Room for the fields that nodes add to a call, each of them short; names of
+// routes and services have up to 100 characters.
+constexpr std::uint32_t ForwardedFieldBytes = 2048;
+
 // A whole configuration document in one answer; the store takes no larger one.
 constexpr std::uint64_t MaxControlBodyBytes = std::uint64_t(8) << 20;
 
@@ -146,7 +154,7 @@
     HttpServer::Options serverOptions;
     serverOptions.endpoint = endpoint;
     serverOptions.handler = std::move(handler);
-    serverOptions.maxBodyBytes = MaxCallBodyBytes;
+    serverOptions.limits.bodyBytes = MaxCallBodyBytes;
     serverOptions.streamBodies = true;
     return serverOptions;
 }
@@ -244,6 +252,10 @@
         ingress.setRetryBudget(retryBudget(state->members().size()));
         ingress.setView(view);
         sidecar.setView(view);
+        // The store may hold no configuration yet.
+        if (view->config) {
+            limitCallers(view->config->snapshot->callerLimits());
+        }
     };
     fleetOptions.revisionTaken = [this](const auto &revision) { exchange.remember(*revision); };
     fleetOptions.pull = [this](const Endpoint &peer) { asio::co_spawn(context, pull(peer), asio::detached); };
@@ -253,6 +265,16 @@
     return fleetOptions;
 }
 
+// Other nodes pass calls on with fields of their own beside the caller's, and keep
+// their connections as long as they like.
+void PlatformNode::Private::limitCallers(const CallerLimits &limits)
+{
+    auto ofCallers = limits;
+    ofCallers.headerBytes = std::min(limits.headerBytes, MaxHeaderBytes);
+    ingressServer.limitPeers(ofCallers);
+    sidecarServer.limitPeers({.headerBytes = ofCallers.headerBytes + ForwardedFieldBytes, .bodyBytes = MaxCallBodyBytes});
+}
+
 ConfigFollower::Options PlatformNode::Private::followerOptions()
 {
     return {.context = context,
@@ -278,6 +300,7 @@
         .seeds = settings.seeds,
         .seed = seed,
         .log = log,
+        .listed = [this](const std::vector<MemberRecord> &members) { fleet.storedMembersReceived(members); },
         .found = [this](const std::vector<MemberRecord> &members) { fleet.membersReceived(members); },
         .others = [this] { return fleet.otherAddresses(); },
         .stopping = stopping};
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -234,7 +234,7 @@
         logRefusal(call, "no slot in time");
     }
     auto response = refuse("all slots of the target are taken");
-    response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(line->expectedWait(call)).count()));
+    response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(line->costOf(call)).count()));
     return response;
 }
 
--- a/src/daemon/slotline.cpp
+++ b/src/daemon/slotline.cpp
@@ -54,6 +54,7 @@
     , m_policy(policy)
     , m_admission(policy)
     , m_queue({.newestFirst = policy.newestFirst, .fairShares = policy.fairShares, .byUrgency = policy.byUrgency})
+    , m_lateOffers({})
 {
 }
 
@@ -111,16 +112,22 @@
     return std::min(call.entered + longest, call.deadline - m_admission.fastest());
 }
 
+// Time at the target within which most calls of the route are answered.
+std::chrono::microseconds SlotLine::neededTime(const SlotCall &call) const
+{
+    const auto known = m_times.usual(call.route);
+    const auto needed = known.count() == 0 ? UnknownCallTime : known;
+    return std::chrono::duration_cast<Microseconds>(needed * TimeMargin);
+}
+
 // The latest time to get a slot and be answered within the objective, or by
 // the deadline for a call without one. A call that waits longer takes its slot
 // from one that could still be in time.
 TimePoint SlotLine::latestStart(const SlotCall &call) const
 {
-    const auto known = m_times.usual(call.route);
-    const auto needed = known.count() == 0 ? UnknownCallTime : known;
     // A running call needs the answer, late or not, or all its work is lost.
     const auto wanted = call.terms.forRunningCall ? call.deadline : std::min(call.objective, call.deadline);
-    const auto latest = wanted - std::chrono::duration_cast<Microseconds>(needed * TimeMargin);
+    const auto latest = wanted - neededTime(call);
     const bool waitsForOthers = call.terms.forRunningCall || call.objective == TimePoint::max();
     if (waitsForOthers) {
         return latest;
@@ -152,6 +159,16 @@
     return slotInterval() * (m_queue.ahead(urgencyOf(call)) + 1);
 }
 
+// What makes the call late here is as good as a wait: it says how much better
+// another target would be.
+std::chrono::microseconds SlotLine::costOf(const SlotCall &call) const
+{
+    const auto wait = running() < limit() ? Microseconds(0) : expectedWait(call);
+    const auto end = Clock::now() + neededTime(call);
+    const bool late = m_policy.byUrgency && call.objective < end;
+    return wait + (late ? std::chrono::duration_cast<Microseconds>(end - call.objective) : Microseconds(0));
+}
+
 std::chrono::microseconds SlotLine::expectedWait() const
 {
     if (m_admission.inFlight() < m_admission.limit()) {
@@ -167,9 +184,20 @@
     }
 }
 
+// A call that may wait here has been offered elsewhere; one that may not still
+// has other targets to go to.
+bool SlotLine::goesElsewhere(const SlotCall &call)
+{
+    const bool mayChoose = m_policy.byUrgency && !call.terms.mayWait && running() < limit();
+    return mayChoose && m_lateOffers.turnsAway(call.entered, call.entered + neededTime(call), call.objective);
+}
+
 asio::awaitable<bool> SlotLine::enter(SlotCall &call, ServerConnection &connection)
 {
     call.entered = Clock::now();
+    if (goesElsewhere(call)) {
+        co_return false;
+    }
     if (m_queue.size() == 0 && m_admission.tryEnter(call.entered)) {
         m_queue.started(call.route);
         co_return true;
--- a/src/daemon/slotline.h
+++ b/src/daemon/slotline.h
@@ -4,6 +4,7 @@
 #include "core/calls/admissioncontroller.h"
 #include "core/calls/callpolicy.h"
 #include "core/calls/callqueue.h"
+#include "core/calls/lateoffers.h"
 #include "core/calls/servicetimes.h"
 #include "daemon/callmessages.h"
 
@@ -62,6 +63,9 @@
     std::chrono::microseconds expectedWait(const SlotCall &call) const;
     std::chrono::microseconds expectedWait() const;
 
+    // What the call would lose here: its wait, and what it would be late by.
+    std::chrono::microseconds costOf(const SlotCall &call) const;
+
     std::uint32_t running() const;
     std::uint32_t limit() const;
     std::size_t waiting() const;
@@ -75,6 +79,8 @@
     TimePoint waitLimit(const SlotCall &call) const;
     TimePoint latestStart(const SlotCall &call) const;
     CallUrgency urgencyOf(const SlotCall &call) const;
+    std::chrono::microseconds neededTime(const SlotCall &call) const;
+    bool goesElsewhere(const SlotCall &call);
     std::chrono::microseconds slotInterval() const;
     asio::awaitable<bool> waitForSlot(SlotCall &call, ServerConnection &connection);
     void refuseHopeless();
@@ -86,6 +92,7 @@
     AdmissionController m_admission;
     CallQueue m_queue;
     ServiceTimes m_times;
+    LateOffers m_lateOffers;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
     std::uint64_t m_nextTicket = 1;
 };
--- /dev/null
+++ b/standins/announcer.cpp
@@ -0,0 +1,78 @@
+#include "announcer.h"
+
+#include "adapters/http/sleep.h"
+
+#include <boost/algorithm/string/replace.hpp>
+#include <chrono>
+#include <fstream>
+#include <stdexcept>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr Milliseconds AnswerTime{1000};
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}
+
+Announcer::Announcer(asio::io_context &context, Options options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_client(context, {})
+    , m_startedAt(unixMilliseconds())
+{
+    std::ifstream sample(m_options.sampleFile);
+    if (!std::getline(sample, m_firstLine) || !std::getline(sample, m_body)) {
+        throw std::runtime_error(m_options.sampleFile + ": has no request line and body");
+    }
+}
+
+void Announcer::start()
+{
+    asio::co_spawn(m_context, run(), asio::detached);
+}
+
+HttpRequest Announcer::request()
+{
+    auto path = m_firstLine.substr(m_firstLine.find(' ') + 1);
+    auto body = m_body;
+    const std::pair<const char *, std::string> values[] = {
+        {"{id}", m_options.id},
+        {"{address}", toString(m_options.address)},
+        {"{born}", std::to_string(m_startedAt)},
+        {"{service}", m_options.service},
+        {"{zone}", m_options.dataCentre},
+        {"{slots}", std::to_string(m_options.slots())},
+        {"{state}", m_options.draining() ? "draining" : "ready"},
+        {"{sequence}", std::to_string(++m_sequence)},
+    };
+    for (const auto &[name, value] : values) {
+        boost::replace_all(path, name, value);
+        boost::replace_all(body, name, value);
+    }
+    HttpRequest request(http::verb::put, path, 11);
+    request.set(http::field::host, toString(m_options.registration));
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    return request;
+}
+
+asio::awaitable<void> Announcer::run()
+{
+    for (;;) {
+        // One that isn't answered is followed by the next anyway.
+        (void)co_await m_client.exchange(m_options.registration, request(), Clock::now() + AnswerTime);
+        const bool draining = m_options.draining();
+        const auto next = Clock::now() + m_options.interval;
+        while (Clock::now() < next && m_options.draining() == draining) {
+            co_await sleepFor(m_context, Milliseconds(10));
+        }
+    }
+}
+
+}
--- a/standins/platformmodel.cpp
+++ b/standins/platformmodel.cpp
@@ -2,54 +2,87 @@
 
 namespace Galenahill {
 
-namespace {
-
-constexpr const char *HeadKey = "config/head";
-
+std::uint64_t PlatformModel::version() const
+{
+    return m_version;
 }
 
-std::optional<PlatformModel::Object> PlatformModel::read(const std::string &key) const
+std::optional<PlatformModel::Object> PlatformModel::read(const std::string &kind, const std::string &name) const
 {
-    const auto found = m_objects.find(key);
+    const auto found = m_objects.find({kind, name});
     return found == m_objects.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<std::uint64_t> PlatformModel::write(const std::string &key, std::string value, std::uint64_t expected)
+PlatformModel::Object PlatformModel::put(const Key &key, std::string content)
+{
+    m_contents[key].push_back(content);
+    const Object object{key.first, key.second, std::move(content), ++m_version};
+    m_objects[key] = object;
+    m_changes.push_back(object);
+    return object;
+}
+
+std::optional<PlatformModel::Object> PlatformModel::create(const std::string &kind, const std::string &name, std::string content)
 {
-    const auto found = m_objects.find(key);
-    const auto present = found == m_objects.end() ? 0 : found->second.version;
-    if (present != expected) {
+    if (read(kind, name)) {
         return std::nullopt;
     }
-    if (key == HeadKey) {
-        m_headHistory.push_back(value);
+    return put({kind, name}, std::move(content));
+}
+
+std::optional<PlatformModel::Object> PlatformModel::replace(const std::string &kind, const std::string &name, std::string content, std::uint64_t expected)
+{
+    const auto present = read(kind, name);
+    if (!present || (expected != 0 && present->version != expected)) {
+        return std::nullopt;
     }
-    m_objects[key] = {std::move(value), ++m_lastVersion};
-    return m_lastVersion;
+    return present->content == content ? present : put({kind, name}, std::move(content));
 }
 
-bool PlatformModel::remove(const std::string &key, std::uint64_t expected)
+bool PlatformModel::remove(const std::string &kind, const std::string &name, std::uint64_t expected)
 {
-    const auto found = m_objects.find(key);
-    if (found == m_objects.end() || found->second.version != expected) {
+    const auto present = read(kind, name);
+    if (!present || (expected != 0 && present->version != expected)) {
         return false;
     }
-    m_objects.erase(found);
+    m_objects.erase({kind, name});
+    m_changes.push_back({kind, name, {}, ++m_version, true});
     return true;
 }
 
-std::vector<std::string> PlatformModel::list(const std::string &prefix) const
+std::vector<PlatformModel::Object> PlatformModel::list(const std::string &kind, const std::string &after) const
 {
-    std::vector<std::string> keys;
-    for (auto entry = m_objects.lower_bound(prefix); entry != m_objects.end() && entry->first.compare(0, prefix.size(), prefix) == 0; ++entry) {
-        keys.push_back(entry->first);
+    std::vector<Object> objects;
+    for (auto entry = m_objects.upper_bound({kind, after}); entry != m_objects.end() && entry->first.first == kind; ++entry) {
+        objects.push_back(entry->second);
     }
-    return keys;
+    return objects;
+}
+
+std::optional<std::vector<PlatformModel::Object>> PlatformModel::changesAfter(const std::string &kind, std::uint64_t version) const
+{
+    if (version < m_knownFrom) {
+        return std::nullopt;
+    }
+    std::vector<Object> changes;
+    for (const auto &change : m_changes) {
+        if (change.kind == kind && change.version > version) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+void PlatformModel::forgetHistory()
+{
+    m_changes.clear();
+    m_knownFrom = m_version;
 }
 
-std::vector<std::string> PlatformModel::history(const std::string &key) const
+std::vector<std::string> PlatformModel::contentsOf(const std::string &kind, const std::string &name) const
 {
-    return key == HeadKey ? m_headHistory : std::vector<std::string>();
+    const auto found = m_contents.find({kind, name});
+    return found == m_contents.end() ? std::vector<std::string>() : found->second;
 }
 
 void PlatformModel::backUp()
@@ -61,7 +94,8 @@
 {
     m_objects = m_backup;
     for (auto &[key, object] : m_objects) {
-        object.version = ++m_lastVersion;
+        object.version = ++m_version;
+        m_changes.push_back(object);
     }
 }
 
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -1,16 +1,14 @@
-// Stand-in for the platform's object API over HTTP/1.1:
-//   GET    /objects/KEY            the value, its version in Object-Version
-//   GET    /objects?prefix=P       the keys as a JSON array
-//   PUT    /objects/KEY            writes if If-Version matches (0: no object)
-//   DELETE /objects/KEY            removes if If-Version matches
-//   GET    /watch/KEY?known=V&timeout_ms=T   waits for another version
-// and, for experiments:
+// Stand-in for the platform's store: objects by kind and name over HTTP/1.1, with
+// conditional writes, lists in pages, watches of a kind, and a history that can be
+// lost. For experiments:
 //   GET    /admin/counters         calls by kind
-//   GET    /admin/head-history     every value that config/head had, as a JSON array
+//   GET    /admin/head-history     every head that the INI nodes' repository had, as a JSON array
 //   POST   /admin/fault            {"mode": "none|down|slow|lose-answers|stall-watches", "delay_ms": N}
+//   POST   /admin/compact          forgets the history of changes
 //   POST   /admin/backup, /admin/restore
 
 #include "adapters/http/httpserver.h"
+#include "platform/storenames.h"
 #include "platformmodel.h"
 #include "serveuntilstopped.h"
 
@@ -22,13 +20,23 @@
 
 namespace {
 
+using Json = nlohmann::json;
+namespace Names = Platform::StoreNames;
+
+// Objects in one page of a list, as on the platform.
+constexpr std::size_t PageObjects = 500;
+
+// Where the INI nodes keep the head of their repository.
+constexpr const char *HeadKind = "galenahill-config";
+constexpr const char *HeadName = "head";
+
 constexpr std::size_t MaxValueBytes = 1024 * 1024;
 constexpr Milliseconds WatchPoll{5};
 
-class Platform
+class StoreStandIn
 {
 public:
-    explicit Platform(asio::io_context &context)
+    explicit StoreStandIn(asio::io_context &context)
         : m_context(context)
     {
     }
@@ -37,10 +45,10 @@
 
 private:
     asio::awaitable<HttpResponse> objectCall(HttpRequest request);
-    asio::awaitable<HttpResponse> watch(std::string key, std::uint64_t known, Milliseconds limit);
+    asio::awaitable<HttpResponse> watch(std::string kind, std::uint64_t after, Milliseconds limit);
     HttpResponse admin(const HttpRequest &request);
-    HttpResponse read(const std::string &key);
-    HttpResponse change(const HttpRequest &request, const std::string &key);
+    HttpResponse list(const std::string &kind, const std::string &after);
+    HttpResponse change(const HttpRequest &request, const std::string &kind, const std::string &name);
     asio::awaitable<void> sleep(Milliseconds time);
 
     asio::io_context &m_context;
@@ -50,11 +58,16 @@
     Milliseconds m_delay{0};
 };
 
-HttpResponse objectResponse(const PlatformModel::Object &object)
+Json objectJson(const PlatformModel::Object &object)
 {
-    auto response = makeResponse(http::status::ok, "application/octet-stream", object.value);
-    response.set("Object-Version", std::to_string(object.version));
-    return response;
+    Json json = {{Names::Metadata, {{Names::Name, object.name}, {Names::ObjectRevision, object.version}}}};
+    json[Names::Content] = object.deleted ? Json() : Json::parse(object.content);
+    return json;
+}
+
+HttpResponse jsonResponse(const Json &json, http::status status = http::status::ok)
+{
+    return makeResponse(status, "application/json", json.dump());
 }
 
 std::uint64_t number(boost::beast::string_view text)
@@ -64,7 +77,8 @@
 
 std::string parameter(const std::string &target, const std::string &name)
 {
-    const auto begin = target.find(name + "=");
+    const auto query = target.find('?');
+    const auto begin = query == std::string::npos ? query : target.find(name + "=", query);
     if (begin == std::string::npos) {
         return {};
     }
@@ -72,14 +86,14 @@
     return target.substr(value, target.find('&', value) - value);
 }
 
-asio::awaitable<void> Platform::sleep(Milliseconds time)
+asio::awaitable<void> StoreStandIn::sleep(Milliseconds time)
 {
     asio::steady_timer timer(m_context, time);
     ErrorCode ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<HttpResponse> Platform::handle(HttpRequest request)
+asio::awaitable<HttpResponse> StoreStandIn::handle(HttpRequest request)
 {
     if (std::string(request.target()).rfind("/admin/", 0) == 0) {
         co_return admin(request);
@@ -91,7 +105,7 @@
     if (m_mode == "slow") {
         co_await sleep(m_delay);
     }
-    const bool writes = request.method() == http::verb::put || request.method() == http::verb::delete_;
+    const bool writes = request.method() != http::verb::get;
     const bool lost = m_mode == "lose-answers" && writes;
     auto response = co_await objectCall(std::move(request));
     if (lost) {
@@ -101,79 +115,110 @@
     co_return response;
 }
 
-asio::awaitable<HttpResponse> Platform::objectCall(HttpRequest request)
+asio::awaitable<HttpResponse> StoreStandIn::objectCall(HttpRequest request)
 {
     const std::string target(request.target());
-    const std::string objects = "/objects/";
-    const std::string watches = "/watch/";
-    if (target.rfind("/objects?prefix=", 0) == 0) {
-        ++m_calls["list"];
-        co_return makeResponse(http::status::ok, "application/json", nlohmann::json(m_model.list(parameter(target, "prefix"))).dump());
+    const std::string path = target.substr(0, target.find('?'));
+    if (path.rfind(Names::Objects, 0) != 0) {
+        co_return makeErrorResponse(http::status::not_found, "not-found", "no such resource");
     }
-    if (target.rfind(watches, 0) == 0) {
-        ++m_calls["watch"];
-        const auto key = target.substr(watches.size(), target.find('?') - watches.size());
-        co_return co_await watch(key, number(parameter(target, "known")), Milliseconds(number(parameter(target, "timeout_ms"))));
+    const auto place = path.substr(std::string_view(Names::Objects).size());
+    const auto slash = place.find('/');
+    const auto kind = place.substr(0, slash);
+    const auto name = slash == std::string::npos ? std::string() : place.substr(slash + 1);
+    if (request.method() != http::verb::get) {
+        ++m_calls["write"];
+        co_return change(request, kind, name);
     }
-    if (target.rfind(objects, 0) != 0) {
-        co_return makeErrorResponse(http::status::not_found, "not-found", "no such resource");
+    const auto after = parameter(target, Names::Watch);
+    if (!after.empty()) {
+        ++m_calls["watch"];
+        co_return co_await watch(kind, number(after), Milliseconds(number(parameter(target, Names::WaitMs))));
     }
-    const auto key = target.substr(objects.size());
-    if (request.method() == http::verb::get) {
-        ++m_calls["read"];
-        co_return read(key);
+    ++m_calls[name.empty() ? "list" : "read"];
+    if (name.empty()) {
+        co_return list(kind, parameter(target, Names::After));
     }
-    ++m_calls["write"];
-    co_return change(request, key);
+    const auto object = m_model.read(kind, name);
+    co_return object ? jsonResponse(objectJson(*object)) : makeErrorResponse(http::status::not_found, "not-found", name);
 }
 
-HttpResponse Platform::read(const std::string &key)
+HttpResponse StoreStandIn::list(const std::string &kind, const std::string &after)
 {
-    const auto object = m_model.read(key);
-    return object ? objectResponse(*object) : makeErrorResponse(http::status::not_found, "not-found", key);
+    const auto objects = m_model.list(kind, after);
+    Json items = Json::array();
+    for (std::size_t i = 0; i < std::min(objects.size(), PageObjects); ++i) {
+        items.push_back(objectJson(objects[i]));
+    }
+    return jsonResponse({{Names::Items, items}, {Names::HasMore, objects.size() > PageObjects}, {Names::StoreRevision, m_model.version()}});
 }
 
-HttpResponse Platform::change(const HttpRequest &request, const std::string &key)
+HttpResponse StoreStandIn::change(const HttpRequest &request, const std::string &kind, const std::string &name)
 {
-    const auto expected = number(request["If-Version"]);
+    const auto refused = [&](const std::string &of) {
+        const auto present = m_model.read(kind, of);
+        return present ? jsonResponse(objectJson(*present), http::status::conflict) : makeErrorResponse(http::status::not_found, "not-found", of);
+    };
     if (request.method() == http::verb::delete_) {
-        return m_model.remove(key, expected) ? makeResponse(http::status::ok, "text/plain", "") : makeErrorResponse(http::status::conflict, "conflict", key);
+        const auto expected = number(parameter(std::string(request.target()), Names::ObjectRevision));
+        return m_model.remove(kind, name, expected) ? jsonResponse(Json::object()) : refused(name);
     }
     if (request.body().size() > MaxValueBytes) {
-        return makeErrorResponse(http::status::payload_too_large, "too-large", key);
+        return makeErrorResponse(http::status::payload_too_large, "too-large", name);
     }
-    const auto version = m_model.write(key, request.body(), expected);
-    if (!version) {
-        return makeErrorResponse(http::status::conflict, "conflict", key);
+    const auto json = Json::parse(request.body(), nullptr, false);
+    if (!json.is_object() || !json.contains(Names::Metadata) || !json.contains(Names::Content)) {
+        return makeErrorResponse(http::status::bad_request, "invalid", "an object has its metadata and what its writer put in");
     }
-    auto response = makeResponse(http::status::ok, "text/plain", "");
-    response.set("Object-Version", std::to_string(*version));
-    return response;
+    const auto &metadata = json.at(Names::Metadata);
+    const auto content = json.at(Names::Content).dump();
+    const auto own = metadata.value(Names::Name, name);
+    const auto object = request.method() == http::verb::post ? m_model.create(kind, own, content)
+                                                             : m_model.replace(kind, name, content, metadata.value(Names::ObjectRevision, std::uint64_t(0)));
+    return object ? jsonResponse(objectJson(*object)) : refused(own);
 }
 
-asio::awaitable<HttpResponse> Platform::watch(std::string key, std::uint64_t known, Milliseconds limit)
+asio::awaitable<HttpResponse> StoreStandIn::watch(std::string kind, std::uint64_t after, Milliseconds limit)
 {
     const auto until = Clock::now() + limit;
-    while (Clock::now() < until || m_mode == "stall-watches") {
-        const auto object = m_model.read(key);
-        if (object && object->version != known && m_mode != "stall-watches") {
-            co_return objectResponse(*object);
+    Json events = Json::array();
+    while (events.empty() && (Clock::now() < until || m_mode == "stall-watches")) {
+        const auto changes = m_model.changesAfter(kind, after);
+        if (!changes) {
+            co_return makeErrorResponse(http::status::gone, "gone", "that history is forgotten");
+        }
+        for (const auto &change : m_mode == "stall-watches" ? std::vector<PlatformModel::Object>() : *changes) {
+            events.push_back({{Names::Object, objectJson(change)}, {Names::Deleted, change.deleted}});
+        }
+        if (events.empty()) {
+            co_await sleep(WatchPoll);
         }
-        co_await sleep(WatchPoll);
     }
-    co_return makeResponse(http::status::no_content, "text/plain", "");
+    co_return jsonResponse({{Names::Events, events}, {Names::StoreRevision, m_model.version()}});
+}
+
+// The texts that the repository's head had.
+Json headHistory(const PlatformModel &model)
+{
+    Json texts = Json::array();
+    for (const auto &content : model.contentsOf(HeadKind, HeadName)) {
+        texts.push_back(Json::parse(content).at("text"));
+    }
+    return texts;
 }
 
-HttpResponse Platform::admin(const HttpRequest &request)
+HttpResponse StoreStandIn::admin(const HttpRequest &request)
 {
     const auto target = request.target();
     if (target == "/admin/counters") {
         return makeResponse(http::status::ok, "application/json", nlohmann::json(m_calls).dump());
     }
     if (target == "/admin/head-history") {
-        return makeResponse(http::status::ok, "application/json", nlohmann::json(m_model.history("config/head")).dump());
+        return makeResponse(http::status::ok, "application/json", headHistory(m_model).dump());
     }
-    if (target == "/admin/backup") {
+    if (target == "/admin/compact") {
+        m_model.forgetHistory();
+    } else if (target == "/admin/backup") {
         m_model.backUp();
     } else if (target == "/admin/restore") {
         m_model.restore();
@@ -188,11 +233,11 @@
 int run(const std::string &address, std::uint16_t port)
 {
     asio::io_context context(1);
-    Platform platform(context);
+    StoreStandIn platform(context);
     return serveUntilStopped(context,
         {.endpoint = {address, port},
             .handler = [&](HttpRequest request, ServerConnection &) { return platform.handle(std::move(request)); },
-            .maxBodyBytes = 2 * MaxValueBytes});
+            .limits = {.bodyBytes = 2 * MaxValueBytes}});
 }
 
 }
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -12,12 +12,19 @@
 // there is one, and runs even if its caller has gone; without room it is
 // refused with 503. "cold_ms" makes it a cold one for that time, which refuses
 // all calls. "misreport" makes health and load say ready and idle.
+// With --announce it announces itself to the node beside it and uses the fields
+// that the platform's callers and targets use: it echoes the request's id, proves
+// its answers, refuses what was meant for another target, and says when it didn't
+// run a call.
 
 #include "adapters/http/httpserver.h"
+#include "announcer.h"
+#include "platform/calldialect.h"
 #include "serveuntilstopped.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <popt.h>
 
 namespace Galenahill {
@@ -35,6 +42,17 @@
     std::uint32_t backlog = 0;
     std::uint32_t connections = 4096;
     bool logRuns = false;
+    // Where the target announces itself; port zero: nowhere.
+    Endpoint registration;
+    std::string heartbeatSample;
+    std::string id;
+    std::string service;
+    std::string dataCentre;
+
+    bool announces() const
+    {
+        return registration.port != 0;
+    }
 };
 
 // Calls that start later than this after a drain was ordered are late.
@@ -51,6 +69,19 @@
         , m_options(std::move(options))
         , m_readyAt(Clock::now() + m_options.coldStart)
     {
+        if (m_options.announces()) {
+            m_dialect = Platform::callDialect();
+        }
+    }
+
+    std::uint32_t slots() const
+    {
+        return m_options.slots;
+    }
+
+    bool draining() const
+    {
+        return m_draining;
     }
 
     asio::awaitable<HttpResponse> handle(HttpRequest request);
@@ -61,9 +92,13 @@
     HttpResponse load() const;
     HttpResponse admin(const HttpRequest &request);
     asio::awaitable<bool> takeSlot();
+    std::string idOf(const HttpRequest &request) const;
+    HttpResponse notRun(http::status status, const std::string &kind, const std::string &message) const;
 
     asio::io_context &m_context;
     TargetOptions m_options;
+    // Empty names: the fields of the INI nodes.
+    CallDialect m_dialect;
     TimePoint m_readyAt;
     std::string m_ledger;
     std::uint32_t m_running = 0;
@@ -119,7 +154,11 @@
 {
     const auto target = request.target();
     if (target == "/health") {
-        co_return health();
+        auto response = health();
+        if (!m_dialect.targetId.empty()) {
+            response.set(m_dialect.targetId, m_options.id);
+        }
+        co_return response;
     }
     if (target == "/load") {
         co_return load();
@@ -153,18 +192,36 @@
     co_return true;
 }
 
+std::string Target::idOf(const HttpRequest &request) const
+{
+    return std::string(m_dialect.requestId.empty() ? request["Request-Id"] : request[m_dialect.requestId]);
+}
+
+HttpResponse Target::notRun(http::status status, const std::string &kind, const std::string &message) const
+{
+    auto response = makeErrorResponse(status, kind, message);
+    if (!m_dialect.notExecuted.empty()) {
+        response.set(m_dialect.notExecuted, "1");
+    }
+    return response;
+}
+
 asio::awaitable<HttpResponse> Target::runCall(HttpRequest request)
 {
+    const auto expected = m_dialect.expectedTarget.empty() ? boost::beast::string_view() : request[m_dialect.expectedTarget];
+    if (!expected.empty() && expected != m_options.id) {
+        co_return notRun(http::status::misdirected_request, "misdirected", "another target is at this address now");
+    }
     if (Clock::now() < m_readyAt) {
-        co_return makeErrorResponse(http::status::service_unavailable, "starting", "the target is starting");
+        co_return notRun(http::status::service_unavailable, "starting", "the target is starting");
     }
     if (!co_await takeSlot()) {
-        co_return makeErrorResponse(http::status::service_unavailable, "overrun", "all slots are taken");
+        co_return notRun(http::status::service_unavailable, "overrun", "all slots are taken");
     }
     if (m_draining && Clock::now() > m_drainedAt + LeaveTime) {
         ++m_lateCalls;
     }
-    const std::string id(request["Request-Id"]);
+    const auto id = idOf(request);
     m_ledger += id + "\n";
     if (m_options.logRuns) {
         fmt::print(stderr, "ran {} {}\n", id, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
@@ -179,7 +236,10 @@
     }
     --m_running;
     auto response = makeResponse(http::status::ok, "text/plain", "done " + id);
-    response.set("Request-Id", id);
+    response.set(m_dialect.requestId.empty() ? "Request-Id" : m_dialect.requestId, id);
+    if (!m_dialect.answerProof.empty()) {
+        response.set(m_dialect.answerProof, m_options.id);
+    }
     co_return response;
 }
 
@@ -187,6 +247,19 @@
 {
     asio::io_context context(1);
     Target target(context, options);
+    std::optional<Announcer> announcer;
+    if (options.announces()) {
+        announcer.emplace(context,
+            Announcer::Options{.registration = options.registration,
+                .sampleFile = options.heartbeatSample,
+                .id = options.id,
+                .service = options.service,
+                .dataCentre = options.dataCentre,
+                .address = {options.address, options.port},
+                .slots = [&target] { return target.slots(); },
+                .draining = [&target] { return target.draining(); }});
+        announcer->start();
+    }
     return serveUntilStopped(context,
         {.endpoint = {options.address, options.port},
             .handler = [&](HttpRequest request, ServerConnection &) { return target.handle(std::move(request)); },
@@ -207,6 +280,11 @@
     int backlog = 0;
     int connections = 4096;
     int logRuns = 0;
+    char *announce = nullptr;
+    char *sample = nullptr;
+    char *id = nullptr;
+    char *service = nullptr;
+    char *dataCentre = nullptr;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP number to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
@@ -215,6 +293,11 @@
         {"cold-start-ms", 'c', POPT_ARG_INT, &coldStart, 0, "Time from the start to ready", "MILLISECONDS"},
         {"backlog", 0, POPT_ARG_INT, &backlog, 0, "Calls that wait for a slot at the most", "N"},
         {"connections", 0, POPT_ARG_INT, &connections, 0, "Connections accepted at a time", "N"},
+        {"announce", 0, POPT_ARG_STRING, &announce, 0, "Where to announce itself", "IP:PORT"},
+        {"heartbeat", 0, POPT_ARG_STRING, &sample, 0, "File that shows an announcement", "FILE"},
+        {"id", 0, POPT_ARG_STRING, &id, 0, "Id that it announces", "ID"},
+        {"service", 0, POPT_ARG_STRING, &service, 0, "Service that it announces", "NAME"},
+        {"data-centre", 0, POPT_ARG_STRING, &dataCentre, 0, "Data centre that it announces", "NAME"},
         {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each execution to standard error", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -232,5 +315,11 @@
     options.backlog = static_cast<std::uint32_t>(backlog);
     options.connections = static_cast<std::uint32_t>(connections);
     options.logRuns = logRuns != 0;
+    const auto text = [](const char *value) { return std::string(value == nullptr ? "" : value); };
+    options.registration = Galenahill::endpointOf(text(announce)).value_or(Galenahill::Endpoint());
+    options.heartbeatSample = text(sample);
+    options.id = text(id);
+    options.service = text(service);
+    options.dataCentre = text(dataCentre);
     return Galenahill::run(options);
 }
