bench: Keep the platform's names in samples beside its adapter

Cause: the soak and the process test wrote configuration documents with the platform's names in them; scripts/structure found them. Ruled out: an exception for the soak. Change: configuration.sample and heartbeat.sample in platform/ show what is sent, sampleDocument and the announcer fill them in. Conclusion: no name of the platform outside its folder again.

--- a/autotests/processes/explainfailuretest.cpp
+++ b/autotests/processes/explainfailuretest.cpp
@@ -6,6 +6,7 @@
 #include "cli/callstory.h"
 #include "platform/calldialect.h"
 #include "platformfleet.h"
+#include "sampledocument.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -26,25 +27,14 @@
     return suite.argv[index];
 }
 
-std::string route(const std::string &name, const std::string &type, double objective)
-{
-    return fmt::format(
-        R"({{"name":"{0}","path-prefix":"/{0}/","type":"{1}","timeout-s":5,"target-latency-s":{2},"priority":1,"service":"ventas","attempts":2}})",
-        name,
-        type,
-        objective);
-}
+const SampleRoute Board{.name = "cola", .service = "ventas", .timeoutSeconds = 5, .objectiveSeconds = 0.3};
+const SampleRoute Orders{.name = "orden", .service = "ventas", .idempotent = false, .timeoutSeconds = 5, .objectiveSeconds = 4};
 
-std::string document(int revision, const std::string &routes)
+std::string document(int revision, const std::vector<SampleRoute> &routes)
 {
-    return fmt::format(R"({{"version":"r{}","services":[{{"name":"ventas","health-check-path":"/health","max-connections":120}}],)"
-                       R"("virtual-hosts":[{{"host":"pedidos.example","paths":[{}]}}]}})",
-        revision,
-        routes);
+    return sampleDocument(argument(2), revision, "pedidos.example", routes);
 }
 
-const std::string BothRoutes = route("cola", "safe", 0.3) + "," + route("orden", "unsafe", 4);
-
 // One node and a target with one slot whose calls take 400 ms.
 struct Fixture
 {
@@ -59,7 +49,7 @@
 
     Fixture()
     {
-        const auto started = fleet.start(document(1, BothRoutes));
+        const auto started = fleet.start(document(1, {Board, Orders}));
         BOOST_REQUIRE_MESSAGE(started.has_value(), started.error().message);
         // Ready says that the node has a configuration; its target is heard of
         // with the next announcement.
@@ -153,7 +143,7 @@
 // that has no such route, and the log when that came into force.
 BOOST_FIXTURE_TEST_CASE(ExplainsARemovedRoute, Fixture)
 {
-    BOOST_REQUIRE(fleet.configure(document(2, route("cola", "safe", 0.3))).has_value());
+    BOOST_REQUIRE(fleet.configure(document(2, {Board})).has_value());
     int status = 200;
     std::string id;
     const auto until = Clock::now() + Limit;
--- /dev/null
+++ b/bench/sampledocument.cpp
@@ -0,0 +1,31 @@
+#include "sampledocument.h"
+
+#include "samplefile.h"
+
+#include <fmt/format.h>
+#include <set>
+
+namespace Galenahill {
+
+std::string sampleDocument(const std::string &sources, int revision, const std::string &host, const std::vector<SampleRoute> &routes)
+{
+    const auto lines = readSample(sources + "/platform/configuration.sample", 3);
+    std::set<std::string> services;
+    std::vector<std::string> routeTexts;
+    for (const auto &route : routes) {
+        services.insert(filled(lines[1], {{"service", route.service}}));
+        routeTexts.push_back(filled(lines[2],
+            {{"name", route.name},
+                {"service", route.service},
+                {"type", route.idempotent ? "safe" : "unsafe"},
+                {"timeout", fmt::format("{}", route.timeoutSeconds)},
+                {"objective", fmt::format("{}", route.objectiveSeconds)}}));
+    }
+    return filled(lines[0],
+        {{"revision", std::to_string(revision)},
+            {"host", host},
+            {"services", fmt::format("{}", fmt::join(services, ","))},
+            {"routes", fmt::format("{}", fmt::join(routeTexts, ","))}});
+}
+
+}
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -9,6 +9,7 @@
 #include "loadgenerator.h"
 #include "platform/calldialect.h"
 #include "platformfleet.h"
+#include "sampledocument.h"
 
 #include <algorithm>
 #include <csignal>
@@ -46,27 +47,6 @@
     std::string record;
 };
 
-std::string route(const std::string &name, const std::string &type, const std::string &service)
-{
-    return fmt::format(
-        R"({{"name":"{0}","path-prefix":"/{0}/","type":"{1}","timeout-s":1.5,"target-latency-s":0.5,"priority":1,"service":"{2}","attempts":2}})",
-        name,
-        type,
-        service);
-}
-
-// Each revision has a route that tells it from the one before.
-std::string document(int revision)
-{
-    return fmt::format(R"({{"version":"r{0}","services":[{{"name":"tablero","max-connections":120}},{{"name":"ventas","max-connections":120}}],)"
-                       R"("virtual-hosts":[{{"host":"{1}","paths":[{2},{3},{4}]}}]}})",
-        revision,
-        Host,
-        route("cola", "safe", "tablero"),
-        route("orden", "unsafe", "ventas"),
-        route(fmt::format("r{}", revision), "safe", "tablero"));
-}
-
 class Soak
 {
 public:
@@ -85,6 +65,8 @@
         std::function<void()> end;
     };
 
+    // Each revision has a route that tells it from the one before.
+    std::string document(int revision) const;
     Fault draw();
     Fault ofNode(std::size_t node);
     Fault ofTarget(std::size_t node);
@@ -130,6 +112,16 @@
     }
 }
 
+std::string Soak::document(int revision) const
+{
+    return sampleDocument(m_options.sources,
+        revision,
+        Host,
+        {{.name = "cola", .service = "tablero"},
+            {.name = "orden", .service = "ventas", .idempotent = false},
+            {.name = fmt::format("r{}", revision), .service = "tablero"}});
+}
+
 void Soak::violated(std::string promise, std::string record)
 {
     m_violations.push_back({std::move(promise), std::move(record)});
--- a/standins/announcer.cpp
+++ b/standins/announcer.cpp
@@ -1,11 +1,9 @@
 #include "announcer.h"
 
 #include "adapters/http/sleep.h"
+#include "samplefile.h"
 
-#include <boost/algorithm/string/replace.hpp>
 #include <chrono>
-#include <fstream>
-#include <stdexcept>
 
 namespace Galenahill {
 
@@ -26,10 +24,9 @@
     , m_client(context, {})
     , m_startedAt(unixMilliseconds())
 {
-    std::ifstream sample(m_options.sampleFile);
-    if (!std::getline(sample, m_firstLine) || !std::getline(sample, m_body)) {
-        throw std::runtime_error(m_options.sampleFile + ": has no request line and body");
-    }
+    const auto lines = readSample(m_options.sampleFile, 2);
+    m_firstLine = lines[0];
+    m_body = lines[1];
 }
 
 void Announcer::start()
@@ -39,26 +36,21 @@
 
 HttpRequest Announcer::request()
 {
-    auto path = m_firstLine.substr(m_firstLine.find(' ') + 1);
-    auto body = m_body;
-    const std::pair<const char *, std::string> values[] = {
-        {"{id}", m_options.id},
-        {"{address}", toString(m_options.address)},
-        {"{born}", std::to_string(m_startedAt)},
-        {"{service}", m_options.service},
-        {"{zone}", m_options.dataCentre},
-        {"{slots}", std::to_string(m_options.slots())},
-        {"{state}", m_options.draining() ? "draining" : "ready"},
-        {"{sequence}", std::to_string(++m_sequence)},
+    const std::vector<std::pair<std::string, std::string>> values = {
+        {"id", m_options.id},
+        {"address", toString(m_options.address)},
+        {"born", std::to_string(m_startedAt)},
+        {"service", m_options.service},
+        {"zone", m_options.dataCentre},
+        {"slots", std::to_string(m_options.slots())},
+        {"state", m_options.draining() ? "draining" : "ready"},
+        {"sequence", std::to_string(++m_sequence)},
     };
-    for (const auto &[name, value] : values) {
-        boost::replace_all(path, name, value);
-        boost::replace_all(body, name, value);
-    }
+    const auto path = filled(m_firstLine.substr(m_firstLine.find(' ') + 1), values);
     HttpRequest request(http::verb::put, path, 11);
     request.set(http::field::host, toString(m_options.registration));
     request.set(http::field::content_type, "application/json");
-    request.body() = std::move(body);
+    request.body() = filled(m_body, values);
     return request;
 }
 
