--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -2,7 +2,9 @@
 #include "core/config/configsnapshot.h"
 
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
 #include <random>
 #include <set>
 
@@ -207,3 +209,59 @@
         BOOST_TEST((*snapshot)->route(method, path) == expected, method << " " << path);
     }
 }
+
+BOOST_AUTO_TEST_CASE(TakesHostsSplitsAndRanks)
+{
+    const std::string next = "[service next]\ndata-centres = rosario-a\nslots = 6\nhealth-path = /ready\n";
+    const auto more = "host = a.example\nsplit = ventas 90, next 10\npriority = 3\nmax-targets = 2\n";
+    const auto snapshot = ConfigSnapshot::validate({{FileName("f.ini"), Service + next + Route + more}});
+    BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
+    BOOST_TEST((*snapshot)->service(ServiceName("next"))->healthPath == "/ready");
+    BOOST_TEST((*snapshot)->route("POST", "/ventas", "b.example") == nullptr);
+    const auto *route = (*snapshot)->route("POST", "/ventas", "a.example");
+    BOOST_REQUIRE(route != nullptr);
+    const std::vector<WeightedService> split = {{ServiceName("ventas"), 90}, {ServiceName("next"), 10}};
+    BOOST_TEST((route->split == split));
+    BOOST_TEST(route->priority == 3U);
+    BOOST_TEST(route->maxTargets == 2U);
+}
+
+// An operator has one route for all hosts and one for a single host on the same
+// path. A call to that host takes its own, whichever stands first.
+BOOST_AUTO_TEST_CASE(AHostsOwnRouteGoesFirst)
+{
+    auto own = Route;
+    own.replace(own.find("pedidos"), 7, "propios");
+    for (const auto &text : {Route + own + "host = a.example\n", own + "host = a.example\n" + Route}) {
+        const auto snapshot = ConfigSnapshot::validate({{FileName("f.ini"), Service + text}});
+        BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
+        BOOST_TEST((*snapshot)->route("POST", "/ventas/1", "a.example")->name.value() == "propios");
+        BOOST_TEST((*snapshot)->route("POST", "/ventas/1", "b.example")->name.value() == "pedidos");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesMistakesInHostsSplitsAndRanks)
+{
+    BOOST_TEST(refuses(Service + Route + "host = a b\n", "give the name that calls carry in Host"));
+    BOOST_TEST(refuses(Service + Route + "split = ventas\n", "give parts as NAME WEIGHT"));
+    BOOST_TEST(refuses(Service + Route + "split = ventas 0\n", "give parts as NAME WEIGHT"));
+    BOOST_TEST(refuses(Service + Route + "split = other 1, ventas 1\n", "begin with service = ventas"));
+    BOOST_TEST(refuses(Service + Route + "split = ventas 1, ventaz 1\n", "no such service; did you mean \"ventas\"?"));
+    BOOST_TEST(refuses(Service + Route + "priority = x\n", "priority = x: give a whole number"));
+    BOOST_TEST(refuses(Service + Route + "max-targets = 0\n", "max-targets = 0: give a whole number from 1"));
+    BOOST_TEST(refuses("[service x]\nslots = 1\ndata-centres = a\nhealth-path = ready\n", "give a path that begins with '/'"));
+}
+
+// Operators copy the examples, so each folder must be accepted as it is.
+BOOST_AUTO_TEST_CASE(AcceptsTheExamples)
+{
+    for (const auto &folder : std::filesystem::directory_iterator(EXAMPLES_FOLDER)) {
+        std::vector<ConfigFile> files;
+        for (const auto &entry : std::filesystem::directory_iterator(folder)) {
+            std::ifstream stream(entry.path());
+            files.push_back({FileName(entry.path().filename().string()), std::string(std::istreambuf_iterator<char>(stream), {})});
+        }
+        const auto snapshot = ConfigSnapshot::validate(files);
+        BOOST_TEST(snapshot.has_value(), folder.path().string() + ": " + (snapshot ? "" : snapshot.error().message));
+    }
+}
--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -47,6 +47,9 @@
                 },
             .found = [](const std::vector<MemberRecord> &) {},
             .others = [this] { return others; },
+            .known = [](const NodeName &member) { return member == NodeName("a"); },
+            .sweeps = [this] { return sweeps; },
+            .sweepInterval = Milliseconds(50),
             .stopping = stopping});
         directory.start();
         const auto limit = Clock::now() + std::chrono::seconds(30);
@@ -64,6 +67,7 @@
     std::vector<Endpoint> others;
     std::vector<std::string> events;
     bool stopping = false;
+    bool sweeps = false;
     bool consulted = false;
 };
 
@@ -106,4 +110,17 @@
     BOOST_TEST(others.size() == 1U);
 }
 
+// A VM was lost for good, and no member remembers it. Its contact is removed, at the
+// version that was read: a VM that comes back at that moment has written it anew.
+// Contacts of members that are known, and of this node, stay.
+BOOST_AUTO_TEST_CASE(RemovesContactsThatNobodyKnows)
+{
+    sweeps = true;
+    store.answers = {contactsOf({"a", "b"}), contactsOf({"a", "b", "lost"})};
+    run(4, Milliseconds(10));
+    const std::vector<std::string> expected = {"put contacts b", "list contacts", "list contacts", "remove contacts lost"};
+    BOOST_REQUIRE(store.calledWith.size() >= 4U);
+    BOOST_TEST(std::vector<std::string>(store.calledWith.begin(), store.calledWith.begin() + 4) == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -7,6 +7,8 @@
 #include "core/fleet/revisionpuller.h"
 #include "core/fleet/watcherchoice.h"
 
+#include <algorithm>
+
 namespace Galenahill {
 
 class FleetControl::Private
@@ -219,6 +221,12 @@
     return addresses;
 }
 
+bool FleetControl::knows(const NodeName &member) const
+{
+    const auto records = d->membership.records();
+    return std::any_of(records.begin(), records.end(), [&](const MemberRecord &record) { return record.name == member; });
+}
+
 std::size_t FleetControl::others() const
 {
     return d->membership.live().size() - 1;
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -80,6 +80,9 @@
     std::size_t others() const;
     std::vector<Endpoint> otherAddresses() const;
 
+    // Whether a member of that name is known, given up or not.
+    bool knows(const NodeName &member) const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -83,6 +83,8 @@
     int failures = 0;
 
     asio::awaitable<void> run();
+    asio::awaitable<void> join();
+    asio::awaitable<void> sweep();
     asio::awaitable<void> registerSelf();
     asio::awaitable<std::vector<Endpoint>> contacts();
     asio::awaitable<void> ask(Endpoint contact);
@@ -122,11 +124,45 @@
     options.log(LogLevel::Warning, "contacts-unavailable", {{"call", call}, {"reason", error.message}});
 }
 
-// Of two nodes that start together, the one that writes later finds the other in
-// the list, since each writes before it reads. One such read is enough.
 asio::awaitable<void> MemberDirectory::Private::run()
 {
     const auto keep = shared_from_this();
+    co_await join();
+    while (!options.stopping) {
+        co_await sleepFor(options.context, options.sweepInterval);
+        const bool due = !options.stopping && options.sweeps();
+        if (due) {
+            co_await sweep();
+        }
+    }
+}
+
+// A VM that is gone for good leaves its contact behind. In a fleet whose VMs are
+// replaced daily the list would grow without end, and with it what each starting
+// node reads and whom it asks.
+asio::awaitable<void> MemberDirectory::Private::sweep()
+{
+    const auto documents = co_await options.store.list(Kind);
+    if (!documents) {
+        storeFailed("list", documents.error());
+        co_return;
+    }
+    for (const auto &document : documents->documents) {
+        const auto record = contactFromDocument(document.content);
+        const bool own = record && record->dataCentre == options.self.dataCentre;
+        if (!own || record->name == options.self.name || options.known(record->name)) {
+            continue;
+        }
+        // One that has just been written again has another version and stays.
+        const auto removed = co_await options.store.remove(Kind, document.name, document.version);
+        options.log(LogLevel::Info, "contact-removed", {{"name", document.name}, {"done", removed.has_value()}});
+    }
+}
+
+// Of two nodes that start together, the one that writes later finds the other in
+// the list, since each writes before it reads. One such read is enough.
+asio::awaitable<void> MemberDirectory::Private::join()
+{
     while (!options.stopping) {
         if (!registered) {
             co_await registerSelf();
--- a/src/daemon/memberdirectory.h
+++ b/src/daemon/memberdirectory.h
@@ -32,6 +32,13 @@
         std::function<void(const std::vector<MemberRecord> &)> found;
         // Addresses of the other live members known.
         std::function<std::vector<Endpoint>()> others;
+        // Whether a member of that name is known, given up or not, and whether this
+        // node is the one of its data centre that removes what nobody knows.
+        std::function<bool(const NodeName &)> known;
+        std::function<bool()> sweeps;
+        // Time between two sweeps. Members that were given up are remembered for two
+        // hours, and one list an hour and data centre is little beside them.
+        Milliseconds sweepInterval{3600000};
         const bool &stopping;
     };
 
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -304,6 +304,8 @@
         .listed = [this](const std::vector<MemberRecord> &members) { fleet.storedMembersReceived(members); },
         .found = [this](const std::vector<MemberRecord> &members) { fleet.membersReceived(members); },
         .others = [this] { return fleet.otherAddresses(); },
+        .known = [this](const NodeName &member) { return fleet.knows(member); },
+        .sweeps = [this] { return state->keepsContacts.load(); },
         .stopping = stopping};
 }
 
