--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -232,7 +232,7 @@
 {
     auto own = Route;
     own.replace(own.find("pedidos"), 7, "propios");
-    for (const auto &text : {Route + own + "host = a.example\n", own + "host = a.example\n" + Route}) {
+    for (const auto &text : {fmt::format("{}{}host = a.example\n", Route, own), fmt::format("{}host = a.example\n{}", own, Route)}) {
         const auto snapshot = ConfigSnapshot::validate({{FileName("f.ini"), Service + text}});
         BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
         BOOST_TEST((*snapshot)->route("POST", "/ventas/1", "a.example")->name.value() == "propios");
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -253,8 +253,11 @@
 {
     auto &request = call.request;
     const auto now = Clock::now();
-    CallTerms terms{
-        .priority = call.route->priority, .objectiveLeft = std::nullopt, .mayWait = mayWait, .waitLeft = router.waitLeft(call), .forRunningCall = call.forRunningCall};
+    CallTerms terms{.priority = call.route->priority,
+        .objectiveLeft = std::nullopt,
+        .mayWait = mayWait,
+        .waitLeft = router.waitLeft(call),
+        .forRunningCall = call.forRunningCall};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
