--- a/autotests/processes/explainfailuretest.cpp
+++ b/autotests/processes/explainfailuretest.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/http/httpclient.h"
 #include "cli/callstory.h"
+#include "fleet.h"
 #include "platform/calldialect.h"
 #include "platformfleet.h"
 #include "sampledocument.h"
@@ -41,7 +42,7 @@
     PlatformFleet fleet{{.programs = argument(1),
         .sources = argument(2),
         .folder = argument(1) + "/explainfailure",
-        .network = 31,
+        .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + 11),
         .nodes = 1,
         .services = {"ventas"},
         .slots = 1,
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -6,6 +6,7 @@
 #include "adapters/http/blockinghttpclient.h"
 #include "experiments.h"
 #include "faultproxy.h"
+#include "fleet.h"
 #include "loadgenerator.h"
 #include "platform/calldialect.h"
 #include "platformfleet.h"
@@ -26,6 +27,10 @@
 
 constexpr std::size_t Nodes = 6;
 constexpr double CallsPerSecond = 150;
+
+// Each seed has addresses of its own, so that several can run at once.
+constexpr std::uint8_t FirstNetwork = 20;
+constexpr std::uint64_t Networks = 50;
 constexpr Milliseconds Length{8000};
 constexpr Milliseconds QuickLength{4000};
 constexpr int FaultsPerSecond = 2;
@@ -100,7 +105,7 @@
     , m_fleet({.programs = options.programs,
           .sources = options.sources,
           .folder = options.folder,
-          .network = static_cast<std::uint8_t>(40 + options.seed % 100),
+          .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + FirstNetwork + options.seed % Networks),
           .nodes = Nodes,
           .services = {"tablero", "ventas"},
           .proxied = true})
