--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -202,9 +202,10 @@
     using Mode = FaultProxy::Mode;
     static const std::vector<std::pair<const char *, Mode>> modes
         = {{"delay", Mode::Delay}, {"reset", Mode::Reset}, {"cut-answers", Mode::CutAnswers}, {"cut-requests", Mode::CutRequests}, {"silence", Mode::Silence}};
-    const auto &[kind, mode] = modes[m_random() % modes.size()];
+    const auto &chosen = modes[m_random() % modes.size()];
+    const auto mode = chosen.second;
     const Milliseconds delay(20 + m_random() % 300);
-    return {kind, name, [&proxy, mode, delay] { proxy.setMode(mode, delay); }, [&proxy] { proxy.setMode(Mode::Pass); }};
+    return {chosen.first, name, [&proxy, mode, delay] { proxy.setMode(mode, delay); }, [&proxy] { proxy.setMode(Mode::Pass); }};
 }
 
 Soak::Fault Soak::ofStore()
@@ -216,8 +217,8 @@
     case 1:
         return {"pause", "store", [this] { m_fleet.storeProcess().signal(SIGSTOP); }, [this] { m_fleet.storeProcess().signal(SIGCONT); }};
     default: {
-        const auto mode = modes[m_random() % modes.size()];
-        return {mode, "store", [=, this] { storeMode(mode); }, [this] { storeMode("none"); }};
+        const auto &mode = modes[m_random() % modes.size()];
+        return {mode, "store", [mode, this] { storeMode(mode); }, [this] { storeMode("none"); }};
     }
     }
 }
