config: Know routes for uploads as a type of their own

Cause: a document with a route of type upload was refused as a whole, so that nodes of the new sites never had a configuration. Ruled out: taking the document without the routes that aren't understood. A call of the missing route could fall to one with a shorter prefix and run at another service; the promise that no part of a version is applied would go.

--- a/autotests/unit/configvalidatortest.cpp
+++ b/autotests/unit/configvalidatortest.cpp
@@ -98,6 +98,18 @@
     BOOST_TEST(faultsOf(routeWith("path", "/")).empty());
 }
 
+// Operators copy a route for uploads and leave "idempotent = yes" in it: its
+// bodies would be gone when a repeat needs them.
+BOOST_AUTO_TEST_CASE(UploadsAreNeverRepeated)
+{
+    BOOST_TEST(refuses(Service + Route + "large-bodies = maybe\n", "write yes if calls carry bodies"));
+    const std::string reading = "[route lectura]\npath = /lectura\nmethods = PUT\nservice = ventas\nidempotent = yes\ntimeout-ms = 1000\n";
+    BOOST_TEST(refuses(Service + reading + "large-bodies = yes\n", "uploads are never run again"));
+    const auto accepted = ConfigSnapshot::validate({{FileName("f.ini"), Service + Route + "large-bodies = yes\n"}});
+    BOOST_REQUIRE(accepted.has_value());
+    BOOST_TEST(((*accepted)->route("POST", "/ventas")->type == CallType::Upload));
+}
+
 // A read route copied for orders keeps "idempotent = yes". The first lost
 // answer would run an order twice.
 BOOST_AUTO_TEST_CASE(RefusesIdempotentForMethodsThatAreNot)
--- a/autotests/unit/platformtest.cpp
+++ b/autotests/unit/platformtest.cpp
@@ -62,7 +62,7 @@
     BOOST_TEST(decoded->definitions.callerLimits.idleTimeout.count() == 15000);
     BOOST_TEST(decoded->definitions.services[0].healthPath == "/h");
     const auto &payment = decoded->definitions.routes[0];
-    BOOST_TEST(!payment.idempotent);
+    BOOST_TEST(!payment.idempotent());
     BOOST_TEST(payment.timeout.count() == 1200);
     BOOST_TEST(payment.sloLatency.count() == 600);
     BOOST_TEST(payment.priority == 1U);
@@ -113,6 +113,32 @@
     BOOST_TEST(!Platform::decodeConfiguration(text.substr(0, text.size() / 2)).has_value());
 }
 
+// The operator adds a route for large bodies. Unknown, its type made nodes refuse
+// the whole document, so that none of its routes was ever served.
+BOOST_AUTO_TEST_CASE(ReadsARouteForUploads)
+{
+    auto document = Json::parse(Document);
+    document[Json::json_pointer("/virtual-hosts/0/paths/0/type")] = "upload";
+    const auto decoded = Platform::decodeConfiguration(document.dump());
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &route = decoded->definitions.routes.front();
+    BOOST_TEST((route.type == CallType::Upload));
+    BOOST_TEST(!route.idempotent());
+    BOOST_TEST(route.retries == 0U);
+}
+
+// Whoever mends a refused document must find the route among some hundred.
+BOOST_AUTO_TEST_CASE(NamesTheRouteThatIsAtFault)
+{
+    auto document = Json::parse(Document);
+    auto &route = document[Json::json_pointer("/virtual-hosts/0/paths/0")];
+    route["type"] = "maybe";
+    const auto refused = Platform::decodeConfiguration(document.dump());
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST(refused.error().message.find("route " + route["name"].get<std::string>()) != std::string::npos);
+    BOOST_TEST(refused.error().message.find("\"maybe\" is none of safe, unsafe and upload") != std::string::npos);
+}
+
 // A route names a service that the document doesn't have.
 BOOST_AUTO_TEST_CASE(RefusesARouteWithoutItsService)
 {
--- a/src/core/calls/servicelevelmetrics.cpp
+++ b/src/core/calls/servicelevelmetrics.cpp
@@ -22,6 +22,7 @@
 
 struct RouteMetrics
 {
+    CallType type = CallType::NonIdempotent;
     double sloAvailability = 0;
     Milliseconds sloLatency{0};
     std::array<std::uint64_t, CallEndKinds> ends{};
@@ -64,6 +65,7 @@
 {
     const std::lock_guard lock(d->mutex);
     auto &metrics = d->routes[route.name];
+    metrics.type = route.type;
     metrics.sloAvailability = route.sloAvailability;
     metrics.sloLatency = route.sloLatency;
     ++metrics.ends[static_cast<std::size_t>(end)];
@@ -79,6 +81,7 @@
     for (const auto &[name, metrics] : d->routes) {
         RouteReport report;
         report.route = name;
+        report.type = metrics.type;
         report.sloAvailability = metrics.sloAvailability;
         report.sloLatency = metrics.sloLatency;
         report.ends = metrics.ends;
--- a/src/core/calls/servicelevelmetrics.h
+++ b/src/core/calls/servicelevelmetrics.h
@@ -30,6 +30,7 @@
 struct RouteReport
 {
     RouteName route;
+    CallType type = CallType::NonIdempotent;
     double sloAvailability = 0;
     Milliseconds sloLatency{0};
     // Since the node's start, by CallEnd.
--- a/src/core/config/configvalidator.cpp
+++ b/src/core/config/configvalidator.cpp
@@ -16,7 +16,8 @@
 
 const std::vector<std::string> ServiceKeys = {"data-centres", "slots", "connections", "health-path"};
 const std::vector<std::string> RouteKeys
-    = {"host", "path", "methods", "service", "split", "idempotent", "timeout-ms", "retries", "max-targets", "priority", "slo-availability", "slo-latency-ms"};
+    = {"host", "path", "methods", "service", "split", "idempotent", "large-bodies", "timeout-ms", "retries", "max-targets", "priority", "slo-availability",
+       "slo-latency-ms"};
 const std::vector<std::string> KnownMethods = {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"};
 
 // A comma-separated list without surrounding blanks; an empty item stays, so
@@ -262,12 +263,12 @@
     if (idempotent != "yes" && idempotent != "no") {
         fault(file, section.name, fmt::format("idempotent = {}: write yes if a repeated call does no harm, else no", idempotent));
     }
-    route.idempotent = idempotent == "yes";
+    route.type = idempotent == "yes" ? CallType::Idempotent : CallType::NonIdempotent;
     // A read route copied for payments keeps its "yes", and one lost answer
     // then runs a payment twice. HTTP doesn't promise that these methods can
     // be repeated, so no file may say so.
     for (const std::string method : {"POST", "PATCH"}) {
-        if (route.idempotent && std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end()) {
+        if (route.idempotent() && std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end()) {
             fault(file,
                 section.name,
                 fmt::format("idempotent = yes: {} calls are never run again; give {} a route of its own with 'idempotent = no'", method, method));
@@ -275,6 +276,23 @@
     }
 }
 
+// Whether a call with a large body may be repeated doesn't depend on its body;
+// but the body is gone with the first attempt that took it.
+void ConfigValidator::readLargeBodies(const FileName &file, const ConfigSection &section, RouteDefinition &route)
+{
+    const auto *large = section.find("large-bodies");
+    if (large == nullptr || *large == "no") {
+        return;
+    }
+    if (*large != "yes") {
+        fault(file, section.name, fmt::format("large-bodies = {}: write yes if calls carry bodies of tens of kilobytes or more, else no", *large));
+    } else if (route.idempotent()) {
+        fault(file, section.name, "large-bodies = yes: uploads are never run again; write 'idempotent = no', or remove large-bodies");
+    } else {
+        route.type = CallType::Upload;
+    }
+}
+
 void ConfigValidator::checkObjectives(const ConfigSection &section, const RouteDefinition &route)
 {
     if (route.sloLatency > route.timeout) {
@@ -305,9 +323,10 @@
     readPath(file, section, route);
     readMethods(file, section, route);
     readIdempotent(file, section, route);
+    readLargeBodies(file, section, route);
     route.timeout = Milliseconds(number(file, section, "timeout-ms", ConfigLimits::MinTimeout.count(), ConfigLimits::MaxTimeout.count(), 1000));
     route.retries = static_cast<std::uint32_t>(number(file, section, "retries", 0, ConfigLimits::MaxRetries, 0));
-    if (!route.idempotent && route.retries > 0) {
+    if (!route.idempotent() && route.retries > 0) {
         fault(file,
             section.name,
             fmt::format("retries = {}: a route that isn't idempotent is never run again; remove retries, or write 'idempotent = yes' if repeating does no harm",
--- a/src/core/config/configvalidator.h
+++ b/src/core/config/configvalidator.h
@@ -34,6 +34,7 @@
     void readPath(const FileName &file, const ConfigSection &section, RouteDefinition &route);
     void readMethods(const FileName &file, const ConfigSection &section, RouteDefinition &route);
     void readIdempotent(const FileName &file, const ConfigSection &section, RouteDefinition &route);
+    void readLargeBodies(const FileName &file, const ConfigSection &section, RouteDefinition &route);
     void checkObjectives(const ConfigSection &section, const RouteDefinition &route);
     void checkReferences();
     void checkReference(const RouteDefinition &route, const ServiceName &service, const std::vector<std::string> &known);
--- a/src/core/config/routedefinition.h
+++ b/src/core/config/routedefinition.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/identifiers.h"
+#include "core/config/calltype.h"
 
 #include <cstdint>
 #include <string>
@@ -34,7 +35,7 @@
     // Services that take the calls by weight instead of `service`, which is
     // then the first of them; empty: all go to `service`.
     std::vector<WeightedService> split;
-    bool idempotent = false;
+    CallType type = CallType::NonIdempotent;
     Milliseconds timeout{1000};
     // Further attempts after the first; always zero unless idempotent.
     std::uint32_t retries = 0;
@@ -47,6 +48,12 @@
     double sloAvailability = 0;
     // Time within which a successful call should be answered; zero: none.
     Milliseconds sloLatency{0};
+
+    // Whether running a call twice does no harm.
+    bool idempotent() const
+    {
+        return type == CallType::Idempotent;
+    }
 };
 
 }
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -79,7 +79,7 @@
 // calls. What certainly didn't run is retried by the layer that was refused.
 bool CallRouter::mayRepeat(const IngressCall &call) const
 {
-    return call.route->idempotent && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
+    return call.route->idempotent() && !call.retriedAbove && call.uncertain < std::min(call.route->retries, ConfigLimits::MaxRetries);
 }
 
 // Whether the call goes on to another sidecar. A sidecar's refusal costs the
--- a/src/daemon/configfollower.cpp
+++ b/src/daemon/configfollower.cpp
@@ -71,6 +71,7 @@
     bool watched = false;
     TimePoint lastAnswer;
     std::uint32_t failures = 0;
+    std::uint64_t refused = 0;
 
     asio::awaitable<void> run();
     asio::awaitable<Result<DocumentSet>> next();
@@ -86,6 +87,11 @@
 
 ConfigFollower::~ConfigFollower() = default;
 
+std::uint64_t ConfigFollower::refused() const
+{
+    return d->refused;
+}
+
 void ConfigFollower::start()
 {
     asio::co_spawn(d->options.context, d->run(), asio::detached);
@@ -142,6 +148,7 @@
     const auto bytes = last->content.size();
     auto revision = revisionOf(std::move(last->content), options.decode);
     if (!revision) {
+        ++refused;
         options.log(LogLevel::Error, "stored-revision-invalid", {{"reason", revision.error().message}, {"bytes", bytes}});
         return true;
     }
--- a/src/daemon/configfollower.h
+++ b/src/daemon/configfollower.h
@@ -51,6 +51,9 @@
 
     void start();
 
+    // Revisions in the store that were refused as a whole since the start.
+    std::uint64_t refused() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -155,6 +155,7 @@
     const auto now = Clock::now();
     options.callReported({.id = call.id,
         .route = call.route->name,
+        .type = call.route->type,
         .service = call.service,
         .revision = call.view->config->revision(),
         .end = endOf(response),
@@ -276,7 +277,7 @@
     if (!options.callerService.value().empty()) {
         request.set(CallHeaders::CallerService, options.callerService.value());
     }
-    if (call.retriedAbove || (call.route->idempotent && call.route->retries > 0)) {
+    if (call.retriedAbove || (call.route->idempotent() && call.route->retries > 0)) {
         request.set(CallHeaders::RetriedAbove, "yes");
     }
 }
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -22,6 +22,7 @@
 {
     CallId id;
     RouteName route;
+    CallType type = CallType::NonIdempotent;
     ServiceName service;
     Revision revision;
     CallEnd end = CallEnd::NotRun;
--- a/src/daemon/metricstext.cpp
+++ b/src/daemon/metricstext.cpp
@@ -11,7 +11,11 @@
 {
     const auto &route = report.route.value();
     for (std::size_t end = 0; end < CallEndKinds; ++end) {
-        text += fmt::format("galenahill_calls_total{{route=\"{}\",end=\"{}\"}} {}\n", route, toString(static_cast<CallEnd>(end)), report.ends[end]);
+        text += fmt::format("galenahill_calls_total{{route=\"{}\",type=\"{}\",end=\"{}\"}} {}\n",
+            route,
+            toString(report.type),
+            toString(static_cast<CallEnd>(end)),
+            report.ends[end]);
     }
 }
 
