http: Run requests in line ahead of the answers before them

Ruled out: a read kept pending for each connection (an operation and a system call for each call, most of which have nobody in line); running orders ahead: behind an answer that closes the connection they would run twice. Change: ServerExchange, one for each request in line; the reading passes to another coroutine once bytes come while a handler has the last request.

--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -13,8 +13,8 @@
 
 namespace Galenahill {
 
-// An HTTP/1.1 server on one I/O context. One request is in flight per
-// connection, so answers can't cross.
+// An HTTP/1.1 server on one I/O context. Answers go out in the order of the
+// requests on a connection.
 class HttpServer
 {
 public:
@@ -34,6 +34,10 @@
         // streamed one to be sent or taken.
         Milliseconds readTimeout{10000};
         std::size_t maxConnections = 4096;
+        // Whether the request may run before those ahead of it on its connection
+        // are answered: one that may run twice, since its peer sends it again
+        // if an answer before it closes the connection. Null: none may.
+        std::function<bool(const HttpRequest &request)> mayRunAhead;
     };
 
     HttpServer(asio::io_context &context, Options options);
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -1,115 +1,68 @@
 #include "adapters/http/httpserverconnection.h"
 
-#include "core/calls/callheaders.h"
-
-#include <boost/algorithm/string/predicate.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
+#include <algorithm>
 
 namespace Galenahill {
 
 namespace {
 
-constexpr std::size_t PartBytes = 64 * 1024;
-
 // After a refusal the rest of the request is read and dropped for so long and
 // so much: closing with unread bytes resets the connection, and the peer
 // would lose the answer that tells it what is wrong.
 constexpr Milliseconds LingerTime{1000};
 constexpr std::size_t LingerBytes = 256 * 1024;
 
-// How soon a handler learns that its peer has closed. Two nodes stand between
-// a caller and its target, so that the target stops within a quarter of a
-// second; looking five times as often took a fifth of an idle node's time.
+// How soon a handler learns that its peer has closed, and that it has sent
+// another request. Two nodes stand between a caller and its target, so that the
+// target stops within a quarter of a second; looking five times as often took a
+// fifth of an idle node's time.
 constexpr Milliseconds PeerCheckInterval{100};
 
-constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
-
-// Counts a request as in flight while it exists, whatever ends the handler.
-class InFlight
-{
-public:
-    InFlight(std::size_t &count, bool &handling)
-        : m_count(count)
-        , m_handling(handling)
-    {
-        ++m_count;
-        m_handling = true;
-    }
-
-    ~InFlight()
-    {
-        --m_count;
-        m_handling = false;
-    }
-
-    InFlight(const InFlight &) = delete;
-    InFlight &operator=(const InFlight &) = delete;
-
-private:
-    std::size_t &m_count;
-    bool &m_handling;
-};
-
-bool bodyless(http::status status)
-{
-    return status == http::status::no_content || status == http::status::not_modified;
-}
+// Requests in line on one connection, and those run ahead of an answer on all
+// connections of the server. Each may hold an answer of 64 KB until its turn.
+constexpr std::size_t MaxInLine = 16;
+constexpr std::size_t MaxAhead = 256;
 
 }
 
-// The rest of a request's body, read from the connection as it is asked for.
-class HttpServerConnection::RequestBody : public BodySource
+class HttpServerConnection::Place
 {
 public:
-    explicit RequestBody(HttpServerConnection &connection)
+    Place(HttpServerConnection &connection, ServerExchange &exchange)
         : m_connection(connection)
+        , m_exchange(exchange)
     {
+        connection.m_line.push_back(&exchange);
     }
 
-    asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override
+    ~Place()
     {
-        m_taken = true;
-        auto &exchange = *m_connection.m_exchange;
-        m_connection.limitTime(m_connection.m_state->options.readTimeout);
-        ErrorCode error = co_await m_connection.sendContinue();
-        if (!error) {
-            error = co_await exchange.reader.readBody(part, limit);
-        }
-        m_connection.m_channel.deadline.clear();
-        exchange.failed = exchange.failed || error;
-        if (exchange.reader.done()) {
-            m_connection.watchPeer();
+        if (m_exchange.started) {
+            --m_connection.m_started;
+            --m_connection.m_state->inFlight;
+            m_connection.m_state->ahead -= m_ahead ? 1 : 0;
         }
-        co_return error;
-    }
-
-    bool done() const override
-    {
-        return m_connection.m_exchange->reader.done();
+        m_connection.leaveLine(m_exchange);
     }
 
-    bool taken() const override
-    {
-        return m_taken;
-    }
+    Place(const Place &) = delete;
+    Place &operator=(const Place &) = delete;
 
-    std::optional<std::uint64_t> length() const override
+    void start()
     {
-        return m_connection.m_exchange->reader.contentLength();
+        m_ahead = m_connection.m_line.front() != &m_exchange;
+        m_exchange.started = true;
+        ++m_connection.m_started;
+        ++m_connection.m_state->inFlight;
+        m_connection.m_state->ahead += m_ahead ? 1 : 0;
     }
 
 private:
     HttpServerConnection &m_connection;
-    bool m_taken = false;
+    ServerExchange &m_exchange;
+    bool m_ahead = false;
 };
 
-HttpServerConnection::Exchange::Exchange(TcpChannel &channel, const HttpServer::Options &options)
-    : reader(channel, options.limits.headerBytes, options.limits.bodyBytes)
-{
-    channel.buffer.max_size(std::max<std::size_t>(ReadAheadBytes, options.limits.headerBytes));
-}
-
 HttpServerConnection::HttpServerConnection(Tcp::socket socket, std::shared_ptr<HttpServerState> state)
     : m_channel(std::move(socket), state->bytes)
     , m_state(std::move(state))
@@ -123,17 +76,29 @@
 }
 
 asio::awaitable<void> HttpServerConnection::serve()
+{
+    const auto keep = shared_from_this();
+    co_await readFrom(m_reader);
+    if (!m_closed) {
+        m_end.emplace(co_await asio::this_coro::executor, TimePoint::max());
+        ErrorCode ignored;
+        co_await m_end->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+// Reads and serves until another coroutine takes over the reading, or the
+// connection ends.
+asio::awaitable<void> HttpServerConnection::readFrom(std::uint64_t reader)
 {
     const auto keep = shared_from_this();
     // GCC 12 runs a co_await behind && whatever stands before it, so each
     // condition that awaits is a statement of its own.
     bool open = co_await waitForRequest();
-    while (open) {
-        m_busy = true;
-        m_since = Clock::now();
+    while (open && !m_closed) {
         open = co_await serveRequest();
-        m_exchange.reset();
-        m_busy = false;
+        if (open && (m_reader != reader || m_ending)) {
+            co_return;
+        }
         if (open) {
             open = co_await waitForRequest();
         }
@@ -143,7 +108,18 @@
 
 void HttpServerConnection::close()
 {
+    m_closed = true;
     m_channel.close();
+    for (auto *exchange : m_line) {
+        if (exchange->turn) {
+            exchange->turn->cancel();
+        }
+    }
+    // Those that still run have nobody to answer.
+    peerGone();
+    if (m_end) {
+        m_end->cancel();
+    }
 }
 
 Deadline &HttpServerConnection::deadline()
@@ -153,12 +129,12 @@
 
 bool HttpServerConnection::busy() const
 {
-    return m_busy;
+    return !m_line.empty() || m_reading == Reading::Request;
 }
 
 bool HttpServerConnection::handling() const
 {
-    return m_handling;
+    return m_started > 0;
 }
 
 TimePoint HttpServerConnection::since() const
@@ -166,24 +142,29 @@
     return m_since;
 }
 
-bool HttpServerConnection::peerClosed()
+TcpChannel &HttpServerConnection::channel()
 {
-    return m_peerGone || m_channel.peerClosed();
+    return m_channel;
 }
 
-std::string HttpServerConnection::peerAddress() const
+const HttpServer::Options &HttpServerConnection::options() const
 {
-    return m_peerAddress;
+    return m_state->options;
+}
+
+bool HttpServerConnection::draining() const
+{
+    return m_state->draining;
 }
 
-Cancellation &HttpServerConnection::cancellation()
+bool HttpServerConnection::peerClosed()
 {
-    return m_exchange->cancellation;
+    return m_peerGone || m_channel.peerClosed();
 }
 
-BodySource *HttpServerConnection::requestBody()
+std::string HttpServerConnection::peerAddress() const
 {
-    return m_exchange->body.get();
+    return m_peerAddress;
 }
 
 void HttpServerConnection::limitTime(Milliseconds time)
@@ -192,229 +173,114 @@
     m_channel.deadline.set(Clock::now() + time);
 }
 
+// While others before it are handled, nothing is asked of the peer.
 asio::awaitable<bool> HttpServerConnection::waitForRequest()
 {
     if (m_peerGone) {
         co_return false;
     }
+    m_since = Clock::now();
     if (m_channel.buffer.size() > 0) {
         co_return true;
     }
-    m_since = Clock::now();
-    limitTime(m_state->options.limits.idleTimeout);
+    m_reading = Reading::Idle;
+    if (m_line.empty()) {
+        limitTime(m_state->options.limits.idleTimeout);
+    }
     const auto error = co_await m_channel.readMore();
+    m_reading = Reading::Nothing;
+    if (error) {
+        peerGone();
+    }
     co_return !error;
 }
 
 asio::awaitable<bool> HttpServerConnection::serveRequest()
 {
-    const auto &options = m_state->options;
-    m_exchange.emplace(m_channel, options);
-    auto &exchange = *m_exchange;
+    m_since = Clock::now();
+    ServerExchange exchange(*this);
     HttpRequest request;
-    limitTime(options.limits.headerTimeout);
-    auto fault = co_await readRequest(request);
-    if (fault) {
-        if (fault->status != http::status::unknown) {
-            co_await refuse(std::move(*fault));
+    m_reading = Reading::Request;
+    if (m_line.empty()) {
+        limitTime(m_state->options.limits.headerTimeout);
+    }
+    auto fault = co_await exchange.readHeader(request);
+    m_reading = Reading::Nothing;
+    if (m_ending) {
+        co_return true;
+    }
+    if (fault && fault->status == http::status::unknown) {
+        peerGone();
+        co_return false;
+    }
+    Place place(*this, exchange);
+    const bool inTurn = isFirst(exchange) || (!fault && mayRunAhead(exchange, request));
+    if (!inTurn) {
+        const bool mine = co_await waitTurn(exchange);
+        if (!mine || m_ending) {
+            co_return false;
         }
+    }
+    if (!fault && !exchange.whole()) {
+        m_reading = Reading::Request;
+        fault = co_await exchange.readBody(request);
+        m_reading = Reading::Nothing;
+    }
+    if (fault) {
+        co_await refuse(exchange, std::move(*fault));
         co_return false;
     }
     m_channel.deadline.clear();
-    const InFlight inFlight(m_state->inFlight, m_handling);
-    if (exchange.reader.done()) {
+    place.start();
+    if (exchange.whole()) {
         watchPeer();
+        readAhead();
     }
-    auto response = co_await handle(std::move(request));
-    if (exchange.cancellation.cancelled()) {
+    auto response = co_await handle(exchange, std::move(request));
+    if (exchange.cancellation().cancelled()) {
         co_return false;
     }
-    if (!exchange.answered) {
-        co_await answer(std::move(response));
-    }
-    if (!exchange.reader.done() && !exchange.failed) {
+    co_await exchange.answer(std::move(response));
+    const bool leftUnread = !exchange.whole() || (!exchange.keepsConnection() && m_channel.buffer.size() > 0);
+    if (leftUnread && !exchange.failed()) {
         co_await linger();
         co_return false;
     }
-    co_return exchange.keepAlive && !exchange.failed;
+    co_return exchange.keepsConnection();
 }
 
-asio::awaitable<std::optional<RequestFault>> HttpServerConnection::readRequest(HttpRequest &request)
+// A request that must not run twice waits for the answers before it: if one of
+// them closes the connection, the peer takes what is behind it for unread and
+// sends it again. One with a body waits as well, since bodies are read one at a
+// time.
+bool HttpServerConnection::mayRunAhead(const ServerExchange &exchange, const HttpRequest &request) const
 {
-    auto &exchange = *m_exchange;
-    const auto headerError = co_await exchange.reader.readHeader();
-    if (headerError) {
-        co_return faultOf(headerError);
-    }
-    auto header = exchange.reader.takeHeader();
-    if (auto fault = checkHeader(header)) {
-        co_return fault;
-    }
-    request = HttpRequest(std::move(header));
-    exchange.version = request.version();
-    exchange.head = request.method() == http::verb::head;
-    exchange.keepAlive = exchange.reader.keepAlive();
-    const auto expected = request[http::field::expect];
-    exchange.continueExpected = boost::algorithm::iequals(expected, "100-continue") && request.version() >= 11;
-    if (!expected.empty() && !exchange.continueExpected) {
-        co_return RequestFault{http::status::expectation_failed, "the only expectation met is 100-continue"};
-    }
-    request.erase(http::field::expect);
-    if (!exchange.reader.done()) {
-        const auto bodyError = co_await readBody(request);
-        if (bodyError) {
-            co_return faultOf(bodyError);
-        }
-    }
-    co_return std::nullopt;
-}
-
-asio::awaitable<ErrorCode> HttpServerConnection::readBody(HttpRequest &request)
-{
-    auto &exchange = *m_exchange;
-    auto &reader = exchange.reader;
     const auto &options = m_state->options;
-    const auto length = reader.contentLength();
-    limitTime(options.readTimeout);
-    const bool held = !options.streamBodies || (length ? *length <= options.bufferedBodyBytes : true);
-    while (held && !reader.done() && !(options.streamBodies && request.body().size() >= options.bufferedBodyBytes)) {
-        ErrorCode error = co_await sendContinue();
-        if (!error) {
-            const auto step = length ? std::min<std::uint64_t>(*length - request.body().size(), PartBytes) : ReadAheadBytes;
-            error = co_await reader.readBody(request.body(), step);
-        }
-        if (error) {
-            co_return error;
-        }
-    }
-    if (!reader.done()) {
-        exchange.body = std::make_unique<RequestBody>(*this);
-    }
-    co_return ErrorCode();
-}
-
-asio::awaitable<ErrorCode> HttpServerConnection::sendContinue()
-{
-    const bool needed = std::exchange(m_exchange->continueExpected, false) && m_channel.buffer.size() == 0;
-    if (!needed) {
-        co_return ErrorCode();
-    }
-    const auto line = asio::buffer(ContinueLine);
-    co_return co_await m_channel.write(line);
-}
-
-// What to answer to a request that couldn't be read; status unknown if the
-// peer went away, so that nobody is left to answer.
-std::optional<RequestFault> HttpServerConnection::faultOf(const ErrorCode &error) const
-{
-    if (m_exchange->reader.fault()) {
-        return m_exchange->reader.fault();
-    }
-    if (error == http::error::header_limit) {
-        return RequestFault{http::status::request_header_fields_too_large, "the header is larger than this server takes; shorten it"};
-    }
-    if (error == http::error::body_limit) {
-        return RequestFault{http::status::payload_too_large, "the body is larger than this server takes; shorten it"};
-    }
-    if (error == asio::error::timed_out) {
-        return RequestFault{http::status::request_timeout, "the request didn't arrive in time; send it at once"};
-    }
-    const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::partial_message;
-    if (malformed || error == boost::system::errc::no_buffer_space) {
-        return RequestFault{http::status::bad_request, "the request can't be read: " + error.message()};
-    }
-    return RequestFault{http::status::unknown, {}};
+    return exchange.whole() && m_state->ahead < MaxAhead && options.mayRunAhead && options.mayRunAhead(request);
 }
 
 // A handler that throws must not take the connection's coroutine with it: the
 // request would count as in flight for good, so that a drain never ends, and
-// its caller would wait for nothing. What it had done by then isn't known.
-asio::awaitable<HttpResponse> HttpServerConnection::handle(HttpRequest request)
+// its caller would wait for nothing.
+asio::awaitable<HttpResponse> HttpServerConnection::handle(ServerExchange &exchange, HttpRequest request)
 {
     std::string reason;
     try {
-        co_return co_await m_state->options.handler(std::move(request), *this);
+        co_return co_await m_state->options.handler(std::move(request), exchange);
     } catch (const std::exception &exception) {
         reason = exception.what();
     } catch (...) {
         reason = "unknown exception";
     }
-    m_exchange->keepAlive = false;
-    auto response = makeErrorResponse(http::status::internal_server_error, "internal", "handling the request failed: " + reason);
-    response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
-    co_return response;
+    co_return exchange.handlerFailed(reason);
 }
 
-asio::awaitable<void> HttpServerConnection::answer(HttpResponse response)
+asio::awaitable<void> HttpServerConnection::refuse(ServerExchange &exchange, RequestFault fault)
 {
-    auto &exchange = *m_exchange;
-    exchange.keepAlive = exchange.keepAlive && !m_state->draining && exchange.reader.done() && !exchange.failed;
-    response.version(exchange.version);
-    response.keep_alive(exchange.keepAlive);
-    response.erase(http::field::transfer_encoding);
-    if (bodyless(response.result())) {
-        response.body().clear();
-        response.erase(http::field::content_length);
-    } else if (!exchange.head || response.count(http::field::content_length) == 0) {
-        response.content_length(response.body().size());
-    }
-    if (exchange.head) {
-        response.body().clear();
-    }
-    limitTime(m_state->options.readTimeout);
-    const auto error = co_await m_channel.writeMessage(response);
-    exchange.failed = exchange.failed || error;
-}
-
-asio::awaitable<void> HttpServerConnection::sendStreamed(HttpResponse response, BodySource &rest)
-{
-    auto &exchange = *m_exchange;
-    exchange.answered = true;
-    const auto length = rest.length();
-    const bool chunked = !length && exchange.version >= 11;
-    exchange.keepAlive = exchange.keepAlive && !m_state->draining && exchange.reader.done() && (length || chunked);
-    std::string part = std::move(response.body());
-    http::response<http::empty_body> header(std::move(response.base()));
-    header.version(exchange.version);
-    header.keep_alive(exchange.keepAlive);
-    if (length) {
-        header.content_length(*length);
-    } else {
-        header.chunked(chunked);
-    }
-    limitTime(m_state->options.readTimeout);
-    ErrorCode error = co_await m_channel.writeHeader(header);
-    while (!error && !(part.empty() && rest.done())) {
-        if (part.empty()) {
-            watchPeer();
-            error = co_await rest.read(part, PartBytes);
-            continue;
-        }
-        limitTime(m_state->options.readTimeout);
-        const auto buffer = asio::buffer(part);
-        if (chunked) {
-            const auto chunk = http::make_chunk(buffer);
-            error = co_await m_channel.write(chunk);
-        } else {
-            error = co_await m_channel.write(buffer);
-        }
-        part.clear();
+    if (fault.status == http::status::unknown) {
+        co_return;
     }
-    if (!error && chunked) {
-        const auto last = http::make_chunk_last();
-        limitTime(m_state->options.readTimeout);
-        error = co_await m_channel.write(last);
-    }
-    exchange.failed = exchange.failed || error;
-}
-
-asio::awaitable<void> HttpServerConnection::refuse(RequestFault fault)
-{
-    auto response = makeErrorResponse(fault.status, "invalid", fault.message);
-    response.set(CallHeaders::Outcome, CallHeaders::NotRun);
-    response.keep_alive(false);
-    limitTime(m_state->options.readTimeout);
-    const auto error = co_await m_channel.writeMessage(response);
+    const auto error = co_await exchange.refuse(std::move(fault));
     if (!error) {
         co_await linger();
     }
@@ -433,6 +299,66 @@
     }
 }
 
+bool HttpServerConnection::isFirst(const ServerExchange &exchange) const
+{
+    return !m_closed && m_line.front() == &exchange;
+}
+
+asio::awaitable<bool> HttpServerConnection::waitTurn(ServerExchange &exchange)
+{
+    while (m_line.front() != &exchange && !m_closed) {
+        exchange.turn.emplace(co_await asio::this_coro::executor, TimePoint::max());
+        ErrorCode ignored;
+        co_await exchange.turn->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return !m_closed;
+}
+
+void HttpServerConnection::endWithAnswer()
+{
+    m_ending = true;
+}
+
+bool HttpServerConnection::startedBehind(const ServerExchange &exchange) const
+{
+    const auto place = std::find(m_line.begin(), m_line.end(), &exchange);
+    return std::any_of(place + 1, m_line.end(), [](const auto *behind) { return behind->started; });
+}
+
+void HttpServerConnection::leaveLine(ServerExchange &exchange)
+{
+    m_line.erase(std::find(m_line.begin(), m_line.end(), &exchange));
+    if (m_closed) {
+        return;
+    }
+    if (!m_line.empty()) {
+        if (m_line.front()->turn) {
+            m_line.front()->turn->cancel();
+        }
+        watchPeer();
+        readAhead();
+        return;
+    }
+    const auto &limits = m_state->options.limits;
+    if (m_reading != Reading::Nothing) {
+        limitTime(m_reading == Reading::Idle ? limits.idleTimeout : limits.headerTimeout);
+    }
+}
+
+// Another coroutine reads on if the peer has sent more behind a request that a
+// handler has. Not while the server stops: what isn't read then is sent again by
+// the peer to another node.
+void HttpServerConnection::readAhead()
+{
+    const bool wanted = m_state->options.mayRunAhead && m_channel.buffer.size() > 0 && !m_state->draining && !m_ending;
+    const bool handled = m_reading == Reading::Nothing && !m_line.empty() && m_line.back()->started;
+    if (!wanted || !handled || !m_line.back()->whole() || !m_line.back()->keepsConnection() || m_line.size() >= MaxInLine) {
+        return;
+    }
+    m_reading = Reading::Request;
+    asio::co_spawn(m_channel.socket.get_executor(), readFrom(++m_reader), asio::detached);
+}
+
 // Looks now and then whether the peer has closed. To wait for it would cost
 // each call an operation and a system call; most calls end before the first
 // look.
@@ -444,7 +370,7 @@
 
 void HttpServerConnection::timeUp()
 {
-    if (m_watching && m_handling) {
+    if (m_watching && handling()) {
         checkPeer();
     } else {
         m_channel.abort();
@@ -453,25 +379,32 @@
 
 // What the peer sent ahead is read into the bounded buffer, since a close can
 // be seen only behind it. Once the buffer is full the peer isn't watched any
-// more until its next request.
+// more until its next request. While a coroutine reads, that one sees the close.
 void HttpServerConnection::checkPeer()
 {
     auto &buffer = m_channel.buffer;
-    if (!m_exchange->reader.done()) {
-        return;
-    }
     const auto room = buffer.max_size() - buffer.size();
-    if (room == 0) {
+    if (m_reading != Reading::Nothing || m_line.empty() || !m_line.back()->whole() || room == 0) {
         return;
     }
     ErrorCode error;
     buffer.commit(m_channel.socket.read_some(buffer.prepare(room), error));
     if (error && error != asio::error::would_block) {
-        m_peerGone = true;
-        m_exchange->cancellation.cancel();
+        peerGone();
         return;
     }
     watchPeer();
+    readAhead();
+}
+
+// Nobody waits for the answers to what is in the line.
+void HttpServerConnection::peerGone()
+{
+    m_peerGone = true;
+    const auto line = m_line;
+    for (auto *exchange : line) {
+        exchange->cancellation().cancel();
+    }
 }
 
 }
--- /dev/null
+++ b/src/adapters/http/serverexchange.cpp
@@ -0,0 +1,313 @@
+#include "adapters/http/serverexchange.h"
+
+#include "adapters/http/httpserverconnection.h"
+#include "core/calls/callheaders.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr std::size_t PartBytes = 64 * 1024;
+
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool bodyless(http::status status)
+{
+    return status == http::status::no_content || status == http::status::not_modified;
+}
+
+}
+
+// The rest of a request's body, read from the connection as it is asked for.
+class ServerExchange::RequestBody : public BodySource
+{
+public:
+    explicit RequestBody(ServerExchange &exchange)
+        : m_exchange(exchange)
+    {
+    }
+
+    asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override
+    {
+        m_taken = true;
+        auto &connection = m_exchange.m_connection;
+        connection.limitTime(connection.options().readTimeout);
+        ErrorCode error = co_await m_exchange.sendContinue();
+        if (!error) {
+            error = co_await m_exchange.m_reader.readBody(part, limit);
+        }
+        m_exchange.m_channel.deadline.clear();
+        m_exchange.m_failed = m_exchange.m_failed || error;
+        if (done()) {
+            connection.watchPeer();
+        }
+        co_return error;
+    }
+
+    bool done() const override
+    {
+        return m_exchange.m_reader.done();
+    }
+
+    bool taken() const override
+    {
+        return m_taken;
+    }
+
+    std::optional<std::uint64_t> length() const override
+    {
+        return m_exchange.m_reader.contentLength();
+    }
+
+private:
+    ServerExchange &m_exchange;
+    bool m_taken = false;
+};
+
+ServerExchange::ServerExchange(HttpServerConnection &connection)
+    : m_connection(connection)
+    , m_channel(connection.channel())
+    , m_reader(m_channel, connection.options().limits.headerBytes, connection.options().limits.bodyBytes)
+{
+    m_channel.buffer.max_size(std::max<std::size_t>(ReadAheadBytes, connection.options().limits.headerBytes));
+}
+
+asio::awaitable<std::optional<RequestFault>> ServerExchange::readHeader(HttpRequest &request)
+{
+    const auto error = co_await m_reader.readHeader();
+    if (error) {
+        co_return faultOf(error);
+    }
+    auto header = m_reader.takeHeader();
+    if (auto fault = checkHeader(header)) {
+        co_return fault;
+    }
+    request = HttpRequest(std::move(header));
+    m_version = request.version();
+    m_head = request.method() == http::verb::head;
+    m_keepAlive = m_reader.keepAlive();
+    const auto expected = request[http::field::expect];
+    m_continueExpected = boost::algorithm::iequals(expected, "100-continue") && request.version() >= 11;
+    if (!expected.empty() && !m_continueExpected) {
+        co_return RequestFault{http::status::expectation_failed, "the only expectation met is 100-continue"};
+    }
+    request.erase(http::field::expect);
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<RequestFault>> ServerExchange::readBody(HttpRequest &request)
+{
+    const auto &options = m_connection.options();
+    const auto length = m_reader.contentLength();
+    m_connection.limitTime(options.readTimeout);
+    const bool held = !options.streamBodies || (length ? *length <= options.bufferedBodyBytes : true);
+    while (held && !m_reader.done() && !(options.streamBodies && request.body().size() >= options.bufferedBodyBytes)) {
+        ErrorCode error = co_await sendContinue();
+        if (!error) {
+            const auto step = length ? std::min<std::uint64_t>(*length - request.body().size(), PartBytes) : ReadAheadBytes;
+            error = co_await m_reader.readBody(request.body(), step);
+        }
+        if (error) {
+            co_return faultOf(error);
+        }
+    }
+    if (!m_reader.done()) {
+        m_body = std::make_unique<RequestBody>(*this);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<ErrorCode> ServerExchange::sendContinue()
+{
+    const bool needed = std::exchange(m_continueExpected, false) && m_channel.buffer.size() == 0;
+    if (!needed) {
+        co_return ErrorCode();
+    }
+    const auto line = asio::buffer(ContinueLine);
+    co_return co_await m_channel.write(line);
+}
+
+std::optional<RequestFault> ServerExchange::faultOf(const ErrorCode &error) const
+{
+    if (m_reader.fault()) {
+        return m_reader.fault();
+    }
+    if (error == http::error::header_limit) {
+        return RequestFault{http::status::request_header_fields_too_large, "the header is larger than this server takes; shorten it"};
+    }
+    if (error == http::error::body_limit) {
+        return RequestFault{http::status::payload_too_large, "the body is larger than this server takes; shorten it"};
+    }
+    if (error == asio::error::timed_out) {
+        return RequestFault{http::status::request_timeout, "the request didn't arrive in time; send it at once"};
+    }
+    const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::partial_message;
+    if (malformed || error == boost::system::errc::no_buffer_space) {
+        return RequestFault{http::status::bad_request, "the request can't be read: " + error.message()};
+    }
+    return RequestFault{http::status::unknown, {}};
+}
+
+HttpResponse ServerExchange::handlerFailed(const std::string &reason)
+{
+    m_keepAlive = false;
+    auto response = makeErrorResponse(http::status::internal_server_error, "internal", "handling the request failed: " + reason);
+    response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
+    return response;
+}
+
+// A connection that is closed takes along what was read behind this request. On a
+// planned stop it is kept until the last of those that run is answered; what
+// doesn't run yet counts as not read.
+bool ServerExchange::keepsAfterAnswer() const
+{
+    const bool stays = !m_connection.draining() || m_connection.startedBehind(*this);
+    return m_keepAlive && !m_failed && m_reader.done() && stays;
+}
+
+asio::awaitable<void> ServerExchange::answer(HttpResponse response)
+{
+    if (m_answered) {
+        co_return;
+    }
+    bool mine = m_connection.isFirst(*this);
+    if (!mine) {
+        mine = co_await m_connection.waitTurn(*this);
+    }
+    if (!mine) {
+        m_failed = true;
+        co_return;
+    }
+    m_keepAlive = keepsAfterAnswer();
+    if (!m_keepAlive) {
+        m_connection.endWithAnswer();
+    }
+    response.version(m_version);
+    response.keep_alive(m_keepAlive);
+    response.erase(http::field::transfer_encoding);
+    if (bodyless(response.result())) {
+        response.body().clear();
+        response.erase(http::field::content_length);
+    } else if (!m_head || response.count(http::field::content_length) == 0) {
+        response.content_length(response.body().size());
+    }
+    if (m_head) {
+        response.body().clear();
+    }
+    m_connection.limitTime(m_connection.options().readTimeout);
+    const auto error = co_await m_channel.writeMessage(response);
+    m_failed = m_failed || error;
+}
+
+asio::awaitable<void> ServerExchange::sendStreamed(HttpResponse response, BodySource &rest)
+{
+    m_answered = true;
+    bool mine = m_connection.isFirst(*this);
+    if (!mine) {
+        mine = co_await m_connection.waitTurn(*this);
+    }
+    if (!mine) {
+        m_failed = true;
+        co_return;
+    }
+    const auto length = rest.length();
+    const bool chunked = !length && m_version >= 11;
+    m_keepAlive = keepsAfterAnswer() && (length || chunked);
+    if (!m_keepAlive) {
+        m_connection.endWithAnswer();
+    }
+    std::string part = std::move(response.body());
+    http::response<http::empty_body> header(std::move(response.base()));
+    header.version(m_version);
+    header.keep_alive(m_keepAlive);
+    if (length) {
+        header.content_length(*length);
+    } else {
+        header.chunked(chunked);
+    }
+    m_connection.limitTime(m_connection.options().readTimeout);
+    ErrorCode error = co_await m_channel.writeHeader(header);
+    if (!error) {
+        error = co_await sendParts(std::move(part), rest, chunked);
+    }
+    m_failed = m_failed || error;
+}
+
+asio::awaitable<ErrorCode> ServerExchange::sendParts(std::string part, BodySource &rest, bool chunked)
+{
+    const auto timeout = m_connection.options().readTimeout;
+    ErrorCode error;
+    while (!error && !(part.empty() && rest.done())) {
+        if (part.empty()) {
+            m_connection.watchPeer();
+            error = co_await rest.read(part, PartBytes);
+            continue;
+        }
+        m_connection.limitTime(timeout);
+        const auto buffer = asio::buffer(part);
+        if (chunked) {
+            const auto chunk = http::make_chunk(buffer);
+            error = co_await m_channel.write(chunk);
+        } else {
+            error = co_await m_channel.write(buffer);
+        }
+        part.clear();
+    }
+    if (!error && chunked) {
+        const auto last = http::make_chunk_last();
+        m_connection.limitTime(timeout);
+        error = co_await m_channel.write(last);
+    }
+    co_return error;
+}
+
+asio::awaitable<ErrorCode> ServerExchange::refuse(RequestFault fault)
+{
+    m_connection.endWithAnswer();
+    auto response = makeErrorResponse(fault.status, "invalid", fault.message);
+    response.set(CallHeaders::Outcome, CallHeaders::NotRun);
+    response.keep_alive(false);
+    m_connection.limitTime(m_connection.options().readTimeout);
+    co_return co_await m_channel.writeMessage(response);
+}
+
+bool ServerExchange::whole() const
+{
+    return m_reader.done();
+}
+
+bool ServerExchange::keepsConnection() const
+{
+    return m_keepAlive && !m_failed;
+}
+
+bool ServerExchange::failed() const
+{
+    return m_failed;
+}
+
+bool ServerExchange::peerClosed()
+{
+    return m_connection.peerClosed();
+}
+
+std::string ServerExchange::peerAddress() const
+{
+    return m_connection.peerAddress();
+}
+
+Cancellation &ServerExchange::cancellation()
+{
+    return m_cancellation;
+}
+
+BodySource *ServerExchange::requestBody()
+{
+    return m_body.get();
+}
+
+}
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -137,6 +137,15 @@
     co_return response;
 }
 
+bool Ingress::mayRunAhead(const HttpRequest &request) const
+{
+    if (!d->view || !d->view->config) {
+        return false;
+    }
+    const auto *route = d->view->config->snapshot->route(std::string(request.method_string()), pathOf(request), hostOf(request));
+    return route != nullptr && route->idempotent();
+}
+
 void Ingress::stop()
 {
     d->router.stop();
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -87,6 +87,10 @@
     // Handles one call from its request to its final answer.
     asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection);
 
+    // Whether the call may run before those ahead of it on its caller's
+    // connection are answered.
+    bool mayRunAhead(const HttpRequest &request) const;
+
     // This node is about to stop: no running attempt is given up for another
     // one from now on.
     void stop();
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -146,7 +146,8 @@
               {.endpoint = {settings.address, settings.ingressPort},
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
                   .limits = {.bodyBytes = MaxCallBodyBytes},
-                  .streamBodies = true})
+                  .streamBodies = true,
+                  .mayRunAhead = [this](const HttpRequest &request) { return ingress.mayRunAhead(request); }})
         , sidecarServer(dataContext,
               {.endpoint = self.sidecar(),
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -54,6 +54,7 @@
 
     HttpClient::Options clientOptions() const;
     HttpServer::Options callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const;
+    HttpServer::Options ingressServerOptions();
     RevisionExchange::Options exchangeOptions();
     DatagramSocket::Options datagramOptions();
     Ingress::Options ingressOptions();
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -127,7 +127,7 @@
     , follower(followerOptions())
     , directory(directoryOptions())
     , ingressServer(
-          context, callServerOptions(settings.ingress, [this](auto request, auto &connection) { return ingress.handle(std::move(request), connection); }))
+          context, ingressServerOptions())
     , sidecarServer(
           context, callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); }))
     , registrationServer(context,
@@ -160,6 +160,14 @@
     return serverOptions;
 }
 
+HttpServer::Options PlatformNode::Private::ingressServerOptions()
+{
+    auto serverOptions
+        = callServerOptions(settings.ingress, [this](auto request, auto &connection) { return ingress.handle(std::move(request), connection); });
+    serverOptions.mayRunAhead = [this](const HttpRequest &request) { return ingress.mayRunAhead(request); };
+    return serverOptions;
+}
+
 RevisionExchange::Options PlatformNode::Private::exchangeOptions()
 {
     return {.state = state,
