calls: Let less urgent calls give way to those that their runs crowd out

(2) A target that hadn't answered was taken to need 25 ms a call. (3) Uploads crossed data centres for waits of 15 ms.

--- a/autotests/unit/requestlinetest.cpp
+++ b/autotests/unit/requestlinetest.cpp
@@ -1,6 +1,7 @@
 #include "httptest.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 #include <random>
 
 using namespace Galenahill;
@@ -243,7 +244,7 @@
             const std::string body(below(200), 'b');
             const auto kind = below(4);
             requests += kind == 0 ? post(target, body) : get(target);
-            answers.push_back(kind == 0 ? "<POST " + target + " " + body + ">" : "<GET " + target + " >");
+            answers.push_back(kind == 0 ? fmt::format("<POST {} {}>", target, body) : fmt::format("<GET {} >", target));
         }
         const bool malformed = below(3) == 0;
         requests += malformed ? "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n" : "";
--- /dev/null
+++ b/autotests/unit/servicetimestest.cpp
@@ -0,0 +1,47 @@
+#include "core/calls/servicetimes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+using Microseconds = std::chrono::microseconds;
+
+namespace {
+
+const RouteName Lookup("lookup");
+const RouteName Archive("archive");
+
+}
+
+// A whole fleet returns, and its targets haven't answered anything yet. What their
+// routes' objectives say stands in for it, until the first answer.
+BOOST_AUTO_TEST_CASE(TheFirstAnswerReplacesWhatWasSupposed)
+{
+    ServiceTimes times;
+    BOOST_TEST(times.usual(Lookup).count() == 0);
+    times.suppose(Lookup, Microseconds(250000));
+    times.suppose(Archive, Microseconds(1000000));
+    BOOST_TEST(times.usual(Lookup).count() == 250000);
+    BOOST_TEST(times.usual(Archive).count() == 1000000);
+    BOOST_TEST(times.usual() > Microseconds(250000));
+    times.observed(Lookup, Microseconds(160000));
+    times.suppose(Lookup, Microseconds(250000));
+    BOOST_TEST(times.usual(Lookup).count() == 160000);
+    BOOST_TEST(times.usual(Archive).count() == 1000000);
+    BOOST_TEST(times.usual().count() == 160000);
+}
+
+// A target turns slow; the usual time follows within some ten calls. The figures
+// are those of a service of 5 ms and of one of 2 s.
+BOOST_AUTO_TEST_CASE(FollowsATargetThatTurnsSlow)
+{
+    for (const Microseconds usual : {Microseconds(5000), Microseconds(2000000)}) {
+        ServiceTimes times;
+        for (int i = 0; i < 10; ++i) {
+            times.observed(Lookup, usual);
+        }
+        for (int i = 0; i < 12; ++i) {
+            times.observed(Lookup, usual * 5);
+        }
+        BOOST_TEST(times.usual(Lookup) > usual * 4);
+    }
+}
--- /dev/null
+++ b/src/adapters/codec/jsonfields.cpp
@@ -0,0 +1,43 @@
+#include "adapters/codec/jsonfields.h"
+
+#include <cmath>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace Galenahill {
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+
+const nlohmann::json *fieldOf(const nlohmann::json &json, const char *name)
+{
+    const auto found = json.find(name);
+    return found == json.end() || found->is_null() ? nullptr : &*found;
+}
+
+}
+
+std::uint64_t wholeNumber(const nlohmann::json &json, const char *name)
+{
+    const auto &value = json.at(name);
+    if (!value.is_number_unsigned()) {
+        throw std::invalid_argument(fmt::format("{} is not a whole number", name));
+    }
+    return value.get<std::uint64_t>();
+}
+
+std::uint32_t countOr(const nlohmann::json &json, const char *name, std::uint32_t fallback)
+{
+    const auto *field = fieldOf(json, name);
+    return field == nullptr ? fallback : field->get<std::uint32_t>();
+}
+
+Milliseconds secondsOr(const nlohmann::json &json, const char *name, Milliseconds fallback)
+{
+    const auto *field = fieldOf(json, name);
+    return field == nullptr ? fallback : Milliseconds(std::llround(field->get<double>() * MillisecondsPerSecond));
+}
+
+}
--- a/src/core/calls/callheaders.h
+++ b/src/core/calls/callheaders.h
@@ -43,6 +43,10 @@
 // a further call; on a refusal, for a call like the one refused.
 inline constexpr const char *WaitMs = "Galenahill-Wait-Ms";
 
+// On a sidecar's answers: the services that runs of the call's route call,
+// separated by commas.
+inline constexpr const char *Calls = "Galenahill-Calls";
+
 // Present if a node nearer to the first caller repeats the call when it
 // fails. A target copies it, and the timeout, onto the calls that it makes for
 // this one; else each layer of a deep tree would multiply the load.
--- a/src/core/calls/callqueue.h
+++ b/src/core/calls/callqueue.h
@@ -17,7 +17,7 @@
 {
     // Whether a call that is running elsewhere waits for it; such go first.
     bool forNewWork = true;
-    // Rank of its route; zero goes first.
+    // Rank of the call with which its chain of calls began; zero goes first.
     std::uint32_t priority = 0;
     // When it should have got its slot to be answered in time.
     TimePoint startBy = TimePoint::max();
--- a/src/core/calls/servicetimes.h
+++ b/src/core/calls/servicetimes.h
@@ -13,6 +13,9 @@
     // A call of the route was answered after that time at the target.
     void observed(const RouteName &route, std::chrono::microseconds time);
 
+    // Calls of the route are taken to need that time until the first is answered.
+    void suppose(const RouteName &route, std::chrono::microseconds time);
+
     // The route's usual time, or the usual time of all routes while it has
     // none; zero while nothing is known.
     std::chrono::microseconds usual(const RouteName &route) const;
@@ -22,8 +25,16 @@
     void clear();
 
 private:
-    std::unordered_map<RouteName, std::chrono::microseconds> m_routes;
-    std::chrono::microseconds m_all{0};
+    struct Times
+    {
+        std::chrono::microseconds usual{0};
+        bool observed = false;
+    };
+
+    Times &timesOf(const RouteName &route);
+
+    std::unordered_map<RouteName, Times> m_routes;
+    Times m_all;
 };
 
 }
--- a/src/core/config/configvalidator.cpp
+++ b/src/core/config/configvalidator.cpp
@@ -15,9 +15,19 @@
 namespace {
 
 const std::vector<std::string> ServiceKeys = {"data-centres", "slots", "connections", "health-path"};
-const std::vector<std::string> RouteKeys
-    = {"host", "path", "methods", "service", "split", "idempotent", "large-bodies", "timeout-ms", "retries", "max-targets", "priority", "slo-availability",
-       "slo-latency-ms"};
+const std::vector<std::string> RouteKeys = {"host",
+    "path",
+    "methods",
+    "service",
+    "split",
+    "idempotent",
+    "large-bodies",
+    "timeout-ms",
+    "retries",
+    "max-targets",
+    "priority",
+    "slo-availability",
+    "slo-latency-ms"};
 const std::vector<std::string> KnownMethods = {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"};
 
 // A comma-separated list without surrounding blanks; an empty item stays, so
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -143,6 +143,22 @@
     return wait ? std::optional(Milliseconds(*wait)) : std::nullopt;
 }
 
+std::vector<ServiceName> callsHeader(const HttpResponse &response)
+{
+    std::vector<ServiceName> services;
+    for (const auto name : http::token_list(response[CallHeaders::Calls])) {
+        services.emplace_back(std::string(name));
+    }
+    return services;
+}
+
+std::string formatCalls(const std::vector<ServiceName> &services)
+{
+    std::vector<std::string> names;
+    std::transform(services.begin(), services.end(), std::back_inserter(names), [](const auto &service) { return service.value(); });
+    return fmt::format("{}", fmt::join(names, ","));
+}
+
 std::optional<TargetLoad> loadHeader(const HttpResponse &response)
 {
     const auto field = response[CallHeaders::Load];
--- a/src/daemon/callmessages.h
+++ b/src/daemon/callmessages.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Galenahill {
 
@@ -53,6 +54,10 @@
 // The wait for a slot that a sidecar's refusal tells, if any.
 std::optional<Milliseconds> waitHeader(const HttpResponse &response);
 
+// The services that runs of the call's route call, by a sidecar's answer.
+std::vector<ServiceName> callsHeader(const HttpResponse &response);
+std::string formatCalls(const std::vector<ServiceName> &services);
+
 // The load in a sidecar's answer; nothing if it isn't there or malformed.
 std::optional<TargetLoad> loadHeader(const HttpResponse &response);
 std::string formatLoad(TargetLoad load);
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -25,6 +25,10 @@
 // are refused on days with less load.
 constexpr double MaxWaitShare = 0.15;
 
+// Longer wait that a call with a large body takes rather than cross to another data
+// centre: its bytes cost there what some forty small calls cost.
+constexpr Milliseconds LargeCrossing{120};
+
 // Sidecars that are offered a repeat: as many as are offered a first attempt.
 constexpr std::uint32_t MaxRepeatOffers = 2;
 
@@ -33,7 +37,7 @@
 CallRouter::CallRouter(Options options)
     : m_options(std::move(options))
     , m_picker({.dataCentre = m_options.dataCentre, .seed = m_options.seed, .policy = m_options.policy})
-    , m_largePicker({.dataCentre = m_options.dataCentre, .seed = m_options.seed, .policy = m_options.policy})
+    , m_largePicker({.dataCentre = m_options.dataCentre, .seed = m_options.seed, .policy = m_options.policy, .crossing = LargeCrossing})
 {
 }
 
@@ -142,7 +146,8 @@
 // The call goes where it is expected to wait least. While other targets are
 // left it is offered there without waiting if a slot seems free, since what is
 // known of the slots is some calls old; else it waits there, and where a sidecar
-// refuses that at once the next one is asked.
+// refuses that at once the next one is asked. A large body isn't offered beyond the
+// own data centre before it is known what it would wait there.
 Choice CallRouter::choose(IngressCall &call)
 {
     if (call.uncertain > 0) {
@@ -154,7 +159,8 @@
     if (targets.size() > 1 && call.asked.size() < MaxAsked) {
         const auto *own = call.asked.empty() ? ownTarget(call) : nullptr;
         const auto *target = own != nullptr ? own : picker.pickToWait(targets, call.asked, now);
-        if (target != nullptr && picker.seemsFree(target->name, now)) {
+        const bool crosses = call.large && target != nullptr && target->dataCentre != m_options.dataCentre;
+        if (target != nullptr && !crosses && picker.seemsFree(target->name, now)) {
             call.asked.push_back(target->name);
             return {target, false};
         }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -5,6 +5,7 @@
 #include "core/calls/returntime.h"
 #include "core/calls/routelimiter.h"
 #include "core/calls/trafficsplit.h"
+#include "core/calls/urgencyguard.h"
 #include "core/config/configlimits.h"
 #include "daemon/callmessages.h"
 #include "daemon/callrouter.h"
@@ -38,6 +39,7 @@
         : options(std::move(given))
         , router({.node = options.node, .dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy, .retries = options.retries})
         , returnTime(options.seed)
+        , guard({.seed = options.seed})
     {
     }
 
@@ -45,14 +47,16 @@
     CallRouter router;
     TrafficSplit split;
     ReturnTime returnTime;
+    UrgencyGuard guard;
     AttemptTimer attempts;
     RouteLimiter routes{{}};
     std::atomic<std::uint64_t> retriesMade = 0;
+    std::atomic<std::uint64_t> gaveWay = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
     void takeTimes(IngressCall &call, const HttpRequest &request);
-    bool isForRunningCall(const CallId &id) const;
+    std::optional<RunningCall> parentOf(const CallId &id) const;
     asio::awaitable<HttpResponse> admit(IngressCall &call);
     asio::awaitable<HttpResponse> route(IngressCall &call);
     asio::awaitable<Attempt> attempt(IngressCall &call, Choice choice);
@@ -61,6 +65,7 @@
         IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &rest);
     void cutOnceRepeatable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
     void setSidecarFields(IngressCall &call, bool mayWait) const;
+    HttpResponse refusal(const IngressCall &call);
     HttpResponse finalAnswer(IngressCall &call, Attempt last);
     void report(const IngressCall &call, const HttpResponse &response) const;
     void reportUnrouted(const IngressCall &call, unsigned status, std::string reason) const;
@@ -98,13 +103,13 @@
 
 // The id alone could be any caller's choice; that the target beside this node
 // runs a call of the id that it continues could not.
-bool Ingress::Private::isForRunningCall(const CallId &id) const
+std::optional<RunningCall> Ingress::Private::parentOf(const CallId &id) const
 {
-    if (!options.dialect.parentOf || !options.ownTargetRuns) {
-        return false;
+    if (!options.dialect.parentOf || !options.runningCall) {
+        return std::nullopt;
     }
     const auto parent = options.dialect.parentOf(id.value());
-    return !parent.empty() && options.ownTargetRuns(parent);
+    return parent.empty() ? std::nullopt : options.runningCall(parent);
 }
 
 asio::awaitable<HttpResponse> Ingress::handle(HttpRequest request, ServerConnection &connection)
@@ -131,7 +136,12 @@
     d->takeTimes(call, request);
     call.service = d->split.next(*call.route);
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
-    call.forRunningCall = d->isForRunningCall(call.id);
+    const auto parent = d->parentOf(call.id);
+    call.forRunningCall = parent.has_value();
+    call.priority = parent ? parent->priority : call.route->priority;
+    if (parent && d->options.runCalled) {
+        d->options.runCalled(parent->route, call.service);
+    }
     call.large = connection.requestBody() != nullptr || request.body().size() > LargeBodyBytes;
     stripFields(request, d->options.dialect);
     request.keep_alive(true);
@@ -156,6 +166,11 @@
     d->router.stop();
 }
 
+std::uint64_t Ingress::gaveWay() const
+{
+    return d->gaveWay;
+}
+
 std::uint64_t Ingress::retries() const
 {
     return d->retriesMade;
@@ -204,8 +219,19 @@
         co_return notRunResponse(
             http::status::service_unavailable, "refused", fmt::format("this node holds as many calls of route {} as it may", call.route->name.value()));
     }
+    // What a running call waits for is never refused here: its work would be lost.
+    if (!call.forRunningCall && guard.givesWay(*call.route, call.begin)) {
+        routes.leave(call.route->name);
+        ++gaveWay;
+        call.reason = fmt::format(
+            "gives way: {:.2f} of the more urgent calls to the services that it leads to are refused", guard.refusedAbove(*call.route, call.begin));
+        co_return refusal(call);
+    }
     auto response = co_await route(call);
     routes.leave(call.route->name);
+    if (!call.forRunningCall) {
+        guard.ended(*call.route, call.service, endOf(response) == CallEnd::NotRun && call.sent == 0, Clock::now());
+    }
     co_return response;
 }
 
@@ -220,6 +246,11 @@
         return outcomeUnknownResponse(fmt::format("call {} may have run; find out before repeating it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
     }
+    return refusal(call);
+}
+
+HttpResponse Ingress::Private::refusal(const IngressCall &call)
+{
     const auto left = std::chrono::duration_cast<Milliseconds>(call.callerDeadline - Clock::now());
     return notRunResponse(http::status::service_unavailable,
         "refused",
@@ -268,11 +299,8 @@
 {
     auto &request = call.request;
     const auto now = Clock::now();
-    CallTerms terms{.priority = call.route->priority,
-        .objectiveLeft = std::nullopt,
-        .mayWait = mayWait,
-        .waitLeft = router.waitLeft(call),
-        .forRunningCall = call.forRunningCall};
+    CallTerms terms{
+        .priority = call.priority, .objectiveLeft = std::nullopt, .mayWait = mayWait, .waitLeft = router.waitLeft(call), .forRunningCall = call.forRunningCall};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
@@ -372,6 +400,9 @@
         call.reason = response.error().message;
         co_return result;
     }
+    if (auto services = callsHeader(*response); !services.empty()) {
+        guard.learn(call.route->name, std::move(services));
+    }
     const auto wait = waitHeader(*response);
     if (wait || loadHeader(*response)) {
         router.reportedWait(call, target.name, wait.value_or(Milliseconds(0)));
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -6,6 +6,7 @@
 #include "core/calls/callpolicy.h"
 #include "core/calls/retrybudget.h"
 #include "core/calls/routingview.h"
+#include "core/calls/runningcall.h"
 #include "core/calls/servicelevelmetrics.h"
 #include "core/calls/targetpicker.h"
 #include "ports/logger.h"
@@ -66,9 +67,12 @@
         // reach it. Null: all sidecars are reached over the network.
         Endpoint ownSidecar;
         std::function<asio::awaitable<HttpResponse>(HttpRequest request, ServerConnection &connection)> askOwnSidecar;
-        // Whether the target beside this node runs the call of that id. May be
-        // null.
-        std::function<bool(std::string_view id)> ownTargetRuns;
+        // The call of that id, if the target beside this node is running it. May
+        // be null.
+        std::function<std::optional<RunningCall>(std::string_view id)> runningCall;
+        // A run of a call of the route, by the target beside this node, makes a
+        // call to the service. May be null.
+        std::function<void(const RouteName &route, const ServiceName &service)> runCalled;
         // A call of a route got its final answer.
         std::function<void(const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency)> callEnded;
         // The same in all detail; may be null.
@@ -98,6 +102,9 @@
     // Attempts made after a call's first.
     std::uint64_t retries() const;
 
+    // Calls refused for the sake of more urgent ones.
+    std::uint64_t gaveWay() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -51,6 +51,8 @@
     bool retriedAbove = false;
     // Its body takes a slow link a while.
     bool large = false;
+    // Its rank: that of the call with which its chain of calls began.
+    std::uint32_t priority = 0;
     // A call that the target beside this node is running waits for this one.
     bool forRunningCall = false;
 };
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -123,6 +123,7 @@
         {"target_calls_running", sidecar.inFlight()},
         {"revisions_refused", static_cast<double>(follower.refused())},
         {"store_calls", static_cast<double>(store->calls())},
+        {"calls_gave_way", static_cast<double>(ingress.gaveWay())},
         {"call_retries", static_cast<double>(ingress.retries())},
         {"datagram_bytes", static_cast<double>(datagrams.bytes())},
         {"client_bytes", static_cast<double>(client.bytes())}};
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -133,10 +133,8 @@
     , fleet(fleetOptions())
     , follower(followerOptions())
     , directory(directoryOptions())
-    , ingressServer(
-          context, ingressServerOptions())
-    , sidecarServer(
-          context, sidecarServerOptions())
+    , ingressServer(context, ingressServerOptions())
+    , sidecarServer(context, sidecarServerOptions())
     , registrationServer(context,
           {.endpoint = settings.registration, .handler = [this](HttpRequest request, ServerConnection &) { return targetService.handle(std::move(request)); }})
     , readinessServer(context, {.endpoint = settings.readiness, .handler = [this](HttpRequest, ServerConnection &) { return answerReadiness(); }})
@@ -169,8 +167,7 @@
 
 HttpServer::Options PlatformNode::Private::ingressServerOptions()
 {
-    auto serverOptions
-        = callServerOptions(settings.ingress, [this](auto request, auto &connection) { return ingress.handle(std::move(request), connection); });
+    auto serverOptions = callServerOptions(settings.ingress, [this](auto request, auto &connection) { return ingress.handle(std::move(request), connection); });
     // Held, a body can go to another target after one that refused it.
     serverOptions.bufferedBodyBytes = HeldBodyBytes;
     serverOptions.heldBodyBytes = HeldBodiesBytes;
@@ -180,8 +177,7 @@
 
 HttpServer::Options PlatformNode::Private::sidecarServerOptions()
 {
-    auto serverOptions
-        = callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); });
+    auto serverOptions = callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); });
     serverOptions.peersWaitForContinue = true;
     return serverOptions;
 }
@@ -227,7 +223,8 @@
         .retries = retryBudget(1),
         .ownSidecar = settings.sidecar,
         .askOwnSidecar = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
-        .ownTargetRuns = [this](std::string_view id) { return sidecar.runs(id); },
+        .runningCall = [this](std::string_view id) { return sidecar.running(id); },
+        .runCalled = [this](const RouteName &route, const ServiceName &service) { sidecar.runCalled(route, service); },
         .callEnded
         = [this](const RouteDefinition &route, CallEnd end, std::chrono::microseconds latency) { metrics.record(route, end, latency, Clock::now()); },
         .callReported = [this](const CallReport &call) { report(call); }};
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -2,10 +2,10 @@
 
 #include "core/calls/answerverdict.h"
 #include "core/calls/callheaders.h"
-#include "daemon/bodyline.h"
+#include "daemon/bodyintake.h"
 #include "daemon/slotline.h"
 
-#include <unordered_set>
+#include <unordered_map>
 
 namespace Galenahill {
 
@@ -37,16 +37,10 @@
 // used again.
 constexpr Milliseconds AnswerMargin{10};
 
-// A body up to this length is taken whole before its call gets a slot: the target
-// would else hold the slot for the time that a slow link needs. Longer ones are
-// passed on while they arrive.
-constexpr std::uint64_t MaxHeldBody = 1024 * 1024;
-
-// Bodies held here at a time; with the few that the link carries at once, more
-// would mean that the target has stopped taking calls.
-constexpr std::uint64_t MaxHeldBodies = 16 * 1024 * 1024;
-
-constexpr std::size_t PartBytes = 64 * 1024;
+// Routes whose runs' calls are remembered, and services of each. Told in a field of
+// an answer, they must stay short.
+constexpr std::size_t MaxCallingRoutes = 64;
+constexpr std::size_t MaxCalledServices = 4;
 
 }
 
@@ -56,20 +50,21 @@
     explicit Private(Options given)
         : options(std::move(given))
         , line(std::make_shared<SlotLine>(options.context, options.policy))
-        , bodies(std::make_shared<BodyLine>(options.context, options.link))
+        , bodies(options.context, options.link, *line)
     {
     }
 
     Options options;
     std::shared_ptr<SlotLine> line;
-    std::shared_ptr<BodyLine> bodies;
-    std::uint64_t heldBytes = 0;
+    BodyIntake bodies;
     // Id and slots that the target announced; no slots if it doesn't announce
     // itself.
     std::string targetId;
     std::uint32_t announcedSlots = 0;
-    // Ids of the calls that the target is running.
-    std::unordered_set<std::string> running;
+    // The calls that the target is running, by id.
+    std::unordered_map<std::string, RunningCall> running;
+    // The services that runs of each route call.
+    std::unordered_map<RouteName, std::vector<ServiceName>> called;
     MemberState state = MemberState::Starting;
     int lostProbes = 0;
     int refusedProbes = 0;
@@ -84,9 +79,7 @@
     void logRefusal(const SlotCall &call, const std::string &reason) const;
     void reportLoad(HttpResponse &response) const;
 
-    bool holds(const BodySource *body) const;
     asio::awaitable<std::optional<HttpResponse>> takeBody(HttpRequest &request, SlotCall &call, ServerConnection &connection);
-    asio::awaitable<ErrorCode> readBody(HttpRequest &request, BodySource &body);
     HttpResponse refuseBody(const SlotCall &call, TimePoint arrival) const;
     asio::awaitable<HttpResponse> passOn(HttpRequest request, SlotCall call, ServerConnection &connection);
     HttpRequest targetRequest(HttpRequest request, const SlotCall &call) const;
@@ -189,7 +182,7 @@
         d->line->admitWaiting();
     } else {
         d->line->refuseWaiting();
-        d->bodies->refuseWaiting();
+        d->bodies.refuseWaiting();
     }
 }
 
@@ -336,7 +329,7 @@
             return id.empty() || id == forwarded[dialect.requestId];
         };
     }
-    running.insert(call.id);
+    running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority});
     const auto begin = Clock::now();
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
     running.erase(call.id);
@@ -353,6 +346,9 @@
         const auto end = endOf(*response, verdict);
         const bool streams = rest && (verdict == AnswerVerdict::Answered || verdict == AnswerVerdict::Failed);
         auto answer = answerOf(std::move(*response), verdict);
+        if (const auto services = called.find(call.route); services != called.end()) {
+            answer.set(CallHeaders::Calls, formatCalls(services->second));
+        }
         if (streams) {
             reportLoad(answer);
             co_await connection.sendStreamed(std::move(answer), *rest);
@@ -389,11 +385,6 @@
     co_return unknown;
 }
 
-bool Sidecar::Private::holds(const BodySource *body) const
-{
-    return body != nullptr && body->length() && *body->length() > 0 && *body->length() <= MaxHeldBody;
-}
-
 HttpResponse Sidecar::Private::refuseBody(const SlotCall &call, TimePoint arrival) const
 {
     if (call.terms.mayWait) {
@@ -406,53 +397,26 @@
     return response;
 }
 
-// Lets the body come once the link is free for it, if the call can then still be
-// in time; gives the refusal if it can't, or nothing once the body is here.
+// Gives the refusal if the body couldn't be taken, or nothing once it is here.
 asio::awaitable<std::optional<HttpResponse>> Sidecar::Private::takeBody(HttpRequest &request, SlotCall &call, ServerConnection &connection)
 {
-    auto &body = *connection.requestBody();
-    const auto length = *body.length();
-    const auto arrival = bodies->arrival(length);
-    const bool free = call.terms.mayWait || (bodies->free() && line->running() < line->limit());
-    if (!free || heldBytes + length > MaxHeldBodies || !line->canStartAt(call, arrival)) {
-        co_return refuseBody(call, arrival);
-    }
-    const bool entered = co_await bodies->enter(length, connection);
-    if (!entered) {
-        co_return refuseBody(call, bodies->arrival(length));
+    const auto outcome = co_await bodies.take(request, call, connection);
+    if (outcome.end == BodyIntake::End::Refused) {
+        co_return refuseBody(call, outcome.arrival);
     }
-    heldBytes += length;
-    call.heldBytes = length;
-    const auto error = co_await readBody(request, body);
-    bodies->leave();
     if (options.stageEnded) {
         options.stageEnded(CallStage::Body, std::chrono::duration_cast<Microseconds>(Clock::now() - call.arrived));
     }
-    if (error) {
-        logRefusal(call, "the body was cut off");
-        co_return refuse("the body was cut off: " + error.message());
-    }
-    if (const auto reason = refusal(request); !reason.empty()) {
+    // The target may have begun to leave while the body came.
+    const auto reason = outcome.end == BodyIntake::End::CutOff ? "the body was cut off: " + outcome.error.message() : refusal(request);
+    if (!reason.empty()) {
         logRefusal(call, reason);
         co_return refuse(reason);
     }
-    // Elsewhere the body would have to come once more.
     call.arrived = Clock::now();
-    call.terms.mayWait = true;
-    call.terms.waitLeft.reset();
     co_return std::nullopt;
 }
 
-asio::awaitable<ErrorCode> Sidecar::Private::readBody(HttpRequest &request, BodySource &body)
-{
-    request.body().reserve(*body.length());
-    ErrorCode error;
-    while (!error && !body.done()) {
-        error = co_await body.read(request.body(), std::min<std::uint64_t>(*body.length() - request.body().size(), PartBytes));
-    }
-    co_return error;
-}
-
 asio::awaitable<HttpResponse> Sidecar::handle(HttpRequest request, ServerConnection &connection)
 {
     const auto keep = d;
@@ -471,9 +435,9 @@
         co_return keep->refuse(reason);
     }
     // Given back whatever becomes of the call.
-    const auto release = [&keep](SlotCall *held) { keep->heldBytes -= held->heldBytes; };
+    const auto release = [&keep](SlotCall *held) { keep->bodies.release(held->heldBytes); };
     const std::unique_ptr<SlotCall, decltype(release)> holding(&call, release);
-    if (keep->holds(connection.requestBody())) {
+    if (BodyIntake::takes(connection.requestBody())) {
         auto refused = co_await keep->takeBody(request, call, connection);
         if (refused) {
             co_return std::move(*refused);
@@ -506,12 +470,24 @@
 void Sidecar::drain()
 {
     d->line->startDraining();
-    d->bodies->refuseWaiting();
+    d->bodies.refuseWaiting();
+}
+
+void Sidecar::runCalled(const RouteName &route, const ServiceName &service)
+{
+    if (d->called.size() >= MaxCallingRoutes && d->called.count(route) == 0) {
+        d->called.clear();
+    }
+    auto &services = d->called[route];
+    if (services.size() < MaxCalledServices && std::find(services.begin(), services.end(), service) == services.end()) {
+        services.push_back(service);
+    }
 }
 
-bool Sidecar::runs(std::string_view id) const
+std::optional<RunningCall> Sidecar::running(std::string_view id) const
 {
-    return d->running.count(std::string(id)) > 0;
+    const auto found = d->running.find(std::string(id));
+    return found == d->running.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::uint32_t Sidecar::inFlight() const
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -6,6 +6,7 @@
 #include "core/calls/callpolicy.h"
 #include "core/calls/linkschedule.h"
 #include "core/calls/routingview.h"
+#include "core/calls/runningcall.h"
 #include "core/fleet/memberrecord.h"
 #include "core/fleet/targetregistration.h"
 #include "ports/logger.h"
@@ -77,8 +78,11 @@
 
     std::uint32_t inFlight() const;
 
-    // Whether the target runs the call of that id, as its caller named it.
-    bool runs(std::string_view id) const;
+    // A run of a call of the route has made a call to the service.
+    void runCalled(const RouteName &route, const ServiceName &service);
+
+    // The call of that id, as its caller named it, if the target is running it.
+    std::optional<RunningCall> running(std::string_view id) const;
 
 private:
     class Private;
--- a/src/daemon/slotline.cpp
+++ b/src/daemon/slotline.cpp
@@ -27,6 +27,12 @@
 // mean, and half of all calls take longer than usual.
 constexpr double TimeMargin = 1.3;
 
+// Share of its objective that a call is taken to need at a target that hasn't
+// answered any of its route: objectives leave about three times the work. Taken for
+// much faster, all calls that come at the fleet's return would be let in, and
+// most of them be late; for slower, a target with one slot would let none wait.
+constexpr double SupposedShare = 1.0 / 3;
+
 // Share of the time until its latest start that a large body may need to come. The
 // rest is for what the schedule of the link can't know: a sender whose own link
 // is busy, lost packets, other traffic.
@@ -201,6 +207,9 @@
 asio::awaitable<bool> SlotLine::enter(SlotCall &call, ServerConnection &connection)
 {
     call.entered = Clock::now();
+    if (m_policy.byUrgency && call.objective != TimePoint::max() && call.objective > call.entered) {
+        m_times.suppose(call.route, std::chrono::duration_cast<Microseconds>((call.objective - call.entered) * SupposedShare));
+    }
     if (goesElsewhere(call)) {
         co_return false;
     }
