--- /dev/null
+++ b/autotests/support/fleetload.h
@@ -0,0 +1,386 @@
+#pragma once
+
+#include "core/calls/offerorder.h"
+#include "core/calls/targetpicker.h"
+#include "core/fleet/loadexchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Galenahill::Test {
+
+// One service of a fleet under open load, in model time: an ingress on each VM
+// chooses with the product's own classes, targets run calls in slots and let them
+// wait for a bounded time. One seed gives one result.
+class FleetLoad
+{
+public:
+    struct Options
+    {
+        std::uint64_t seed = 1;
+        std::size_t dataCentres = 6;
+        // In each data centre; the other VMs have ingresses only.
+        std::size_t targets = 17;
+        std::size_t members = 49;
+        std::uint32_t slots = 6;
+        double workMs = 160;
+        // Of targets, in turn.
+        std::vector<double> speeds{0.6, 1.0, 1.4};
+        // Share of all slots that the calls need.
+        double load = 0.85;
+        // Share of the calls that arrive in each data centre, in turn; the mean of
+        // them is one.
+        std::vector<double> arrivals{1};
+        // Targets of the first data centre that are gone from the start.
+        std::size_t missing = 0;
+        Milliseconds objective{500};
+        Milliseconds longestWait{75};
+        Milliseconds length{5000};
+        // Whether ingresses hear of loads by the exchange, or from answers only.
+        bool exchange = true;
+        // Delivers no report of the exchange from then on.
+        Milliseconds silentFrom{1'000'000};
+        TargetPicker::Options picker;
+    };
+
+    struct Result
+    {
+        std::size_t calls = 0;
+        std::size_t inTime = 0;
+        std::size_t late = 0;
+        std::size_t refused = 0;
+        std::size_t crossed = 0;
+        std::size_t offers = 0;
+        std::size_t crossedOffers = 0;
+        // By data centre of the caller.
+        std::vector<std::size_t> callsOf;
+        std::vector<std::size_t> servedOf;
+        // By target, and what the target could serve in proportion.
+        std::vector<double> ranPerCapacity;
+
+        double served() const
+        {
+            return static_cast<double>(inTime + late) / static_cast<double>(calls);
+        }
+
+        double served(std::size_t dataCentre) const
+        {
+            return static_cast<double>(servedOf[dataCentre]) / static_cast<double>(callsOf[dataCentre]);
+        }
+
+        double busiestToMean() const
+        {
+            const auto sum = std::accumulate(ranPerCapacity.begin(), ranPerCapacity.end(), 0.0);
+            return *std::max_element(ranPerCapacity.begin(), ranPerCapacity.end()) * static_cast<double>(ranPerCapacity.size()) / sum;
+        }
+    };
+
+    explicit FleetLoad(Options options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+    {
+        for (std::size_t dataCentre = 0; dataCentre < m_options.dataCentres; ++dataCentre) {
+            for (std::size_t i = 0; i < m_options.members; ++i) {
+                addNode(dataCentre, i);
+            }
+        }
+        connect();
+    }
+
+    Result run()
+    {
+        m_result.callsOf.resize(m_options.dataCentres);
+        m_result.servedOf.resize(m_options.dataCentres);
+        for (std::size_t dataCentre = 0; dataCentre < m_options.dataCentres; ++dataCentre) {
+            scheduleArrival(dataCentre);
+        }
+        if (m_options.exchange) {
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                scheduleTick(i, Milliseconds(m_random() % 100));
+            }
+        }
+        while (!m_events.empty() && m_events.top().at < m_start + 2 * m_options.length) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.act();
+        }
+        for (const auto &node : m_nodes) {
+            if (node.hasTarget) {
+                m_result.ranPerCapacity.push_back(node.ran / node.speed);
+            }
+        }
+        return m_result;
+    }
+
+private:
+    struct Call
+    {
+        std::size_t ingress = 0;
+        TimePoint begin;
+        OfferHistory offers;
+    };
+
+    struct Node
+    {
+        MemberRecord record;
+        bool hasTarget = false;
+        double speed = 1;
+        std::uint32_t running = 0;
+        double ran = 0;
+        std::deque<std::uint64_t> line;
+        std::unique_ptr<TargetPicker> picker;
+        std::unique_ptr<LoadExchange> exchange;
+    };
+
+    struct Waiter
+    {
+        std::shared_ptr<Call> call;
+        std::size_t target = 0;
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> act;
+
+        friend bool operator<(const Event &left, const Event &right)
+        {
+            return std::tie(left.at, left.order) > std::tie(right.at, right.order);
+        }
+    };
+
+    void addNode(std::size_t dataCentre, std::size_t index)
+    {
+        Node node;
+        node.record.name = NodeName("vm-" + std::to_string(dataCentre) + "-" + std::to_string(index));
+        node.record.dataCentre = DataCentre("dc-" + std::to_string(dataCentre));
+        node.record.service = ServiceName(index < m_options.targets ? "board" : "other");
+        node.record.address = "10." + std::to_string(dataCentre) + ".0." + std::to_string(index);
+        node.record.controlPort = 7;
+        node.record.incarnation = 1;
+        node.record.state = MemberState::Ready;
+        const bool missing = dataCentre == 0 && index < m_options.missing;
+        node.hasTarget = index < m_options.targets && !missing;
+        node.speed = m_options.speeds[index % m_options.speeds.size()];
+        auto picker = m_options.picker;
+        picker.dataCentre = node.record.dataCentre;
+        picker.seed = m_options.seed + m_nodes.size();
+        node.picker = std::make_unique<TargetPicker>(picker);
+        if (node.hasTarget) {
+            m_targets.push_back(node.record);
+            m_capacity += node.speed * m_options.slots * 1000 / m_options.workMs;
+        }
+        m_index[node.record.address] = m_nodes.size();
+        m_nodes.push_back(std::move(node));
+    }
+
+    void connect()
+    {
+        std::vector<MemberRecord> members;
+        for (const auto &node : m_nodes) {
+            members.push_back(node.record);
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            auto &node = m_nodes[i];
+            LoadExchange::Options options;
+            options.self = node.record;
+            options.seed = m_options.seed + i;
+            options.ownLoad = [this, i] { return ownLoad(m_nodes[i]); };
+            options.send = [this, i](const Endpoint &to, const LoadReport &report) {
+                if (m_now - m_start >= m_options.silentFrom) {
+                    return;
+                }
+                const auto receiver = m_index.at(to.address);
+                const auto delay = latency(m_nodes[i], m_nodes[receiver]);
+                at(m_now + delay, [this, i, receiver, report] { m_nodes[receiver].exchange->receive(m_nodes[i].record.control(), report, m_now); });
+            };
+            options.targetLoad = [this, i](const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed) {
+                m_nodes[i].picker->loadObserved(target, load, wait, observed);
+            };
+            options.poolLoad = [this, i](const PoolReport &pool, TimePoint observed) {
+                m_nodes[i].picker->poolObserved(pool.dataCentre, pool.service, {pool.calls, pool.limit}, Milliseconds(pool.waitMs), observed);
+            };
+            node.exchange = std::make_unique<LoadExchange>(std::move(options));
+            node.exchange->setMembers(members);
+        }
+    }
+
+    void at(TimePoint when, std::function<void()> act)
+    {
+        m_events.push({when, m_nextEvent++, std::move(act)});
+    }
+
+    std::chrono::microseconds latency(const Node &from, const Node &to) const
+    {
+        return std::chrono::microseconds(from.record.dataCentre == to.record.dataCentre ? 200 : 700);
+    }
+
+    std::chrono::microseconds slotInterval(const Node &node) const
+    {
+        return std::chrono::microseconds(static_cast<std::int64_t>(m_options.workMs * 1000 / node.speed / m_options.slots));
+    }
+
+    OwnLoad ownLoad(const Node &node) const
+    {
+        if (!node.hasTarget) {
+            return {};
+        }
+        const bool full = node.running >= m_options.slots;
+        const auto wait = full ? slotInterval(node) * static_cast<int>(node.line.size() + 1) : std::chrono::microseconds(0);
+        return {{node.running + static_cast<std::uint32_t>(node.line.size()), m_options.slots}, std::chrono::duration_cast<Milliseconds>(wait)};
+    }
+
+    void scheduleTick(std::size_t index, Milliseconds delay)
+    {
+        at(m_now + delay, [this, index] {
+            m_nodes[index].exchange->tick(m_now);
+            if (m_now - m_start < m_options.length) {
+                scheduleTick(index, Milliseconds(100));
+            }
+        });
+    }
+
+    void scheduleArrival(std::size_t dataCentre)
+    {
+        const auto share = m_options.arrivals[dataCentre % m_options.arrivals.size()] / static_cast<double>(m_options.dataCentres);
+        const auto rate = m_capacity * m_options.load * share / 1e6;
+        std::exponential_distribution<double> gap(rate);
+        const auto when = m_now + std::chrono::microseconds(static_cast<std::int64_t>(gap(m_random)) + 1);
+        if (when - m_start >= m_options.length) {
+            return;
+        }
+        at(when, [this, dataCentre] {
+            const auto call = std::make_shared<Call>();
+            call->ingress = dataCentre * m_options.members + m_random() % m_options.members;
+            call->begin = m_now;
+            ++m_result.calls;
+            ++m_result.callsOf[dataCentre];
+            offer(call);
+            scheduleArrival(dataCentre);
+        });
+    }
+
+    void offer(const std::shared_ptr<Call> &call)
+    {
+        auto &ingress = m_nodes[call->ingress];
+        const auto choice = nextOffer(*ingress.picker, m_targets, call->offers, {.dataCentre = ingress.record.dataCentre}, m_now);
+        if (choice.target == nullptr) {
+            ++m_result.refused;
+            return;
+        }
+        const auto target = m_index.at(choice.target->address);
+        ingress.picker->begin(choice.target->name, m_now);
+        ++m_result.offers;
+        m_result.crossedOffers += choice.target->dataCentre != ingress.record.dataCentre ? 1 : 0;
+        at(m_now + latency(ingress, m_nodes[target]), [this, call, target, mayWait = choice.mayWait] { arrive(call, target, mayWait); });
+    }
+
+    void arrive(const std::shared_ptr<Call> &call, std::size_t index, bool mayWait)
+    {
+        auto &target = m_nodes[index];
+        if (target.running < m_options.slots) {
+            start(call, index);
+            return;
+        }
+        const auto until = call->begin + m_options.longestWait;
+        if (!mayWait || m_now + slotInterval(target) * static_cast<int>(target.line.size() + 1) >= until) {
+            reply(call, index, false);
+            return;
+        }
+        const auto ticket = m_nextTicket++;
+        m_waiters[ticket] = {call, index};
+        target.line.push_back(ticket);
+        at(until, [this, ticket] { expire(ticket); });
+    }
+
+    void expire(std::uint64_t ticket)
+    {
+        const auto waiter = m_waiters.find(ticket);
+        if (waiter == m_waiters.end()) {
+            return;
+        }
+        const auto [call, target] = waiter->second;
+        m_waiters.erase(waiter);
+        std::erase(m_nodes[target].line, ticket);
+        reply(call, target, false);
+    }
+
+    void start(const std::shared_ptr<Call> &call, std::size_t index)
+    {
+        auto &target = m_nodes[index];
+        ++target.running;
+        ++target.ran;
+        constexpr double Spread = 0.3;
+        std::lognormal_distribution<double> work(std::log(m_options.workMs * 1000) - Spread * Spread / 2, Spread);
+        const std::chrono::microseconds time(static_cast<std::int64_t>(work(m_random) / target.speed));
+        at(m_now + time, [this, call, index] { finish(call, index); });
+    }
+
+    void finish(const std::shared_ptr<Call> &call, std::size_t index)
+    {
+        auto &target = m_nodes[index];
+        --target.running;
+        reply(call, index, true);
+        if (!target.line.empty()) {
+            const auto next = m_waiters.extract(target.line.front()).mapped();
+            target.line.pop_front();
+            start(next.call, index);
+        }
+    }
+
+    void reply(const std::shared_ptr<Call> &call, std::size_t index, bool ran)
+    {
+        const auto &target = m_nodes[index];
+        const auto load = ownLoad(target);
+        at(m_now + latency(target, m_nodes[call->ingress]), [this, call, index, ran, load] {
+            auto &ingress = m_nodes[call->ingress];
+            const auto &name = m_nodes[index].record.name;
+            ingress.picker->end(name);
+            ingress.picker->reported(name, load.load, m_now);
+            ingress.picker->reportedWait(name, load.wait, m_now);
+            if (!ran) {
+                offer(call);
+                return;
+            }
+            ingress.picker->succeeded(ServiceName("board"), name);
+            answered(*call, m_nodes[index]);
+        });
+    }
+
+    void answered(const Call &call, const Node &target)
+    {
+        const auto &ingress = m_nodes[call.ingress];
+        ++(m_now - call.begin <= m_options.objective ? m_result.inTime : m_result.late);
+        m_result.crossed += target.record.dataCentre != ingress.record.dataCentre ? 1 : 0;
+        ++m_result.servedOf[call.ingress / m_options.members];
+    }
+
+    Options m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_start{Milliseconds(1'000'000)};
+    TimePoint m_now = m_start;
+    std::vector<Node> m_nodes;
+    std::vector<MemberRecord> m_targets;
+    std::map<std::string, std::size_t> m_index;
+    std::map<std::uint64_t, Waiter> m_waiters;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_nextEvent = 0;
+    std::uint64_t m_nextTicket = 0;
+    // Calls that all targets can run in a second.
+    double m_capacity = 0;
+    Result m_result;
+};
+
+}
--- a/autotests/unit/decoderfuzztest.cpp
+++ b/autotests/unit/decoderfuzztest.cpp
@@ -171,6 +171,17 @@
     BOOST_TEST(!decodeGossip(withHostileLength(encode(message), "vm-1")).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(LoadReportReader)
+{
+    LoadReport report;
+    report.targets = {{.target = NodeName("vm-1"), .incarnation = 5, .calls = 3, .limit = 6}, {.target = NodeName("vm-2")}};
+    report.pools = {{.dataCentre = DataCentre("rosario-a"), .service = ServiceName("ventas"), .calls = 30, .limit = 60}};
+    fuzz(encode(report), decodeLoadReport);
+    BOOST_TEST(!decodeLoadReport(withHostileLength(encode(report), "vm-1")).has_value());
+    BOOST_TEST(!decodeLoadReport(encode(GossipMessage())).has_value());
+    BOOST_TEST(!isLoadReport(encode(GossipMessage())));
+}
+
 BOOST_AUTO_TEST_CASE(MemberReader)
 {
     fuzz(encode(members()), decodeMembers);
--- /dev/null
+++ b/autotests/unit/idleconnectiontest.cpp
@@ -0,0 +1,59 @@
+#include "adapters/http/httpclient.h"
+#include "adapters/http/httpserver.h"
+#include "adapters/http/sleep.h"
+#include "heapcounter.h"
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const Endpoint Here{testAddress(2), 18093};
+
+constexpr int Connections = 100;
+
+// Less than the read buffer of one side.
+constexpr std::int64_t MaxBytesPerIdleConnection = 4096;
+
+}
+
+// The pattern: a node of a large fleet keeps connections to most of the others, and
+// uses each of them every few seconds.
+BOOST_AUTO_TEST_CASE(IdleConnectionsHoldNoReadBuffers)
+{
+    asio::io_context context(1);
+    HttpServer server(context, {.endpoint = Here, .handler = [&context](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> {
+                                    co_await sleepFor(context, Milliseconds(300));
+                                    HttpResponse response(http::status::ok, 11);
+                                    response.body() = "done";
+                                    response.prepare_payload();
+                                    co_return response;
+                                }});
+    BOOST_REQUIRE(server.listen().has_value());
+    HttpClient client(context, {.maxIdlePerEndpoint = Connections});
+    int answered = 0;
+    const auto call = [&]() -> asio::awaitable<void> {
+        HttpRequest request(http::verb::get, "/", 11);
+        request.set(http::field::host, toString(Here));
+        const auto answer = co_await client.exchange(Here, std::move(request), Clock::now() + std::chrono::seconds(20));
+        answered += answer && answer->body() == "done" ? 1 : 0;
+    };
+    const auto before = HeapCounter::liveBytes.load();
+    for (int i = 0; i < Connections; ++i) {
+        asio::co_spawn(context, call(), asio::detached);
+    }
+    context.run_for(Milliseconds(2500));
+    BOOST_TEST(answered == Connections);
+    BOOST_REQUIRE(client.openConnections(Here) == static_cast<std::size_t>(Connections));
+    client.trimIdle();
+    const auto perConnection = (HeapCounter::liveBytes - before) / Connections;
+    BOOST_TEST_MESSAGE("bytes per idle connection, both sides: " << perConnection);
+    BOOST_TEST(perConnection <= MaxBytesPerIdleConnection);
+    // They still carry requests.
+    asio::co_spawn(context, call(), asio::detached);
+    context.run_for(Milliseconds(600));
+    BOOST_TEST(answered == Connections + 1);
+    BOOST_TEST(client.openConnections(Here) == static_cast<std::size_t>(Connections));
+}
--- a/autotests/unit/membershipcosttest.cpp
+++ b/autotests/unit/membershipcosttest.cpp
@@ -33,6 +33,29 @@
     BOOST_TEST(fleet.datagrams <= 200U * (8U + 3U));
 }
 
+// The pattern: one of 300 members in six data centres changes its state. All hear
+// of it within two seconds, and its record crosses between data centres at most
+// twice a member.
+BOOST_AUTO_TEST_CASE(NewsStaysMostlyWithinDataCentres)
+{
+    constexpr std::size_t DataCentres = 6;
+    std::size_t started = 0;
+    Memberships fleet(300, [&](Membership::Options &options) { options.self.dataCentre = DataCentre("dc-" + std::to_string(started++ % DataCentres)); });
+    fleet.run(Milliseconds(20000));
+    std::size_t records = 0;
+    std::size_t crossed = 0;
+    fleet.sent = [&](const GossipMessage &message) { records = message.updates.size(); };
+    fleet.connected = [&](std::size_t from, std::size_t to) {
+        crossed += from % DataCentres != to % DataCentres ? records : 0;
+        return true;
+    };
+    fleet.members[17]->setState(MemberState::Draining, fleet.now);
+    const auto time = fleet.runUntil([&] { return fleet.allSee(17, MemberState::Draining); }, Milliseconds(10000));
+    BOOST_TEST(time.count() <= 2000);
+    fleet.run(Milliseconds(3000));
+    BOOST_TEST(crossed <= 600U);
+}
+
 // Random rounds of one datagram miss most members, and there are no probes;
 // the callers of a missed one would be routed by the old revision. Each is
 // reached through the members before it in the order of names.
--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -176,4 +176,46 @@
     BOOST_TEST(picker.pickToWait(targets, {}, now)->name == targets[0].name);
 }
 
+// Guards against a full data centre that keeps its calls because some target of
+// it always counts as free: what was said of its wait has grown old.
+BOOST_AUTO_TEST_CASE(AnOldReportCountsAsThePeersOfTheTarget)
+{
+    for (auto &target : targets) {
+        target.service = Service;
+        picker.reported(target.name, {.calls = 7, .limit = 6}, now);
+        picker.reportedWait(target.name, Milliseconds(target.name == targets[0].name ? 50 : 0), now);
+    }
+    now += Milliseconds(600);
+    picker.poolObserved(targets[0].dataCentre, Service, {.calls = 7, .limit = 6}, Milliseconds(50), now);
+    picker.poolObserved(targets[1].dataCentre, Service, {.calls = 3, .limit = 18}, Milliseconds(0), now);
+    BOOST_TEST(picker.pickToWait(targets, {}, now)->dataCentre == targets[1].dataCentre);
+    picker.poolObserved(targets[1].dataCentre, Service, {.calls = 21, .limit = 18}, Milliseconds(50), now + Milliseconds(1));
+    BOOST_TEST(picker.pickToWait(targets, {}, now + Milliseconds(2))->dataCentre == targets[0].dataCentre);
+}
+
+BOOST_AUTO_TEST_CASE(OverflowGoesOnlyToDataCentresThatAreKnownToHaveRoom)
+{
+    for (auto &target : targets) {
+        target.service = Service;
+    }
+    BOOST_TEST(picker.pickOverflow(targets, {}, now) == nullptr);
+    picker.poolObserved(targets[1].dataCentre, Service, {.calls = 18, .limit = 18}, Milliseconds(0), now);
+    BOOST_TEST(picker.pickOverflow(targets, {}, now) == nullptr);
+    picker.poolObserved(targets[1].dataCentre, Service, {.calls = 9, .limit = 18}, Milliseconds(0), now + Milliseconds(1));
+    const auto *target = picker.pickOverflow(targets, {}, now + Milliseconds(2));
+    BOOST_REQUIRE(target != nullptr);
+    BOOST_TEST(target->dataCentre == targets[1].dataCentre);
+    BOOST_TEST(picker.pickOverflow(targets, {}, now + Milliseconds(4000)) == nullptr);
+}
+
+// A report that took long must not replace what an answer told since.
+BOOST_AUTO_TEST_CASE(ALateReportDoesntReplaceALaterAnswer)
+{
+    picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
+    picker.loadObserved(targets[0].name, {.calls = 0, .limit = 6}, Milliseconds(0), now - Milliseconds(100));
+    BOOST_TEST(!picker.seemsFree(targets[0].name, now));
+    picker.loadObserved(targets[0].name, {.calls = 0, .limit = 6}, Milliseconds(0), now + Milliseconds(100));
+    BOOST_TEST(picker.seemsFree(targets[0].name, now + Milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/autotests/unit/watcherchoicetest.cpp
+++ b/autotests/unit/watcherchoicetest.cpp
@@ -51,6 +51,21 @@
     BOOST_TEST(chosen.at(5) == 0);
 }
 
+// The pattern: a fleet with many data centres. Watchers in proportion to them would
+// multiply the calls to the store with each change.
+BOOST_AUTO_TEST_CASE(ManyDataCentresShareTheWatchers)
+{
+    for (const int dataCentres : {6, 8, 20}) {
+        std::vector<MemberRecord> members;
+        for (int dataCentre = 0; dataCentre < dataCentres; ++dataCentre) {
+            for (int number = 0; number < 12; ++number) {
+                members.push_back(member("dc-" + std::to_string(dataCentre), number, 100));
+            }
+        }
+        BOOST_TEST(watchers(members).at(100) == 2 * dataCentres);
+    }
+}
+
 // One fast member in each data centre is too few: all of them may be lost at once.
 BOOST_AUTO_TEST_CASE(SlowLinksWatchWhereFastOnesAreFew)
 {
--- a/src/adapters/codec/binarycodec.cpp
+++ b/src/adapters/codec/binarycodec.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Above every kind of gossip message, whose first byte is its kind.
+constexpr char LoadReportMark = 'L';
+
 template <typename Value>
 std::string encodeValue(const Value &value)
 {
@@ -50,6 +53,24 @@
     return message;
 }
 
+std::string encode(const LoadReport &report)
+{
+    return LoadReportMark + encodeValue(report);
+}
+
+bool isLoadReport(const std::string &bytes)
+{
+    return !bytes.empty() && bytes.front() == LoadReportMark;
+}
+
+Result<LoadReport> decodeLoadReport(const std::string &bytes)
+{
+    if (!isLoadReport(bytes)) {
+        return failure(ErrorKind::Corrupt, "load report without its mark; check that all nodes run the same version");
+    }
+    return decodeValue<LoadReport>(bytes.substr(1), "load report");
+}
+
 std::string encode(const std::vector<MemberRecord> &records)
 {
     return encodeValue(records);
--- a/src/adapters/codec/binarycodec.h
+++ b/src/adapters/codec/binarycodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.h"
+#include "core/calls/loadreport.h"
 #include "core/config/configbundle.h"
 #include "core/fleet/gossipmessage.h"
 
@@ -14,6 +15,11 @@
 std::string encode(const GossipMessage &message);
 Result<GossipMessage> decodeGossip(const std::string &bytes);
 
+// Load reports share the port of gossip; the first byte tells them apart.
+std::string encode(const LoadReport &report);
+bool isLoadReport(const std::string &bytes);
+Result<LoadReport> decodeLoadReport(const std::string &bytes);
+
 std::string encode(const std::vector<MemberRecord> &records);
 Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes);
 
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -14,6 +14,9 @@
 // repeated fails. The rest is longer than any round trip.
 constexpr double KeptShare = 0.8;
 
+// An idle connection keeps its buffer for so long, in case it is used again at once.
+constexpr Milliseconds BufferIdleTime{500};
+
 // Endpoints without a connection are forgotten beyond so many, so that a
 // fleet whose addresses change doesn't grow this table for good.
 constexpr std::size_t MaxEndpoints = 4096;
@@ -139,6 +142,19 @@
     }
 }
 
+void ConnectionPool::trimIdle()
+{
+    const auto now = Clock::now();
+    for (auto &[endpoint, connections] : m_endpoints) {
+        std::erase_if(connections->idle, [now](const auto &connection) { return connection->usableUntil <= now; });
+        for (const auto &connection : connections->idle) {
+            if (now - connection->lastUsed >= BufferIdleTime) {
+                connection->channel.releaseBuffer();
+            }
+        }
+    }
+}
+
 std::uint64_t ConnectionPool::bytes() const
 {
     return m_bytes;
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -71,6 +71,10 @@
 
     void closeIdle(const Endpoint &endpoint);
 
+    // Closes idle connections that may not be used any more, and frees the buffers
+    // of those that have been idle for a while. Cheap; call it about once a second.
+    void trimIdle();
+
     std::uint64_t bytes() const;
 
 private:
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -95,6 +95,11 @@
     d->pool->closeIdle(endpoint);
 }
 
+void HttpClient::trimIdle()
+{
+    d->pool->trimIdle();
+}
+
 std::size_t HttpClient::openConnections(const Endpoint &endpoint) const
 {
     return d->pool->connectionsTo(endpoint)->open;
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -93,6 +93,10 @@
     // Closes the idle connections to the endpoint.
     void closeIdle(const Endpoint &endpoint);
 
+    // Closes idle connections that may not be used any more, and frees the buffers
+    // of those that have been idle for a while. Cheap; call it about once a second.
+    void trimIdle();
+
     // Connections open to the endpoint, idle and in use.
     std::size_t openConnections(const Endpoint &endpoint) const;
 
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -192,6 +192,7 @@
     if (m_line.empty()) {
         limitTime(m_state->options.limits.idleTimeout);
     }
+    m_channel.releaseBuffer();
     const auto error = co_await m_channel.readMore();
     m_reading = Reading::Nothing;
     if (error) {
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -66,6 +66,13 @@
     return error != asio::error::would_block;
 }
 
+void TcpChannel::releaseBuffer()
+{
+    if (buffer.size() == 0) {
+        buffer.shrink_to_fit();
+    }
+}
+
 asio::awaitable<ErrorCode> TcpChannel::readMore()
 {
     if (deadline.passed()) {
@@ -76,6 +83,12 @@
         co_return make_error_code(boost::system::errc::no_buffer_space);
     }
     ErrorCode error;
+    if (buffer.capacity() == 0) {
+        co_await socket.async_wait(Tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        co_return reasonOf(error);
+    }
     const auto space = buffer.prepare(std::min<std::size_t>(room, 4096));
     const auto count = co_await socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -53,7 +53,11 @@
     // Whether anything can be read now, the peer's close counted.
     bool readable();
 
-    // Appends what arrives to the buffer. Error `timed_out` when the deadline
+    // Frees an empty buffer. Most connections of a large fleet are idle, and their
+    // buffers would be most of a node's memory.
+    void releaseBuffer();
+
+    // Appends what arrives to the buffer; one that was freed is made anew only then. Error `timed_out` when the deadline
     // passed, `no_buffer_space` when the buffer is full.
     asio::awaitable<ErrorCode> readMore();
 
--- a/src/adapters/log/jsonlogger.cpp
+++ b/src/adapters/log/jsonlogger.cpp
@@ -80,13 +80,14 @@
 Logger jsonLogger(std::string node, LogLevel least)
 {
     auto writer = std::make_shared<LineWriter>();
-    return [node = std::move(node), least, writer](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
+    return [node = std::move(node), least, writer, began = Clock::now()](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
         if (level < least || !writer->allows(event)) {
             return;
         }
         const auto now = std::chrono::system_clock::now().time_since_epoch();
         nlohmann::ordered_json line;
         line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+        line["up_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - began).count();
         line["level"] = LevelNames[static_cast<std::size_t>(level)];
         line["node"] = node;
         line["event"] = event;
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -47,11 +47,11 @@
     return static_cast<double>(calls) / std::max<std::uint32_t>(state.load.limit, 1);
 }
 
-std::vector<const MemberRecord *> TargetPicker::usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+TargetPicker::Candidates TargetPicker::usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
 {
-    std::vector<const MemberRecord *> good;
-    std::vector<const MemberRecord *> resting;
-    std::vector<const MemberRecord *> ejected;
+    Candidates good;
+    Candidates resting;
+    Candidates ejected;
     std::size_t ejectedInAll = 0;
     for (const auto &target : targets) {
         const auto &state = m_states[target.name];
@@ -73,7 +73,7 @@
     return !good.empty() ? good : !ejected.empty() ? ejected : resting;
 }
 
-const MemberRecord *TargetPicker::lessLoaded(const std::vector<const MemberRecord *> &candidates, TimePoint now)
+const MemberRecord *TargetPicker::lessLoaded(const Candidates &candidates, TimePoint now)
 {
     std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
     const auto first = index(m_random);
@@ -94,8 +94,8 @@
     if (!m_options.policy.leastLoaded) {
         return candidates[m_turn++ % candidates.size()];
     }
-    std::vector<const MemberRecord *> near;
-    std::vector<const MemberRecord *> far;
+    Candidates near;
+    Candidates far;
     for (const auto *target : candidates) {
         if (hasRoom(m_states[target->name], now)) {
             (target->dataCentre == m_options.dataCentre ? near : far).push_back(target);
@@ -107,28 +107,95 @@
     return onlyWithRoom ? nullptr : lessLoaded(candidates, now);
 }
 
+const TargetPicker::Pool *TargetPicker::pool(const MemberRecord &target, TimePoint now) const
+{
+    const auto pools = m_pools.find(target.service);
+    if (pools == m_pools.end()) {
+        return nullptr;
+    }
+    const auto found = pools->second.find(target.dataCentre);
+    const bool known = found != pools->second.end() && now - found->second.observed < m_options.poolAge;
+    return known ? &found->second : nullptr;
+}
+
+// Nothing is known of a pool that no report told of: no wait is supposed there.
+Clock::duration TargetPicker::poolWait(const MemberRecord &target, TimePoint now) const
+{
+    const auto *known = pool(target, now);
+    return known != nullptr ? known->wait : Milliseconds(0);
+}
+
+// A report says less of the target the older it is, and an unknown target is
+// taken for one like its peers: taken for free, some target of a full data centre
+// would always be preferred to free ones elsewhere.
+Clock::duration TargetPicker::expectedWait(const MemberRecord &target, const State &state, TimePoint now) const
+{
+    const auto crossing = target.dataCentre == m_options.dataCentre ? Milliseconds(0) : m_options.crossing;
+    const auto usual = poolWait(target, now);
+    const auto age = now - state.waitReportedAt;
+    if (state.waitReportedAt == TimePoint() || age >= m_options.loadAge) {
+        return usual + crossing;
+    }
+    const auto reported = std::max<Clock::duration>(state.wait - age, Clock::duration(0));
+    const double doubt = std::chrono::duration<double>(age) / std::chrono::duration<double>(m_options.loadAge);
+    const auto believed = std::chrono::duration_cast<Clock::duration>(reported * (1 - doubt) + usual * doubt);
+    // Own calls begun since the report come before this one.
+    return believed + state.begunSince * state.interval + crossing;
+}
+
+TargetPicker::Candidates TargetPicker::sampled(const Candidates &candidates)
+{
+    Candidates near;
+    Candidates far;
+    for (const auto *target : candidates) {
+        (target->dataCentre == m_options.dataCentre ? near : far).push_back(target);
+    }
+    Candidates chosen;
+    std::sample(near.begin(), near.end(), std::back_inserter(chosen), m_options.compared, m_random);
+    std::sample(far.begin(), far.end(), std::back_inserter(chosen), m_options.compared, m_random);
+    return chosen;
+}
+
 const MemberRecord *TargetPicker::pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
 {
-    const auto candidates = usable(targets, tried, now);
-    const auto wait = [&](const MemberRecord *target) {
-        const auto &state = m_states[target->name];
-        // Own calls begun since the target told its wait come before this one.
-        const auto untilFree = std::max<Clock::duration>(state.freeAt - now, Clock::duration(0)) + state.begunSince * state.interval;
-        return untilFree + (target->dataCentre == m_options.dataCentre ? Milliseconds(0) : m_options.crossing);
-    };
+    const auto candidates = sampled(usable(targets, tried, now));
+    boost::container::small_vector<Clock::duration, 16> waits;
     auto shortest = Clock::duration::max();
     for (const auto *target : candidates) {
-        shortest = std::min<Clock::duration>(shortest, wait(target));
+        waits.push_back(expectedWait(*target, m_states[target->name], now));
+        shortest = std::min(shortest, waits.back());
     }
-    std::vector<const MemberRecord *> least;
-    for (const auto *target : candidates) {
-        if (wait(target) <= shortest + m_options.sameWait) {
-            least.push_back(target);
+    Candidates least;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (waits[i] <= shortest + m_options.sameWait) {
+            least.push_back(candidates[i]);
         }
     }
     return least.empty() ? nullptr : lessLoaded(least, now);
 }
 
+const MemberRecord *TargetPicker::pickOverflow(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+{
+    Candidates candidates;
+    boost::container::small_vector<double, 16> free;
+    for (const auto *target : usable(targets, tried, now)) {
+        const auto *known = target->dataCentre == m_options.dataCentre ? nullptr : pool(*target, now);
+        if (known == nullptr || known->load.limit == 0 || !hasRoom(m_states[target->name], now)) {
+            continue;
+        }
+        const auto share = 1 - static_cast<double>(known->load.calls) / known->load.limit;
+        if (share >= m_options.overflowRoom) {
+            candidates.push_back(target);
+            free.push_back(share);
+        }
+    }
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    std::discrete_distribution<std::size_t> index(free.begin(), free.end());
+    return candidates[index(m_random)];
+}
+
 // Unlike a call that has nowhere else to go, one that waits for its answer has
 // something to lose, so that a target which told that it is full and nothing
 // since isn't given the benefit of the doubt.
@@ -149,17 +216,39 @@
 void TargetPicker::reportedWait(const NodeName &target, Milliseconds wait, TimePoint now)
 {
     auto &state = m_states[target];
-    state.freeAt = now + wait;
+    state.wait = wait;
+    state.waitReportedAt = now;
     // The wait is that behind all calls that the target holds beyond its slots.
     const auto waiting = state.load.calls >= state.load.limit ? state.load.calls - state.load.limit + 1 : 0;
     state.interval = waiting > 0 ? wait / waiting : Milliseconds(0);
 }
 
-void TargetPicker::begin(const NodeName &target)
+void TargetPicker::loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed)
+{
+    auto &state = m_states[target];
+    if (observed <= state.reportedAt) {
+        return;
+    }
+    state.load = load;
+    state.reportedAt = observed;
+    state.begunSince = state.lastBegun > observed ? state.begunSince : 0;
+    reportedWait(target, wait, observed);
+}
+
+void TargetPicker::poolObserved(const DataCentre &dataCentre, const ServiceName &service, TargetLoad load, Milliseconds wait, TimePoint observed)
+{
+    auto &pool = m_pools[service][dataCentre];
+    if (observed > pool.observed) {
+        pool = {load, wait, observed};
+    }
+}
+
+void TargetPicker::begin(const NodeName &target, TimePoint now)
 {
     auto &state = m_states[target];
     ++state.inFlight;
     ++state.begunSince;
+    state.lastBegun = now;
 }
 
 void TargetPicker::end(const NodeName &target)
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -4,6 +4,7 @@
 #include "core/calls/targetload.h"
 #include "core/fleet/memberrecord.h"
 
+#include <boost/container/small_vector.hpp>
 #include <cstdint>
 #include <random>
 #include <unordered_map>
@@ -26,12 +27,22 @@
         Milliseconds restTime{200};
         // Age at which a reported load is no longer believed.
         Milliseconds loadAge{500};
+        // Age at which the load of a service's targets in one data centre is no
+        // longer believed.
+        Milliseconds poolAge{3000};
         // Longer wait that is taken rather than crossing to another data
         // centre, whose bytes are paid for; several times the way there.
         Milliseconds crossing{15};
-        // Waits that differ by less count as the same, and the load decides:
-        // what is told of a wait is that much out of date.
+        // Waits closer than the reporting delay are considered equal, and the
+        // load decides.
         Milliseconds sameWait{2};
+        // Share of free slots from which another data centre has room for calls that
+        // the own one can't take.
+        double overflowRoom = 0.05;
+        // Targets in the own data centre, and in the others together, that are
+        // compared for one call. All ingresses know much the same, so the least
+        // loaded of all would get the calls of all.
+        std::size_t compared = 4;
         // Failures in a row before a target is ejected, and for how long the
         // first time and at the most. More in a row where the whole service
         // fails that often.
@@ -52,6 +63,11 @@
     // is left.
     const MemberRecord *pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
+    // A target in another data centre that is known to have free slots of the
+    // service; the more free slots, the likelier it is chosen. Null if there is
+    // none.
+    const MemberRecord *pickOverflow(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+
     // Whether another target than those tried is taken to have a free slot by
     // the last that it told, however old.
     bool roomElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
@@ -62,8 +78,16 @@
     // The target's sidecar told how long a further call would wait for a slot.
     void reportedWait(const NodeName &target, Milliseconds wait, TimePoint now);
 
+    // The target had that load, and a further call would have waited so long, at
+    // the time of observation. Ignored if something later is known.
+    void loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed);
+
+    // The targets of a service in one data centre had that load together, and a
+    // call waited so long there on average, at the time of observation.
+    void poolObserved(const DataCentre &dataCentre, const ServiceName &service, TargetLoad load, Milliseconds wait, TimePoint observed);
+
     // A call to the target began or ended.
-    void begin(const NodeName &target);
+    void begin(const NodeName &target, TimePoint now);
     void end(const NodeName &target);
 
     // The target's sidecar reported its load.
@@ -82,9 +106,11 @@
         TargetLoad load;
         // Own calls begun since the report.
         std::uint32_t begunSince = 0;
+        TimePoint lastBegun;
         TimePoint reportedAt;
-        // When a slot was expected to be free, and the time between two of them.
-        TimePoint freeAt;
+        // Reported wait for a slot, and the time between two slots that come free.
+        Milliseconds wait{0};
+        TimePoint waitReportedAt;
         Milliseconds interval{0};
         TimePoint restsUntil;
         TimePoint ejectedUntil;
@@ -92,17 +118,32 @@
         std::uint32_t ejections = 0;
     };
 
+    // Few enough in most fleets to need no allocation.
+    using Candidates = boost::container::small_vector<const MemberRecord *, 16>;
+
+    struct Pool
+    {
+        TargetLoad load;
+        Milliseconds wait{0};
+        TimePoint observed;
+    };
+
     std::uint32_t failuresToEject(const ServiceName &service) const;
+    const Pool *pool(const MemberRecord &target, TimePoint now) const;
+    Clock::duration poolWait(const MemberRecord &target, TimePoint now) const;
+    Clock::duration expectedWait(const MemberRecord &target, const State &state, TimePoint now) const;
+    Candidates sampled(const Candidates &candidates);
     bool fresh(const State &state, TimePoint now) const;
     bool hasRoom(const State &state, TimePoint now) const;
     double score(const State &state, TimePoint now) const;
-    std::vector<const MemberRecord *> usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
-    const MemberRecord *lessLoaded(const std::vector<const MemberRecord *> &candidates, TimePoint now);
+    Candidates usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+    const MemberRecord *lessLoaded(const Candidates &candidates, TimePoint now);
 
     Options m_options;
     std::mt19937_64 m_random;
     std::size_t m_turn = 0;
     std::unordered_map<NodeName, State> m_states;
+    std::unordered_map<ServiceName, std::unordered_map<DataCentre, Pool>> m_pools;
     // Share of the attempts at each service that failed of late.
     std::unordered_map<ServiceName, double> m_failing;
 };
--- a/src/core/config/platformnodesettings.cpp
+++ b/src/core/config/platformnodesettings.cpp
@@ -80,6 +80,7 @@
                 {"seeds", {false, [](S &s, const std::string &value) { return readEndpoints(s.seeds, value); }}},
                 {"repeat-share", {false, fraction<S>([](S &s) -> double & { return s.repeatShare; }, 1)}},
                 {"repeat-slack", {false, fraction<S>([](S &s) -> double & { return s.repeatSlack; }, MaxRepeats)}},
+                {"load-report-interval-s", {false, seconds<S>([](S &s) -> Milliseconds & { return s.loadReportInterval; }, MaxSeconds)}},
             }},
     };
     return keys;
--- a/src/core/config/platformnodesettings.h
+++ b/src/core/config/platformnodesettings.h
@@ -49,6 +49,8 @@
     // calls, and so many more in a window.
     double repeatShare = 0.1;
     double repeatSlack = 20;
+    // Time between two reports of the targets' load to other nodes; zero: none.
+    Milliseconds loadReportInterval{100};
 
     // Reads an INI text. Invalid with one line per fault, each naming
     // section, key and remedy.
--- /dev/null
+++ b/src/core/fleet/clockwatch.cpp
@@ -0,0 +1,30 @@
+#include "core/fleet/clockwatch.h"
+
+namespace Galenahill {
+
+namespace {
+
+// Slewing by time synchronisation stays below this between two readings.
+constexpr Milliseconds LeastStep{500};
+
+}
+
+Milliseconds ClockWatch::observe(TimeOfDay timeOfDay, TimePoint steady)
+{
+    const bool first = m_timeOfDay == TimeOfDay();
+    const auto drift = std::chrono::duration_cast<Milliseconds>((timeOfDay - m_timeOfDay) - (steady - m_steady));
+    m_timeOfDay = timeOfDay;
+    m_steady = steady;
+    if (first || std::chrono::abs(drift) < LeastStep) {
+        return Milliseconds(0);
+    }
+    ++m_steps;
+    return drift;
+}
+
+std::uint64_t ClockWatch::steps() const
+{
+    return m_steps;
+}
+
+}
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -61,6 +61,7 @@
     void acknowledged(std::uint32_t sequence);
     void sendTo(const Endpoint &endpoint, GossipMessage message);
     std::vector<MemberRecord> randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted);
+    std::vector<MemberRecord> gossipPeers(const std::function<bool(const Member &)> &wanted);
     std::vector<MemberRecord> successorsWithout(Revision revision);
     bool isolated(TimePoint now) const;
     Milliseconds suspicionLimit() const;
@@ -157,6 +158,24 @@
     return chosen;
 }
 
+// Gossip at random sends five of six datagrams of a fleet with six data centres from
+// one to another. Told within each, and by some members across, news takes about as
+// long for a fraction of those bytes.
+std::vector<MemberRecord> Membership::Private::gossipPeers(const std::function<bool(const Member &)> &wanted)
+{
+    const auto isNear = [this](const Member &member) { return member.record.dataCentre == options.self.dataCentre; };
+    const auto nearMembers = 1 + std::count_if(members.all().begin(), members.all().end(), [&](const auto &entry) { return isNear(entry.second); });
+    const auto share = std::min(1.0, static_cast<double>(options.membersPerBridge) / static_cast<double>(nearMembers));
+    const bool bridges = std::bernoulli_distribution(share)(random);
+    auto far = randomPeers(options.fanOut, [&](const Member &member) { return wanted(member) && !isNear(member); });
+    const std::size_t toFar = bridges && !far.empty() ? 1 : 0;
+    auto peers = randomPeers(options.fanOut - toFar, [&](const Member &member) { return wanted(member) && isNear(member); });
+    const bool fewNear = nearMembers <= options.fanOut;
+    far.resize(std::min(far.size(), fewNear ? options.fanOut - peers.size() : toFar));
+    peers.insert(peers.end(), far.begin(), far.end());
+    return peers;
+}
+
 // Compares what the sender says of itself with what is known of it. Nothing is
 // answered to news or to a question: two members that disagree for good, as one
 // that left and one that didn't know it, would answer each other without a pause
@@ -380,7 +399,7 @@
     const auto revision = options.revision();
     const auto lacks = [&](const Member &member) { return !isOut(member.record) && member.revision < revision; };
     --roundsLeft;
-    auto peers = randomPeers(options.fanOut, lacks);
+    auto peers = gossipPeers(lacks);
     if (roundsLeft == 0) {
         const auto next = successorsWithout(revision);
         peers.insert(peers.end(), next.begin(), next.end());
@@ -403,7 +422,7 @@
         return;
     }
     const auto updates = rumours.take(options.maxUpdates);
-    for (const auto &peer : randomPeers(options.fanOut, [](const Member &member) { return !isOut(member.record); })) {
+    for (const auto &peer : gossipPeers([](const Member &member) { return !isOut(member.record); })) {
         sendTo(peer.control(), {.kind = GossipKind::News, .updates = updates});
     }
 }
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -34,8 +34,12 @@
         // Time that a member that was given up is remembered: the time after
         // which a partition still heals without the store.
         Milliseconds goneRetention{7200000};
-        // Members that fresh updates and a new revision go to per round.
+        // Members that fresh updates and a new revision go to per round. They are of
+        // the own data centre, but for one now and then.
         std::uint32_t fanOut = 3;
+        // Members of a data centre of which one a round, on average, tells another
+        // data centre. In smaller ones each does.
+        std::uint32_t membersPerBridge = 8;
         // Rounds in which a new revision goes to random members.
         std::uint32_t revisionRounds = 2;
         // Next members in the order of names that hear of a new revision last.
--- a/src/core/fleet/watcherchoice.cpp
+++ b/src/core/fleet/watcherchoice.cpp
@@ -31,16 +31,18 @@
     for (const auto &member : sound) {
         fast[member.dataCentre] += isFast(member) ? 1 : 0;
     }
+    const auto share = most / std::max<std::size_t>(fast.size(), 1);
+    const auto each = std::min(perDataCentre, std::max(share, leastPerDataCentre));
     std::size_t watchers = 0;
     for (const auto &[dataCentre, count] : fast) {
-        watchers += std::min(count, perDataCentre);
+        watchers += std::min(count, each);
     }
     if (watchers < enough) {
-        return holdsRole("watch", perDataCentre, self, sound);
+        return holdsRole("watch", each, self, sound);
     }
     std::vector<MemberRecord> candidates;
     std::copy_if(sound.begin(), sound.end(), std::back_inserter(candidates), isFast);
-    return isFast(self) && holdsRole("watch", perDataCentre, self, candidates);
+    return isFast(self) && holdsRole("watch", each, self, candidates);
 }
 
 }
--- a/src/core/fleet/watcherchoice.h
+++ b/src/core/fleet/watcherchoice.h
@@ -16,6 +16,11 @@
     // Watchers of each data centre at the most.
     std::size_t perDataCentre = 4;
 
+    // Watchers of the whole fleet at the most, but at least `leastPerDataCentre` in
+    // each. Each change costs one call to the store a watcher.
+    std::size_t most = 16;
+    std::size_t leastPerDataCentre = 2;
+
     // Fast watchers in the whole fleet that are enough: a herd in which every other
     // member dies takes all of six along once in 64 times. With fewer, slow ones
     // watch as well.
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -9,27 +9,16 @@
 
 namespace {
 
-// Sidecars that seemed to have room and are asked for a slot that is free now.
-// What they tell is a few calls old, so one or two may have filled up since;
-// more such questions would cost their bytes and find the same.
-constexpr std::size_t MaxAsked = 2;
-
-// Sidecars at which a call then waits for a slot, one after the other.
-constexpr std::size_t MaxWaits = 2;
-
-// Share of its objective that a call waits for slots at the most, at all sidecars
-// together. A longer line keeps the slots no busier and makes all of its calls
-// later. With two of ten targets lost, a played day's calls earned 65% of their
-// worth while each waited as long as it could still be in time, 67% at 0.4 of the
-// objective at each sidecar, 70% at 0.25 and 73% at 0.15 and at 0.08; at 0.08 more
-// are refused on days with less load.
+// Share of its objective that a call waits for slots at most, at all sidecars
+// together. Bounds queueing delay: a longer queue adds latency without adding
+// throughput.
 constexpr double MaxWaitShare = 0.15;
 
 // Longer wait that a call with a large body takes rather than cross to another data
-// centre: its bytes cost there what some forty small calls cost.
+// centre.
 constexpr Milliseconds LargeCrossing{120};
 
-// Sidecars that are offered a repeat: as many as are offered a first attempt.
+// Sidecars that are offered a repeat.
 constexpr std::uint32_t MaxRepeatOffers = 2;
 
 }
@@ -66,7 +55,7 @@
 
 void CallRouter::begin(const IngressCall &call, const NodeName &target)
 {
-    pickerFor(call).begin(target);
+    pickerFor(call).begin(target, Clock::now());
 }
 
 void CallRouter::end(const IngressCall &call, const NodeName &target)
@@ -79,6 +68,16 @@
     pickerFor(call).reportedWait(target, wait, Clock::now());
 }
 
+void CallRouter::loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed)
+{
+    m_picker.loadObserved(target, load, wait, observed);
+}
+
+void CallRouter::poolObserved(const PoolReport &pool, TimePoint observed)
+{
+    m_picker.poolObserved(pool.dataCentre, pool.service, {pool.calls, pool.limit}, Milliseconds(pool.waitMs), observed);
+}
+
 RetryBudget &CallRouter::budgetOf(const ServiceName &service)
 {
     return m_retries.try_emplace(service, m_options.retries).first->second;
@@ -143,36 +142,16 @@
     }
 }
 
-// The call goes where it is expected to wait least. While other targets are
-// left it is offered there without waiting if a slot seems free, since what is
-// known of the slots is some calls old; else it waits there, and where a sidecar
-// refuses that at once the next one is asked. A large body isn't offered beyond the
-// own data centre before it is known what it would wait there.
 Choice CallRouter::choose(IngressCall &call)
 {
     if (call.uncertain > 0) {
         return chooseToRepeat(call);
     }
-    const auto &targets = call.view->targetsOf(call.service);
-    const auto now = Clock::now();
-    auto &picker = pickerFor(call);
-    if (targets.size() > 1 && call.asked.size() < MaxAsked) {
-        const auto *own = call.asked.empty() ? ownTarget(call) : nullptr;
-        const auto *target = own != nullptr ? own : picker.pickToWait(targets, call.asked, now);
-        const bool crosses = call.large && target != nullptr && target->dataCentre != m_options.dataCentre;
-        if (target != nullptr && !crosses && picker.seemsFree(target->name, now)) {
-            call.asked.push_back(target->name);
-            return {target, false};
-        }
-    }
-    if (call.waitedAt.size() >= MaxWaits) {
-        return {};
-    }
-    const auto *target = picker.pickToWait(targets, call.waitedAt, now);
-    if (target != nullptr) {
-        call.waitedAt.push_back(target->name);
-    }
-    return {target, true};
+    return nextOffer(pickerFor(call),
+        call.view->targetsOf(call.service),
+        call.offers,
+        {.dataCentre = m_options.dataCentre, .first = ownTarget(call), .crossesUnasked = !call.large},
+        Clock::now());
 }
 
 // The target on this VM: a large body needs no link to it.
--- a/src/daemon/callrouter.h
+++ b/src/daemon/callrouter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/calls/loadreport.h"
+#include "core/calls/offerorder.h"
 #include "core/calls/retrybudget.h"
 #include "core/calls/targetpicker.h"
 #include "daemon/ingresscall.h"
@@ -61,6 +63,8 @@
     void begin(const IngressCall &call, const NodeName &target);
     void end(const IngressCall &call, const NodeName &target);
     void reportedWait(const IngressCall &call, const NodeName &target, Milliseconds wait);
+    void loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed);
+    void poolObserved(const PoolReport &pool, TimePoint observed);
     void learn(const IngressCall &call, const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response);
 
 private:
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -88,6 +88,16 @@
     d->router.setRetryBudget(options);
 }
 
+void Ingress::targetLoadReceived(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed)
+{
+    d->router.loadObserved(target, load, wait, observed);
+}
+
+void Ingress::poolLoadReceived(const PoolReport &pool, TimePoint observed)
+{
+    d->router.poolObserved(pool, observed);
+}
+
 void Ingress::Private::takeTimes(IngressCall &call, const HttpRequest &request)
 {
     call.begin = Clock::now();
@@ -190,7 +200,7 @@
         .end = endOf(response),
         .status = response.result_int(),
         .target = call.lastTarget,
-        .asked = call.asked.size() + call.waitedAt.size(),
+        .asked = call.offers.asked.size() + call.offers.waitedAt.size(),
         .sent = call.sent,
         .latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.begin),
         .timeLeft = std::chrono::duration_cast<Milliseconds>(call.callerDeadline - now),
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -4,6 +4,7 @@
 #include "adapters/http/httpserver.h"
 #include "core/calls/calldialect.h"
 #include "core/calls/callpolicy.h"
+#include "core/calls/loadreport.h"
 #include "core/calls/retrybudget.h"
 #include "core/calls/routingview.h"
 #include "core/calls/runningcall.h"
@@ -88,6 +89,11 @@
     // Bounds the repeats for each service from now on.
     void setRetryBudget(RetryBudget::Options options);
 
+    // Another node told the load of a target, or of a service's targets in one
+    // data centre, as it was at the time of observation.
+    void targetLoadReceived(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed);
+    void poolLoadReceived(const PoolReport &pool, TimePoint observed);
+
     // Handles one call from its request to its final answer.
     asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection);
 
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/bodysource.h"
 #include "adapters/http/serverconnection.h"
+#include "core/calls/offerorder.h"
 #include "core/calls/routingview.h"
 #include "core/calls/servicelevelmetrics.h"
 #include "daemon/attemptconnection.h"
@@ -30,10 +31,7 @@
     ServerConnection &connection;
     // As the last attempt sees it; stays while the rest of its answer is sent.
     std::optional<AttemptConnection> attemptConnection;
-    // Sidecars that were asked for a free slot, and those at which the call may
-    // not wait again.
-    std::vector<NodeName> asked;
-    std::vector<NodeName> waitedAt;
+    OfferHistory offers;
     // Targets that may have run the call, and sidecars that had no room for a
     // repeat of it: a repeat goes to none of them.
     std::vector<NodeName> notToRepeatAt;
@@ -81,13 +79,6 @@
     std::unique_ptr<BodySource> rest;
 };
 
-// A sidecar to ask, and whether the call may wait there.
-struct Choice
-{
-    const MemberRecord *target = nullptr;
-    bool mayWait = false;
-};
-
 // How the call that gets this answer ended.
 CallEnd endOf(const HttpResponse &response);
 
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -16,6 +16,9 @@
 // Contacts asked for their members: one may be gone or as new as this node.
 constexpr std::size_t Asked = 3;
 
+// Of them, those in other data centres, where some in the own one are listed.
+constexpr std::size_t AskedFar = 1;
+
 constexpr Milliseconds AskTimeout{700};
 
 // Until the next try while the store doesn't answer, and while no other member
@@ -80,6 +83,8 @@
     // Whether the list was read, and after this node was written into it.
     bool consulted = false;
     bool listed = false;
+    // Of the listed contacts, those in the own data centre.
+    std::vector<Endpoint> near;
     int failures = 0;
 
     asio::awaitable<void> run();
@@ -87,6 +92,7 @@
     asio::awaitable<void> sweep();
     asio::awaitable<void> registerSelf();
     asio::awaitable<std::vector<Endpoint>> contacts();
+    std::vector<Endpoint> choose(std::vector<Endpoint> contacts);
     asio::awaitable<void> ask(Endpoint contact);
     asio::awaitable<void> askSome(std::vector<Endpoint> contacts);
     void storeFailed(const char *call, const Error &error);
@@ -199,17 +205,28 @@
     consulted = true;
     listed = registered;
     std::vector<MemberRecord> members;
+    near.clear();
     for (const auto &document : documents->documents) {
         auto record = contactFromDocument(document.content);
         if (!record) {
             options.log(LogLevel::Warning, "contact-refused", {{"name", document.name}, {"reason", record.error().message}});
         } else if (record->name != options.self.name) {
-            found.push_back(record->control());
+            (record->dataCentre == options.self.dataCentre ? near : found).push_back(record->control());
             members.push_back(std::move(*record));
         }
     }
     options.listed(members);
-    co_return found;
+    co_return choose(std::move(found));
+}
+
+// The list of members is long in a large fleet, and any member gives the same.
+std::vector<Endpoint> MemberDirectory::Private::choose(std::vector<Endpoint> contacts)
+{
+    std::shuffle(near.begin(), near.end(), random);
+    std::shuffle(contacts.begin(), contacts.end(), random);
+    contacts.resize(std::min(contacts.size(), near.size() < Asked ? Asked : AskedFar));
+    contacts.insert(contacts.begin(), near.begin(), near.begin() + static_cast<std::ptrdiff_t>(std::min(near.size(), Asked - AskedFar)));
+    return contacts;
 }
 
 asio::awaitable<void> MemberDirectory::Private::askSome(std::vector<Endpoint> contacts)
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds StopMargin{400};
 constexpr Milliseconds StopCheckInterval{50};
 
+// Time between two looks for idle connections that hold memory for nothing.
+constexpr Milliseconds TrimInterval{1000};
+
 const char *eventOf(CallEnd end)
 {
     switch (end) {
@@ -73,7 +76,10 @@
 asio::awaitable<void> PlatformNode::Private::tick()
 {
     for (;;) {
+        watchClock();
+        trimConnections();
         fleet.tick();
+        loads.tick(Clock::now());
         targetService.tick();
         if (ready() != wasReady) {
             wasReady = ready();
@@ -85,6 +91,36 @@
     }
 }
 
+void PlatformNode::Private::trimConnections()
+{
+    const auto now = Clock::now();
+    if (now - lastTrim >= TrimInterval) {
+        lastTrim = now;
+        client.trimIdle();
+    }
+}
+
+void PlatformNode::Private::watchClock()
+{
+    const auto step = clockWatch.observe(std::chrono::system_clock::now(), Clock::now());
+    if (step.count() != 0) {
+        log(LogLevel::Warning, "clock-stepped", {{"step_ms", step.count()}, {"steps", clockWatch.steps()}});
+    }
+}
+
+void PlatformNode::Private::datagramReceived(const Endpoint &from, const std::string &bytes)
+{
+    if (!isLoadReport(bytes)) {
+        fleet.datagramReceived(from, bytes);
+        return;
+    }
+    if (const auto report = decodeLoadReport(bytes)) {
+        loads.receive(from, *report, Clock::now());
+    } else {
+        log(LogLevel::Warning, "datagram-refused", {{"from", toString(from)}, {"reason", report.error().message}});
+    }
+}
+
 bool PlatformNode::Private::ready() const
 {
     const bool configured = state->revisions.revision() > Revision();
@@ -125,6 +161,10 @@
         {"store_calls", static_cast<double>(store->calls())},
         {"calls_gave_way", static_cast<double>(ingress.gaveWay())},
         {"call_retries", static_cast<double>(ingress.retries())},
+        {"load_targets_known", static_cast<double>(loads.knownTargets())},
+        {"load_oldest_ms", static_cast<double>(loads.oldestTarget(Clock::now()).count())},
+        {"load_reports_dropped", static_cast<double>(loads.dropped())},
+        {"clock_steps", static_cast<double>(clockWatch.steps())},
         {"datagram_bytes", static_cast<double>(datagrams.bytes())},
         {"client_bytes", static_cast<double>(client.bytes())}};
 }
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -4,6 +4,7 @@
 #include "adapters/http/httpserver.h"
 #include "adapters/udp/datagramsocket.h"
 #include "core/calls/latencyhistogram.h"
+#include "core/fleet/clockwatch.h"
 #include "daemon/fleetcontrol.h"
 #include "daemon/ingress.h"
 #include "daemon/memberdirectory.h"
@@ -30,6 +31,8 @@
     const TimePoint began = Clock::now();
     bool stopping = false;
     bool wasReady = false;
+    ClockWatch clockWatch;
+    TimePoint lastTrim;
     std::shared_ptr<NodeState> state = std::make_shared<NodeState>();
     ServiceLevelMetrics metrics;
     // By CallStage.
@@ -40,6 +43,7 @@
     DatagramSocket datagrams;
     Ingress ingress;
     Sidecar sidecar;
+    LoadExchange loads;
     TargetService targetService;
     FleetControl fleet;
     ConfigFollower follower;
@@ -62,12 +66,16 @@
     Sidecar::Options sidecarOptions();
     TargetService::Options targetOptions();
     FleetControlOptions fleetOptions();
+    LoadExchange::Options loadOptions();
     void limitCallers(const CallerLimits &limits);
     ConfigFollower::Options followerOptions();
     MemberDirectory::Options directoryOptions();
     RetryBudget::Options retryBudget(std::size_t members) const;
 
     asio::awaitable<void> tick();
+    void watchClock();
+    void trimConnections();
+    void datagramReceived(const Endpoint &from, const std::string &bytes);
     bool ready() const;
     asio::awaitable<HttpResponse> answerReadiness();
     asio::awaitable<HttpResponse> answerPeer(HttpRequest request);
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -129,6 +129,7 @@
     , datagrams(context, datagramOptions())
     , ingress(ingressOptions())
     , sidecar(sidecarOptions())
+    , loads(loadOptions())
     , targetService(targetOptions())
     , fleet(fleetOptions())
     , follower(followerOptions())
@@ -201,7 +202,7 @@
 DatagramSocket::Options PlatformNode::Private::datagramOptions()
 {
     return {.endpoint = settings.peers,
-        .received = [this](const Endpoint &from, const std::string &bytes) { fleet.datagramReceived(from, bytes); },
+        .received = [this](const Endpoint &from, const std::string &bytes) { datagramReceived(from, bytes); },
         .maxDatagramBytes = MaxDatagramBytes};
 }
 
@@ -276,6 +277,7 @@
     fleetOptions.publishView = [this](std::shared_ptr<const RoutingView> view) {
         ingress.setRetryBudget(retryBudget(state->members().size()));
         ingress.setView(view);
+        loads.setMembers(state->members());
         sidecar.setView(view);
         // The store may hold no configuration yet.
         if (view->config) {
@@ -290,6 +292,18 @@
     return fleetOptions;
 }
 
+LoadExchange::Options PlatformNode::Private::loadOptions()
+{
+    return {.self = self,
+        .seed = seed,
+        .interval = settings.loadReportInterval,
+        .ownLoad = [this] { return sidecar.load(); },
+        .send = [this](const Endpoint &to, const LoadReport &report) { datagrams.send(to, encode(report)); },
+        .targetLoad
+        = [this](const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed) { ingress.targetLoadReceived(target, load, wait, observed); },
+        .poolLoad = [this](const PoolReport &pool, TimePoint observed) { ingress.poolLoadReceived(pool, observed); }};
+}
+
 // Other nodes pass calls on with fields of their own beside the caller's, and keep
 // their connections as long as they like.
 void PlatformNode::Private::limitCallers(const CallerLimits &limits)
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -77,6 +77,7 @@
     HttpResponse refuse(const std::string &reason) const;
     HttpResponse refuseFull(const SlotCall &call) const;
     void logRefusal(const SlotCall &call, const std::string &reason) const;
+    OwnLoad load() const;
     void reportLoad(HttpResponse &response) const;
 
     asio::awaitable<std::optional<HttpResponse>> takeBody(HttpRequest &request, SlotCall &call, ServerConnection &connection);
@@ -204,13 +205,19 @@
     return {};
 }
 
-void Sidecar::Private::reportLoad(HttpResponse &response) const
+OwnLoad Sidecar::Private::load() const
 {
     const bool takesCalls = state == MemberState::Ready && !line->draining();
-    response.set(CallHeaders::Load, formatLoad({line->running() + static_cast<std::uint32_t>(line->waiting()), takesCalls ? line->limit() : 0}));
-    const auto wait = line->expectedWait();
-    if (options.policy.byUrgency && takesCalls && wait.count() > 0) {
-        response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(wait).count()));
+    const auto wait = options.policy.byUrgency && takesCalls ? line->expectedWait() : Microseconds(0);
+    return {{line->running() + static_cast<std::uint32_t>(line->waiting()), takesCalls ? line->limit() : 0}, std::chrono::duration_cast<Milliseconds>(wait)};
+}
+
+void Sidecar::Private::reportLoad(HttpResponse &response) const
+{
+    const auto own = load();
+    response.set(CallHeaders::Load, formatLoad(own.load));
+    if (own.wait.count() > 0) {
+        response.set(CallHeaders::WaitMs, std::to_string(own.wait.count()));
     }
 }
 
@@ -490,6 +497,11 @@
     return found == d->running.end() ? std::nullopt : std::optional(found->second);
 }
 
+OwnLoad Sidecar::load() const
+{
+    return d->load();
+}
+
 std::uint32_t Sidecar::inFlight() const
 {
     return d->line->running();
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -7,6 +7,7 @@
 #include "core/calls/linkschedule.h"
 #include "core/calls/routingview.h"
 #include "core/calls/runningcall.h"
+#include "core/fleet/loadexchange.h"
 #include "core/fleet/memberrecord.h"
 #include "core/fleet/targetregistration.h"
 #include "ports/logger.h"
@@ -78,6 +79,9 @@
 
     std::uint32_t inFlight() const;
 
+    // The target's load; a limit of zero if it takes no calls.
+    OwnLoad load() const;
+
     // A run of a call of the route has made a call to the service.
     void runCalled(const RouteName &route, const ServiceName &service);
 
