--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/membership.h"
 
+#include "core/fleet/gossippeers.h"
 #include "core/fleet/membertable.h"
 #include "core/fleet/probes.h"
 #include "core/fleet/rumourqueue.h"
@@ -29,12 +30,14 @@
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
+        , peers(members, random, {.dataCentre = options.self.dataCentre, .membersPerBridge = options.membersPerBridge})
     {
     }
 
     Options options;
     std::mt19937_64 random;
     MemberTable members;
+    GossipPeers peers;
     RumourQueue rumours;
     std::vector<NodeName> probeOrder;
     std::optional<Probe> probe;
@@ -60,8 +63,6 @@
     void checkSender(const Endpoint &from, const GossipMessage &message);
     void acknowledged(std::uint32_t sequence);
     void sendTo(const Endpoint &endpoint, GossipMessage message);
-    std::vector<MemberRecord> randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted);
-    std::vector<MemberRecord> gossipPeers(const std::function<bool(const Member &)> &wanted);
     std::vector<MemberRecord> successorsWithout(Revision revision);
     bool isolated(TimePoint now) const;
     Milliseconds suspicionLimit() const;
@@ -145,37 +146,6 @@
     options.send(endpoint, message);
 }
 
-std::vector<MemberRecord> Membership::Private::randomPeers(std::size_t count, const std::function<bool(const Member &)> &wanted)
-{
-    std::vector<MemberRecord> candidates;
-    for (const auto &[name, member] : members.all()) {
-        if (wanted(member)) {
-            candidates.push_back(member.record);
-        }
-    }
-    std::vector<MemberRecord> chosen;
-    std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen), count, random);
-    return chosen;
-}
-
-// Gossip at random sends five of six datagrams of a fleet with six data centres from
-// one to another. Told within each, and by some members across, news takes about as
-// long for a fraction of those bytes.
-std::vector<MemberRecord> Membership::Private::gossipPeers(const std::function<bool(const Member &)> &wanted)
-{
-    const auto isNear = [this](const Member &member) { return member.record.dataCentre == options.self.dataCentre; };
-    const auto nearMembers = 1 + std::count_if(members.all().begin(), members.all().end(), [&](const auto &entry) { return isNear(entry.second); });
-    const auto share = std::min(1.0, static_cast<double>(options.membersPerBridge) / static_cast<double>(nearMembers));
-    const bool bridges = std::bernoulli_distribution(share)(random);
-    auto far = randomPeers(options.fanOut, [&](const Member &member) { return wanted(member) && !isNear(member); });
-    const std::size_t toFar = bridges && !far.empty() ? 1 : 0;
-    auto peers = randomPeers(options.fanOut - toFar, [&](const Member &member) { return wanted(member) && isNear(member); });
-    const bool fewNear = nearMembers <= options.fanOut;
-    far.resize(std::min(far.size(), fewNear ? options.fanOut - peers.size() : toFar));
-    peers.insert(peers.end(), far.begin(), far.end());
-    return peers;
-}
-
 // Compares what the sender says of itself with what is known of it. Nothing is
 // answered to news or to a question: two members that disagree for good, as one
 // that left and one that didn't know it, would answer each other without a pause
@@ -287,7 +257,7 @@
     if (!probe->indirect && now - probe->sent >= options.probeTimeout) {
         probe->indirect = true;
         const auto helps = [&](const Member &member) { return member.record.name != probe->name && !isOut(member.record); };
-        for (const auto &peer : randomPeers(options.indirectProbes, helps)) {
+        for (const auto &peer : peers.anywhere(options.indirectProbes, helps)) {
             sendTo(peer.control(), {.kind = GossipKind::PingRequest, .sequence = probe->sequence, .subject = found->record.control()});
         }
     }
@@ -314,7 +284,7 @@
         return;
     }
     lastRevive = now;
-    for (const auto &peer : randomPeers(1, [](const Member &member) { return isOut(member.record); })) {
+    for (const auto &peer : peers.anywhere(1, [](const Member &member) { return isOut(member.record); })) {
         sendTo(peer.control(), {.kind = GossipKind::Ping});
     }
 }
@@ -399,12 +369,12 @@
     const auto revision = options.revision();
     const auto lacks = [&](const Member &member) { return !isOut(member.record) && member.revision < revision; };
     --roundsLeft;
-    auto peers = gossipPeers(lacks);
+    auto told = peers.mostlyNear(options.fanOut, lacks);
     if (roundsLeft == 0) {
         const auto next = successorsWithout(revision);
-        peers.insert(peers.end(), next.begin(), next.end());
+        told.insert(told.end(), next.begin(), next.end());
     }
-    for (const auto &peer : peers) {
+    for (const auto &peer : told) {
         sendTo(peer.control(), {.kind = GossipKind::News});
     }
 }
@@ -422,7 +392,7 @@
         return;
     }
     const auto updates = rumours.take(options.maxUpdates);
-    for (const auto &peer : gossipPeers([](const Member &member) { return !isOut(member.record); })) {
+    for (const auto &peer : peers.mostlyNear(options.fanOut, [](const Member &member) { return !isOut(member.record); })) {
         sendTo(peer.control(), {.kind = GossipKind::News, .updates = updates});
     }
 }
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "daemon/sidecar.h"
 
 #include "core/calls/answerverdict.h"
+#include "core/calls/calledservices.h"
 #include "core/calls/callheaders.h"
 #include "daemon/bodyintake.h"
 #include "daemon/slotline.h"
@@ -37,11 +38,6 @@
 // used again.
 constexpr Milliseconds AnswerMargin{10};
 
-// Routes whose runs' calls are remembered, and services of each. Told in a field of
-// an answer, they must stay short.
-constexpr std::size_t MaxCallingRoutes = 64;
-constexpr std::size_t MaxCalledServices = 4;
-
 }
 
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
@@ -64,7 +60,7 @@
     // The calls that the target is running, by id.
     std::unordered_map<std::string, RunningCall> running;
     // The services that runs of each route call.
-    std::unordered_map<RouteName, std::vector<ServiceName>> called;
+    CalledServices called;
     MemberState state = MemberState::Starting;
     int lostProbes = 0;
     int refusedProbes = 0;
@@ -353,8 +349,8 @@
         const auto end = endOf(*response, verdict);
         const bool streams = rest && (verdict == AnswerVerdict::Answered || verdict == AnswerVerdict::Failed);
         auto answer = answerOf(std::move(*response), verdict);
-        if (const auto services = called.find(call.route); services != called.end()) {
-            answer.set(CallHeaders::Calls, formatCalls(services->second));
+        if (const auto *services = called.of(call.route)) {
+            answer.set(CallHeaders::Calls, formatCalls(*services));
         }
         if (streams) {
             reportLoad(answer);
@@ -482,13 +478,7 @@
 
 void Sidecar::runCalled(const RouteName &route, const ServiceName &service)
 {
-    if (d->called.size() >= MaxCallingRoutes && d->called.count(route) == 0) {
-        d->called.clear();
-    }
-    auto &services = d->called[route];
-    if (services.size() < MaxCalledServices && std::find(services.begin(), services.end(), service) == services.end()) {
-        services.push_back(service);
-    }
+    d->called.add(route, service);
 }
 
 std::optional<RunningCall> Sidecar::running(std::string_view id) const
