--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -57,8 +57,9 @@
     // buffers would be most of a node's memory.
     void releaseBuffer();
 
-    // Appends what arrives to the buffer; one that was freed is made anew only then. Error `timed_out` when the deadline
-    // passed, `no_buffer_space` when the buffer is full.
+    // Appends what arrives to the buffer; one that was freed is made anew only then.
+    // Error `timed_out` when the deadline passed, `no_buffer_space` when the buffer is
+    // full.
     asio::awaitable<ErrorCode> readMore();
 
     // Writes all of the buffers.
