fleet: Name the bridges of a data centre for what they count

Cause, found on reading the change again: the option said one bridging member for each eight; the code lets eight members of a data centre, on average, tell another one in a round, and all of them in smaller ones.

No change of behaviour; membershipcosttest, membershiptest and callstorytest pass.

--- a/autotests/unit/callstorytest.cpp
+++ b/autotests/unit/callstorytest.cpp
@@ -56,7 +56,7 @@
     BOOST_TEST(storyOf("2a28").table().find("2 lines of the logs can't be read") != std::string::npos);
 }
 
-// Guards against a story told backwards: the sidecar's VM is an hour ahead.
+// Guards against lines of a call in reverse order: the sidecar's VM is an hour ahead.
 BOOST_AUTO_TEST_CASE(ClocksThatDisagreeDontChangeTheOrder)
 {
     CallStory story("7f");
--- a/src/core/fleet/gossippeers.cpp
+++ b/src/core/fleet/gossippeers.cpp
@@ -32,7 +32,7 @@
     const auto isNear = [this](const MemberTable::Member &member) { return member.record.dataCentre == m_options.dataCentre; };
     const auto &all = m_members.all();
     const auto nearMembers = 1 + static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const auto &entry) { return isNear(entry.second); }));
-    const auto share = std::min(1.0, static_cast<double>(m_options.membersPerBridge) / static_cast<double>(nearMembers));
+    const auto share = std::min(1.0, static_cast<double>(m_options.bridgesPerDataCentre) / static_cast<double>(nearMembers));
     const bool bridges = std::bernoulli_distribution(share)(m_random);
     auto far = anywhere(count, [&](const MemberTable::Member &member) { return wanted(member) && !isNear(member); });
     const std::size_t toFar = bridges && !far.empty() ? 1 : 0;
--- a/src/core/fleet/gossippeers.h
+++ b/src/core/fleet/gossippeers.h
@@ -17,9 +17,9 @@
     struct Options
     {
         DataCentre dataCentre;
-        // Members of a data centre of which one a round, on average, tells another
-        // data centre. In smaller ones each does.
-        std::uint32_t membersPerBridge = 8;
+        // Members of the data centre that tell another one in a round, on average.
+        // Of a smaller data centre all do.
+        std::uint32_t bridgesPerDataCentre = 8;
     };
 
     GossipPeers(const MemberTable &members, std::mt19937_64 &random, Options options);
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -30,7 +30,7 @@
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
-        , peers(members, random, {.dataCentre = options.self.dataCentre, .membersPerBridge = options.membersPerBridge})
+        , peers(members, random, {.dataCentre = options.self.dataCentre, .bridgesPerDataCentre = options.bridgesPerDataCentre})
     {
     }
 
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -37,9 +37,9 @@
         // Members that fresh updates and a new revision go to per round. They are of
         // the own data centre, but for one now and then.
         std::uint32_t fanOut = 3;
-        // Members of a data centre of which one a round, on average, tells another
-        // data centre. In smaller ones each does.
-        std::uint32_t membersPerBridge = 8;
+        // Members of each data centre that tell another one in a round, on average.
+        // Of smaller data centres all do.
+        std::uint32_t bridgesPerDataCentre = 8;
         // Rounds in which a new revision goes to random members.
         std::uint32_t revisionRounds = 2;
         // Next members in the order of names that hear of a new revision last.
