--- a/autotests/support/scriptedstore.h
+++ b/autotests/support/scriptedstore.h
@@ -15,7 +15,7 @@
     {
     }
 
-    asio::awaitable<Result<DocumentSet>> list(std::string kind) override
+    asio::awaitable<Result<DocumentSet>> list(std::string kind, Freshness) override
     {
         calledWith.push_back("list " + kind);
         co_return co_await next();
@@ -45,6 +45,12 @@
         co_return putAnswer;
     }
 
+    asio::awaitable<Result<ObjectVersion>> writeStatus(std::string kind, std::string name, std::string, ObjectVersion) override
+    {
+        calledWith.push_back("status " + kind + " " + name);
+        co_return putAnswer.map([] { return ObjectVersion(); });
+    }
+
     asio::awaitable<Result<void>> remove(std::string kind, std::string name, ObjectVersion) override
     {
         calledWith.push_back("remove " + kind + " " + name);
--- a/autotests/unit/decoderfuzztest.cpp
+++ b/autotests/unit/decoderfuzztest.cpp
@@ -182,6 +182,21 @@
     BOOST_TEST(!isLoadReport(encode(GossipMessage())));
 }
 
+BOOST_AUTO_TEST_CASE(RolloutReportReader)
+{
+    RolloutReport report;
+    report.records
+        = {{.order = {ServiceName("ventas"), TargetVersion("v2"), Milliseconds(12000), ObjectVersion(5)}, .seen = ObjectVersion(6), .reason = "slow"}};
+    TargetCounts counts{.node = NodeName("vm-1"), .process = 3, .service = ServiceName("ventas"), .version = TargetVersion("v2")};
+    counts.routes = {{RouteName("pedidos"), 5, 1, {{7, 4}, {40, 1}}}};
+    report.counts = {counts};
+    fuzz(encode(report), decodeRolloutReport);
+    BOOST_TEST((decodeRolloutReport(encode(report))->records.front().order.duration == Milliseconds(12000)));
+    BOOST_TEST((decodeRolloutReport(encode(report))->counts.front().routes == counts.routes));
+    BOOST_TEST(!decodeRolloutReport(withHostileLength(encode(report), "vm-1")).has_value());
+    BOOST_TEST(!isRolloutReport(encode(LoadReport())));
+}
+
 BOOST_AUTO_TEST_CASE(MemberReader)
 {
     fuzz(encode(members()), decodeMembers);
--- a/autotests/unit/platformtest.cpp
+++ b/autotests/unit/platformtest.cpp
@@ -5,6 +5,7 @@
 #include "core/config/platformnodesettings.h"
 #include "platform/configuration.h"
 #include "platform/heartbeat.h"
+#include "platform/rollout.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -198,6 +199,53 @@
     BOOST_TEST(std::get<TargetLeaving>(*message).startedAt.value() == 1777078383118);
 }
 
+BOOST_AUTO_TEST_CASE(ReadsARollout)
+{
+    StoredDocument document{.name = "a", .content = R"({"service":"a","target-version":"v2","duration-s":12.5})", .version = ObjectVersion(9)};
+    document.created = ObjectVersion(4);
+    const auto stored = Platform::decodeRollout(document);
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST(stored->order.service == ServiceName("a"));
+    BOOST_TEST(stored->order.version == TargetVersion("v2"));
+    BOOST_TEST(stored->order.duration.count() == 12500);
+    BOOST_TEST(stored->order.created == ObjectVersion(4));
+    BOOST_TEST(stored->version == ObjectVersion(9));
+    BOOST_TEST(!stored->stage);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsBackTheStatusOfARollout)
+{
+    StoredDocument document{.name = "a", .content = R"({"service":"a","target-version":"v2","duration-s":12})"};
+    for (const auto stage : {RolloutStage::Running, RolloutStage::Succeeded, RolloutStage::RolledBack}) {
+        document.status = Platform::encodeRolloutStatus({.order = {.version = TargetVersion("v2")}, .stage = stage});
+        BOOST_TEST((Platform::decodeRollout(document)->stage == stage));
+    }
+    // Of an earlier order, of another writer, and cut short.
+    for (const auto *status : {R"({"state":"succeeded","target-version":"v1"})",
+             R"({"state":"paused","target-version":"v2"})",
+             R"({"state":7,"target-version":"v2"})",
+             R"({"state":"succ)",
+             "[]",
+             ""}) {
+        document.status = status;
+        BOOST_TEST(!Platform::decodeRollout(document)->stage);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesARolloutThatIsNotWhole)
+{
+    for (const auto *content : {R"({"target-version":"v2","duration-s":12})",
+             R"({"service":"a","duration-s":12})",
+             R"({"service":"a","target-version":2,"duration-s":12})",
+             R"({"service":"a","target-version":"v2","duration-s":"soon"})",
+             R"({"service":"a","target)",
+             "[]"}) {
+        const auto stored = Platform::decodeRollout({.name = "a", .content = content});
+        BOOST_REQUIRE(!stored.has_value());
+        BOOST_TEST(stored.error().message.find("rollout a") != std::string::npos);
+    }
+}
+
 // Broken bytes end in a refusal, never in a crash or a half-read value.
 BOOST_AUTO_TEST_CASE(SurvivesBrokenBytes)
 {
@@ -206,12 +254,17 @@
     for (int round = 0; round < Rounds; ++round) {
         std::string heartbeat(Heartbeat);
         std::string document(Document);
-        for (auto *text : {&heartbeat, &document}) {
+        std::string rollout(R"({"service":"a","target-version":"v2","duration-s":12.5})");
+        std::string status(R"({"state":"succeeded","target-version":"v2"})");
+        for (auto *text : {&heartbeat, &document, &rollout, &status}) {
             const auto position = std::uniform_int_distribution<std::size_t>(0, text->size() - 1)(random);
             (*text)[position] = static_cast<char>(std::uniform_int_distribution<int>(0, 255)(random));
         }
         (void)Platform::decodeTargetMessage(put(heartbeat));
         (void)Platform::decodeConfiguration(document);
+        StoredDocument stored{.name = "a", .content = rollout};
+        stored.status = status;
+        (void)Platform::decodeRollout(stored);
     }
 }
 
--- /dev/null
+++ b/autotests/unit/rolloutrecordtest.cpp
@@ -0,0 +1,194 @@
+#include "core/rollouts/rolloutcontrol.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+RolloutOrder order(std::uint64_t created)
+{
+    return {ServiceName("tablero"), TargetVersion("v2"), Milliseconds(16000), ObjectVersion(created)};
+}
+
+RolloutRecord record(RolloutStage stage, std::uint32_t ageMs, std::uint64_t created = 10)
+{
+    return {.order = order(created), .seen = ObjectVersion(created), .stage = stage, .ageMs = ageMs, .promotedAtMs = 0, .reason = {}};
+}
+
+MemberRecord member(int number, const std::string &version)
+{
+    MemberRecord member;
+    member.name = NodeName("node-" + std::to_string(number));
+    member.dataCentre = DataCentre("rosario-a");
+    member.service = ServiceName("tablero");
+    member.address = "10.0.0." + std::to_string(number);
+    member.controlPort = 7000;
+    member.incarnation = 1;
+    member.version = TargetVersion(version);
+    member.state = MemberState::Ready;
+    return member;
+}
+
+struct Fixture
+{
+    RolloutControl control{{.self = member(1, "v1"),
+        .send = [this](const Endpoint &, const RolloutReport &) { ++sent; },
+        .targetIdle = [] { return true; },
+        .changed = [this](const RolloutRecord &changed, const std::string &) { stages.push_back(changed.stage); }}};
+    int sent = 0;
+    std::vector<RolloutStage> stages;
+    TimePoint now{std::chrono::hours(1)};
+
+    Fixture()
+    {
+        control.setMembers({member(1, "v1"), member(2, "v1"), member(3, "v2")}, now);
+    }
+
+    void read(std::optional<RolloutStage> stage, std::uint64_t version = 10, std::uint64_t created = 10)
+    {
+        control.orderRead({order(created), ObjectVersion(version), stage}, false, now);
+    }
+
+    std::optional<VersionRule> rule()
+    {
+        const auto rules = control.rules(now);
+        return rules.empty() ? std::nullopt : std::optional(rules.begin()->second);
+    }
+};
+
+}
+
+// Guards against reports that come late, twice or in another order.
+BOOST_AUTO_TEST_CASE(MergesGiveTheSameInAnyOrder)
+{
+    std::vector<RolloutRecord> heard
+        = {record(RolloutStage::Running, 500), record(RolloutStage::Promoting, 9000), record(RolloutStage::CutOff, 700), record(RolloutStage::CutOff, 700)};
+    heard[1].promotedAtMs = 8000;
+    std::sort(heard.begin(), heard.end(), [](const auto &left, const auto &right) { return left.stage < right.stage; });
+    do {
+        auto held = record(RolloutStage::Running, 0);
+        for (const auto &each : heard) {
+            mergeRollout(held, each);
+        }
+        BOOST_TEST((held.stage == RolloutStage::CutOff));
+        BOOST_TEST(held.ageMs == 9000U);
+    } while (std::next_permutation(heard.begin(), heard.end(), [](const auto &left, const auto &right) { return left.ageMs < right.ageMs; }));
+}
+
+BOOST_AUTO_TEST_CASE(ALaterOrderReplacesAnEarlierOneAndNotTheOtherWay)
+{
+    auto held = record(RolloutStage::RolledBack, 9000, 10);
+    BOOST_TEST((mergeRollout(held, record(RolloutStage::Running, 0, 20)) == RolloutMerge::Order));
+    BOOST_TEST((held.stage == RolloutStage::Running));
+    BOOST_TEST((mergeRollout(held, record(RolloutStage::RolledBack, 9000, 10)) == RolloutMerge::Nothing));
+    BOOST_TEST((held.stage == RolloutStage::Running));
+}
+
+BOOST_AUTO_TEST_CASE(AVerdictInTheStoreNeverTurns)
+{
+    Fixture fixture;
+    fixture.read(std::nullopt);
+    fixture.read(RolloutStage::RolledBack, 12);
+    fixture.read(RolloutStage::Running, 11);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+    // The same order again, after its end.
+    fixture.read(RolloutStage::RolledBack, 14);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+    // A new one for the same version.
+    fixture.read(std::nullopt, 20, 20);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderRemovedMidwayLeavesTheVersionWithoutCalls)
+{
+    Fixture fixture;
+    fixture.read(std::nullopt);
+    fixture.control.orderRemoved(ServiceName("tablero"), fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+    BOOST_TEST(fixture.control.dueWrites(fixture.now + std::chrono::seconds(5)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderMissingInAListWasRemoved)
+{
+    Fixture fixture;
+    fixture.read(std::nullopt);
+    fixture.control.ordersListed({}, ObjectVersion(9), fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
+    fixture.control.ordersListed({}, ObjectVersion(11), fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderForTheVersionInForceSucceedsAtOnce)
+{
+    Fixture fixture;
+    fixture.control.setMembers({member(1, "v2"), member(2, "v2")}, fixture.now);
+    fixture.now += std::chrono::seconds(20);
+    fixture.read(std::nullopt);
+    BOOST_TEST(!fixture.rule());
+    fixture.control.dueWrites(fixture.now);
+    const auto writes = fixture.control.dueWrites(fixture.now + std::chrono::seconds(1));
+    BOOST_REQUIRE(writes.size() == 1U);
+    BOOST_TEST((writes.front().stage == RolloutStage::Succeeded));
+}
+
+// The order can't be carried out; the version's shares come to an end all the same.
+BOOST_AUTO_TEST_CASE(AVersionThatNoTargetHasIsRolledBackInTime)
+{
+    Fixture fixture;
+    fixture.control.setMembers({member(1, "v1"), member(2, "v1")}, fixture.now);
+    fixture.read(std::nullopt);
+    std::vector<RolloutWrite> writes;
+    for (int step = 0; step < 160; ++step) {
+        fixture.now += Milliseconds(100);
+        fixture.control.tick(fixture.now);
+        for (auto &write : fixture.control.dueWrites(fixture.now)) {
+            fixture.control.written(write, ObjectVersion(write.expected.value() + 1), fixture.now);
+            writes.push_back(std::move(write));
+        }
+    }
+    BOOST_REQUIRE(writes.size() == 2U);
+    BOOST_TEST((writes.front().stage == RolloutStage::Running));
+    BOOST_TEST((writes.back().stage == RolloutStage::RolledBack));
+    BOOST_TEST(writes.back().reason.find("no target of the version") != std::string::npos);
+}
+
+// Guards against counts and records of strangers, of other services and out of range.
+BOOST_AUTO_TEST_CASE(DropsReportsOfNoMemberAndAbsurdValues)
+{
+    Fixture fixture;
+    fixture.read(std::nullopt);
+    const auto from = member(2, "v1").control();
+    RolloutReport report{.records = {record(RolloutStage::CutOff, 100)}, .counts = {}};
+    fixture.control.receive({"10.9.9.9", 7000}, report, fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
+    report.records.front().order.duration = Milliseconds(0);
+    fixture.control.receive(from, report, fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
+    TargetCounts counts{.node = NodeName("node-2"),
+        .process = 1,
+        .service = ServiceName("tablero"),
+        .version = TargetVersion("v1"),
+        .order = ObjectVersion(10),
+        .retired = false,
+        .routes = {{RouteName("r"), 5, 6, {}}}};
+    fixture.control.receive(from, {.records = {}, .counts = {counts}}, fixture.now);
+    counts.routes.front().failures = 1;
+    counts.node = NodeName("stranger");
+    fixture.control.receive(from, {.records = {}, .counts = {counts}}, fixture.now);
+    BOOST_TEST(fixture.control.dropped() == 4U);
+}
+
+// An order that had begun before this node heard of it: its version waits for what
+// other nodes know, and begins anew if all were restarted.
+BOOST_AUTO_TEST_CASE(AnOrderFoundBegunWaitsForTheOthers)
+{
+    Fixture fixture;
+    fixture.control.orderRead({order(10), ObjectVersion(11), RolloutStage::Running}, true, fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+    BOOST_TEST(fixture.control.records(fixture.now).records.empty());
+    fixture.now += Milliseconds(2100);
+    fixture.control.tick(fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
+}
--- a/src/adapters/codec/binarycodec.cpp
+++ b/src/adapters/codec/binarycodec.cpp
@@ -10,6 +10,12 @@
 
 // Above every kind of gossip message, whose first byte is its kind.
 constexpr char LoadReportMark = 'L';
+constexpr char RolloutReportMark = 'R';
+
+bool hasMark(const std::string &bytes, char mark)
+{
+    return !bytes.empty() && bytes.front() == mark;
+}
 
 template <typename Value>
 std::string encodeValue(const Value &value)
@@ -60,7 +66,7 @@
 
 bool isLoadReport(const std::string &bytes)
 {
-    return !bytes.empty() && bytes.front() == LoadReportMark;
+    return hasMark(bytes, LoadReportMark);
 }
 
 Result<LoadReport> decodeLoadReport(const std::string &bytes)
@@ -71,6 +77,24 @@
     return decodeValue<LoadReport>(bytes.substr(1), "load report");
 }
 
+std::string encode(const RolloutReport &report)
+{
+    return RolloutReportMark + encodeValue(report);
+}
+
+bool isRolloutReport(const std::string &bytes)
+{
+    return hasMark(bytes, RolloutReportMark);
+}
+
+Result<RolloutReport> decodeRolloutReport(const std::string &bytes)
+{
+    if (!isRolloutReport(bytes)) {
+        return failure(ErrorKind::Corrupt, "rollout report without its mark; check that all nodes run the same version");
+    }
+    return decodeValue<RolloutReport>(bytes.substr(1), "rollout report");
+}
+
 std::string encode(const std::vector<MemberRecord> &records)
 {
     return encodeValue(records);
--- a/src/adapters/codec/binarycodec.h
+++ b/src/adapters/codec/binarycodec.h
@@ -4,6 +4,7 @@
 #include "core/calls/loadreport.h"
 #include "core/config/configbundle.h"
 #include "core/fleet/gossipmessage.h"
+#include "core/rollouts/versioncounts.h"
 
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
 bool isLoadReport(const std::string &bytes);
 Result<LoadReport> decodeLoadReport(const std::string &bytes);
 
+// So do reports of rollouts.
+std::string encode(const RolloutReport &report);
+bool isRolloutReport(const std::string &bytes);
+Result<RolloutReport> decodeRolloutReport(const std::string &bytes);
+
 std::string encode(const std::vector<MemberRecord> &records);
 Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes);
 
--- a/src/adapters/codec/jsonsplice.cpp
+++ b/src/adapters/codec/jsonsplice.cpp
@@ -147,4 +147,13 @@
     return result;
 }
 
+SplicedDocument parseSpliced(const std::string &text, std::string_view key)
+{
+    auto spliced = spliceOut(text, key);
+    if (!spliced) {
+        throw std::invalid_argument(spliced.error().message);
+    }
+    return {nlohmann::json::parse(spliced->rest), std::move(spliced->parts)};
+}
+
 }
--- a/src/adapters/codec/jsonsplice.h
+++ b/src/adapters/codec/jsonsplice.h
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,4 +24,14 @@
 // Errors: Corrupt if the text isn't JSON.
 Result<SplicedJson> spliceOut(const std::string &text, std::string_view key);
 
+// The same, with what is left as a tree.
+struct SplicedDocument
+{
+    nlohmann::json json;
+    std::vector<std::string> parts;
+};
+
+// Throws std::exception if the text isn't JSON.
+SplicedDocument parseSpliced(const std::string &text, std::string_view key);
+
 }
--- a/src/adapters/platform/documentstore.h
+++ b/src/adapters/platform/documentstore.h
@@ -18,6 +18,16 @@
     bool removed = false;
     // The store's version at its last change.
     ObjectVersion version;
+    // JSON text that the product put beside the content; empty: none.
+    std::string status;
+    // The store's version at its creation.
+    ObjectVersion created;
+};
+
+// Whether an answer may be some seconds old, which costs the store less.
+enum class Freshness {
+    Latest,
+    MayBeStale,
 };
 
 // Documents of one kind at one moment, or those that changed up to it.
@@ -40,7 +50,7 @@
     virtual ~DocumentStore() = default;
 
     // All documents of the kind.
-    virtual asio::awaitable<Result<DocumentSet>> list(std::string kind) = 0;
+    virtual asio::awaitable<Result<DocumentSet>> list(std::string kind, Freshness freshness = Freshness::Latest) = 0;
 
     // Waits for changes of the kind's documents after that version; an empty
     // set if there were none in time. NotFound if the store no longer knows
@@ -57,6 +67,10 @@
     // Creates the document or replaces its content.
     virtual asio::awaitable<Result<void>> put(std::string kind, std::string name, std::string content) = 0;
 
+    // Replaces the status beside the content if the document still has the expected
+    // version; gives the new one.
+    virtual asio::awaitable<Result<ObjectVersion>> writeStatus(std::string kind, std::string name, std::string status, ObjectVersion expected) = 0;
+
     // Removes the document, if it still has the expected version; zero: whatever
     // it has.
     virtual asio::awaitable<Result<void>> remove(std::string kind, std::string name, ObjectVersion expected = ObjectVersion()) = 0;
--- a/src/common/identifiers.h
+++ b/src/common/identifiers.h
@@ -8,10 +8,11 @@
 
 namespace Galenahill {
 
-// Names given by operators or settings.
+// Names given by operators or settings, and the version of a target's software.
 using ServiceName = StrongType<std::string, struct ServiceNameTag>;
 using RouteName = StrongType<std::string, struct RouteNameTag>;
 using DataCentre = StrongType<std::string, struct DataCentreTag>;
+using TargetVersion = StrongType<std::string, struct TargetVersionTag>;
 using NodeName = StrongType<std::string, struct NodeNameTag>;
 using FileName = StrongType<std::string, struct FileNameTag>;
 
--- a/src/core/calls/callheaders.h
+++ b/src/core/calls/callheaders.h
@@ -24,6 +24,9 @@
 // Name of the service that the ingress means; a sidecar of another refuses.
 inline constexpr const char *Service = "Galenahill-Service";
 
+// Version of the target that a call is meant for, while that version is under test.
+inline constexpr const char *Version = "Galenahill-Version";
+
 // Service of the VM on which the call began.
 inline constexpr const char *CallerService = "Galenahill-Call-From";
 
--- a/src/core/calls/routingview.h
+++ b/src/core/calls/routingview.h
@@ -2,6 +2,7 @@
 
 #include "core/config/configbundle.h"
 #include "core/fleet/memberrecord.h"
+#include "core/rollouts/versionrule.h"
 
 #include <memory>
 #include <unordered_map>
@@ -9,6 +10,14 @@
 
 namespace Galenahill {
 
+// A version of a service's targets that gets a share of the calls.
+struct VersionTrial
+{
+    TargetVersion version;
+    double share = 0;
+    std::vector<MemberRecord> targets;
+};
+
 // What one call is routed by from its beginning to its end: a revision and
 // the targets of its services. Immutable; a call that began on one view
 // finishes on it, so it never sees half of a change.
@@ -16,13 +25,22 @@
 {
     std::shared_ptr<const ConfigRevision> config;
     std::unordered_map<ServiceName, std::vector<MemberRecord>> targets;
+    // Versions under test; their targets aren't among the others.
+    std::unordered_map<ServiceName, VersionTrial> trials;
 
     // The targets of a service that may take calls.
     const std::vector<MemberRecord> &targetsOf(const ServiceName &service) const;
 
+    // The trial of the service's targets; null if there is none.
+    const VersionTrial *trialOf(const ServiceName &service) const;
+
     // Sorts the members by the services that the revision defines; members
     // of other services, and those that take no calls, are left out.
-    static std::shared_ptr<const RoutingView> build(std::shared_ptr<const ConfigRevision> config, const std::vector<MemberRecord> &members);
+    static std::shared_ptr<const RoutingView> build(
+        std::shared_ptr<const ConfigRevision> config, const std::vector<MemberRecord> &members, const VersionRules &rules = {});
+
+private:
+    void add(const MemberRecord &member, const VersionRules &rules);
 };
 
 }
--- a/src/core/config/platformnodesettings.cpp
+++ b/src/core/config/platformnodesettings.cpp
@@ -75,6 +75,7 @@
                 {"heartbeat-interval-s", {false, seconds<S>([](S &s) -> Milliseconds & { return s.heartbeatInterval; }, MaxSeconds)}},
             }},
         {"store", {{"address", {true, endpoint<S>([](S &s) -> Endpoint & { return s.store; })}}}},
+        {"rollouts", {{"exposure-share", {false, fraction<S>([](S &s) -> double & { return s.rolloutExposure; }, 1)}}}},
         {"fleet",
             {
                 {"seeds", {false, [](S &s, const std::string &value) { return readEndpoints(s.seeds, value); }}},
--- a/src/core/config/platformnodesettings.h
+++ b/src/core/config/platformnodesettings.h
@@ -49,6 +49,9 @@
     // calls, and so many more in a window.
     double repeatShare = 0.1;
     double repeatSlack = 20;
+    // Share of a service's calls that a version which turns out bad may get in the
+    // time of its rollout.
+    double rolloutExposure = 0.1;
     // Time between two reports of the targets' load to other nodes; zero: none.
     Milliseconds loadReportInterval{100};
 
--- a/src/core/fleet/memberrecord.h
+++ b/src/core/fleet/memberrecord.h
@@ -36,6 +36,8 @@
     std::uint16_t ingressPort = 0;
     std::uint16_t sidecarPort = 0;
     std::uint16_t controlPort = 0;
+    // Version of the target's software; empty: not known.
+    TargetVersion version;
     // Speed of the VM's link; zero: not known.
     std::uint32_t linkMbps = 0;
     // Grows with each start (wall clock) and each refutation; only the member
@@ -66,6 +68,7 @@
         record.ingressPort,
         record.sidecarPort,
         record.controlPort,
+        record.version,
         record.linkMbps,
         record.incarnation,
         record.state);
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -440,13 +440,21 @@
 }
 
 void Membership::setState(MemberState state, TimePoint now)
+{
+    setTarget(state, d->options.self.version, now);
+}
+
+void Membership::setTarget(MemberState state, const TargetVersion &version, TimePoint now)
 {
     // The target's state goes on changing while the node stops; the others
     // would take the node back and send it calls that it refuses.
-    if (d->options.self.state == state || d->options.self.state == MemberState::Left) {
+    auto &self = d->options.self;
+    const bool same = self.state == state && self.version == version;
+    if (same || self.state == MemberState::Left) {
         return;
     }
-    d->options.self.state = state;
+    self.state = state;
+    self.version = version;
     // A later state of the same incarnation would win over an earlier one
     // whatever the order of arrival; each change needs its own incarnation.
     ++d->options.self.incarnation;
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -78,6 +78,7 @@
 
     // Changes what this member says of itself and its target. Left is final.
     void setState(MemberState state, TimePoint now);
+    void setTarget(MemberState state, const TargetVersion &version, TimePoint now);
 
     // Tells random members now that this node has a new revision, and goes on
     // for some rounds.
--- a/src/core/fleet/rendezvous.cpp
+++ b/src/core/fleet/rendezvous.cpp
@@ -25,4 +25,11 @@
     return static_cast<std::size_t>(before) < count;
 }
 
+std::size_t rankOf(const std::string &role, const MemberRecord &self, const std::vector<MemberRecord> &members)
+{
+    const auto own = weight(role, self);
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const MemberRecord &record) { return record.name != self.name && weight(role, record) > own; }));
+}
+
 }
--- a/src/core/fleet/rendezvous.h
+++ b/src/core/fleet/rendezvous.h
@@ -11,4 +11,7 @@
 // may disagree; a role must therefore be harmless when held twice.
 bool holdsRole(const std::string &role, std::size_t count, const MemberRecord &self, const std::vector<MemberRecord> &live);
 
+// Number of the members that come before `self` in the rendezvous order of the role.
+std::size_t rankOf(const std::string &role, const MemberRecord &self, const std::vector<MemberRecord> &members);
+
 }
--- a/src/core/fleet/targetregistration.h
+++ b/src/core/fleet/targetregistration.h
@@ -23,7 +23,7 @@
     ServiceName service;
     Endpoint address;
     DataCentre dataCentre;
-    std::string version;
+    TargetVersion version;
     // Calls that it runs at a time.
     std::uint32_t slots = 1;
     bool draining = false;
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -18,6 +18,9 @@
 // centre.
 constexpr Milliseconds LargeCrossing{120};
 
+// Sidecars of a version under test that are offered a call.
+constexpr std::size_t MaxTrialOffers = 2;
+
 // Sidecars that are offered a repeat.
 constexpr std::uint32_t MaxRepeatOffers = 2;
 
@@ -130,6 +133,8 @@
     if (isSent(end)) {
         ++call.sent;
         call.holdsRepeat = false;
+        // Whatever follows doesn't go to the version under test.
+        call.trial = nullptr;
     }
 }
 
@@ -147,6 +152,13 @@
     if (call.uncertain > 0) {
         return chooseToRepeat(call);
     }
+    if (call.trial != nullptr) {
+        if (const auto choice = chooseOnTrial(call); choice.target != nullptr) {
+            return choice;
+        }
+        call.trial = nullptr;
+        call.offers = {};
+    }
     return nextOffer(pickerFor(call),
         call.view->targetsOf(call.service),
         call.offers,
@@ -154,6 +166,20 @@
         Clock::now());
 }
 
+// A version under test takes what it has room for, and its calls wait for nothing.
+Choice CallRouter::chooseOnTrial(IngressCall &call)
+{
+    auto &asked = call.offers.asked;
+    if (asked.size() >= MaxTrialOffers) {
+        return {};
+    }
+    const auto *target = pickerFor(call).pickToWait(call.trial->targets, asked, Clock::now());
+    if (target != nullptr) {
+        asked.push_back(target->name);
+    }
+    return {target, false};
+}
+
 // The target on this VM: a large body needs no link to it.
 const MemberRecord *CallRouter::ownTarget(const IngressCall &call) const
 {
--- a/src/daemon/callrouter.h
+++ b/src/daemon/callrouter.h
@@ -70,6 +70,7 @@
 private:
     RetryBudget &budgetOf(const ServiceName &service);
     Choice chooseToRepeat(IngressCall &call);
+    Choice chooseOnTrial(IngressCall &call);
     const MemberRecord *ownTarget(const IngressCall &call) const;
     TargetPicker &pickerFor(const IngressCall &call);
 
--- a/src/daemon/configfollower.cpp
+++ b/src/daemon/configfollower.cpp
@@ -1,41 +1,12 @@
 #include "daemon/configfollower.h"
 
-#include "adapters/http/sleep.h"
 #include "core/config/contenthash.h"
+#include "daemon/documentwatcher.h"
 
 #include <algorithm>
-#include <random>
 
 namespace Galenahill {
 
-namespace {
-
-// Longest wait of one watch. The store counts each call, and takes waits up to
-// half a minute; a connection that fell silent is found by its keep-alive
-// probes long before.
-constexpr Milliseconds WatchTime{30000};
-
-// Pause after a change before the next watch: in a storm of several changes a
-// second one call then brings several of them. A change reaches the node this
-// much later at the most, a quarter of the two seconds that it may take.
-constexpr Milliseconds GatherTime{500};
-
-// Age up to which a node that begins to watch goes on from its last read. An
-// older one is read anew: the history in between may hold many changes, each in
-// full.
-constexpr Milliseconds FreshReadAge{2000};
-
-// How often a node that doesn't watch looks whether it should.
-constexpr Milliseconds RoleInterval{150};
-
-// Pause after a failed call, doubled by each further one. An outage's end is
-// noticed within the longest pause, while a fleet of 1,100 stays far below the
-// store's rate of reads.
-constexpr Milliseconds ShortestPause{100};
-constexpr Milliseconds LongestPause{800};
-
-}
-
 Result<std::shared_ptr<const ConfigRevision>> revisionOf(std::string content, const ConfigDecoder &decode)
 {
     auto decoded = decode(content);
@@ -54,34 +25,33 @@
     return std::shared_ptr<const ConfigRevision>(revision);
 }
 
-class ConfigFollower::Private : public std::enable_shared_from_this<ConfigFollower::Private>
+class ConfigFollower::Private
 {
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , random(options.seed)
+        , watcher({.context = options.context,
+              .store = options.store,
+              .kind = options.kind,
+              .seed = options.seed,
+              .log = options.log,
+              .firstList = Freshness::Latest,
+              .watches = options.watches,
+              .received = [this](DocumentSet documents, bool) { return take(std::move(documents)); },
+              .failed = options.storeFailed,
+              .stopping = options.stopping})
     {
     }
 
     Options options;
-    std::mt19937_64 random;
-    // From where to watch on; zero while the kind has to be listed.
-    ObjectVersion version;
-    // Whether the last round was a watcher's, and when the store last answered.
-    bool watched = false;
-    TimePoint lastAnswer;
-    std::uint32_t failures = 0;
+    DocumentWatcher watcher;
     std::uint64_t refused = 0;
 
-    asio::awaitable<void> run();
-    asio::awaitable<Result<DocumentSet>> next();
     bool take(DocumentSet documents);
-    void failed(const Error &error);
-    Milliseconds pauseAfterFailure();
 };
 
 ConfigFollower::ConfigFollower(Options options)
-    : d(std::make_shared<Private>(std::move(options)))
+    : d(std::make_unique<Private>(std::move(options)))
 {
 }
 
@@ -94,46 +64,7 @@
 
 void ConfigFollower::start()
 {
-    asio::co_spawn(d->options.context, d->run(), asio::detached);
-}
-
-asio::awaitable<Result<DocumentSet>> ConfigFollower::Private::next()
-{
-    if (version == ObjectVersion()) {
-        co_return co_await options.store.list(options.kind);
-    }
-    co_return co_await options.store.watch(options.kind, version, WatchTime);
-}
-
-asio::awaitable<void> ConfigFollower::Private::run()
-{
-    const auto keep = shared_from_this();
-    while (!options.stopping) {
-        if (version != ObjectVersion() && !options.watches()) {
-            watched = false;
-            co_await sleepFor(options.context, RoleInterval);
-            continue;
-        }
-        if (!watched && Clock::now() - lastAnswer > FreshReadAge) {
-            version = ObjectVersion();
-        }
-        watched = options.watches();
-        auto documents = co_await next();
-        if (!documents) {
-            failed(documents.error());
-            co_await sleepFor(options.context, pauseAfterFailure());
-            continue;
-        }
-        if (failures > 0) {
-            options.log(LogLevel::Info, "store-regained", {{"failures", failures}});
-        }
-        failures = 0;
-        lastAnswer = Clock::now();
-        version = documents->version;
-        if (take(std::move(*documents))) {
-            co_await sleepFor(options.context, GatherTime);
-        }
-    }
+    d->watcher.start();
 }
 
 // Whether there was anything to take.
@@ -157,25 +88,4 @@
     return true;
 }
 
-void ConfigFollower::Private::failed(const Error &error)
-{
-    if (error.kind == ErrorKind::NotFound) {
-        options.log(LogLevel::Warning, "watch-history-lost", {{"version", version.value()}});
-    } else if (failures == 0) {
-        options.log(LogLevel::Warning, "store-unavailable", {{"call", version == ObjectVersion() ? "list" : "watch"}, {"reason", error.message}});
-    }
-    ++failures;
-    // What a broken watch missed is in the list; a watch from an old version
-    // may be refused for good.
-    version = ObjectVersion();
-    options.storeFailed();
-}
-
-Milliseconds ConfigFollower::Private::pauseAfterFailure()
-{
-    const auto doubled = ShortestPause * (1 << std::min<std::uint32_t>(failures, 4));
-    const auto longest = std::min(LongestPause, Milliseconds(doubled));
-    return Milliseconds(std::uniform_int_distribution<std::int64_t>(longest.count() / 2, longest.count())(random));
-}
-
 }
--- a/src/daemon/configfollower.h
+++ b/src/daemon/configfollower.h
@@ -56,7 +56,7 @@
 
 private:
     class Private;
-    std::shared_ptr<Private> d;
+    std::unique_ptr<Private> d;
 };
 
 }
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -31,6 +31,7 @@
     bool viewOutdated = true;
     bool watchesAlone = false;
     bool storeFailed = false;
+    VersionRules versionRules;
 
     Membership::Options membershipOptions();
     void revisionHeard(const Endpoint &member, Revision revision);
@@ -123,7 +124,7 @@
     options.state->keepsContacts = holdsRole("contacts", 1, membership.self(), live);
     open = gate.open(options.state->revisions.revision(), live.size() - 1);
     if (open) {
-        options.publishView(RoutingView::build(options.state->revisions.current(), membership.records()));
+        options.publishView(RoutingView::build(options.state->revisions.current(), membership.records(), versionRules));
     }
 }
 
@@ -173,9 +174,17 @@
     d->membership.mergeFromStore(members, Clock::now());
 }
 
-void FleetControl::targetStateChanged(MemberState state)
+void FleetControl::targetStateChanged(MemberState state, const TargetVersion &version)
 {
-    d->membership.setState(state, Clock::now());
+    d->membership.setTarget(state, version, Clock::now());
+}
+
+void FleetControl::setVersionRules(VersionRules rules)
+{
+    if (rules != d->versionRules) {
+        d->versionRules = std::move(rules);
+        d->publish();
+    }
 }
 
 void FleetControl::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision)
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -58,7 +58,10 @@
     // Members that another member listed, and those that the store lists.
     void membersReceived(const std::vector<MemberRecord> &members);
     void storedMembersReceived(const std::vector<MemberRecord> &members);
-    void targetStateChanged(MemberState state);
+    void targetStateChanged(MemberState state, const TargetVersion &version = {});
+
+    // What rollouts say of the targets; published with the next view.
+    void setVersionRules(VersionRules rules);
 
     // A revision came from the store or a member. It is taken if it is above
     // the one in force.
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -7,6 +7,7 @@
 #include "core/calls/trafficsplit.h"
 #include "core/calls/urgencyguard.h"
 #include "core/config/configlimits.h"
+#include "core/rollouts/versionsplit.h"
 #include "daemon/callmessages.h"
 #include "daemon/callrouter.h"
 #include "daemon/ingresscall.h"
@@ -38,6 +39,7 @@
     explicit Private(Options given)
         : options(std::move(given))
         , router({.node = options.node, .dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy, .retries = options.retries})
+        , versions(options.seed)
         , returnTime(options.seed)
         , guard({.seed = options.seed})
     {
@@ -46,6 +48,7 @@
     Options options;
     CallRouter router;
     TrafficSplit split;
+    VersionSplit versions;
     ReturnTime returnTime;
     UrgencyGuard guard;
     AttemptTimer attempts;
@@ -55,6 +58,7 @@
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
+    void assignVersion(IngressCall &call);
     void takeTimes(IngressCall &call, const HttpRequest &request);
     std::optional<RunningCall> parentOf(const CallId &id) const;
     asio::awaitable<HttpResponse> admit(IngressCall &call);
@@ -111,6 +115,20 @@
     call.deadline = call.begin + std::min(timeout, ConfigLimits::MaxTimeout);
 }
 
+// With no other target left, all calls go to the version under test.
+void Ingress::Private::assignVersion(IngressCall &call)
+{
+    const auto *trial = call.view->trialOf(call.service);
+    if (trial == nullptr || trial->targets.empty()) {
+        return;
+    }
+    const bool onlyOne = call.view->targetsOf(call.service).empty();
+    if (onlyOne || versions.next(call.service, trial->share)) {
+        call.trial = trial;
+        call.version = trial->version;
+    }
+}
+
 // The id alone could be any caller's choice; that the target beside this node
 // runs a call of the id that it continues could not.
 std::optional<RunningCall> Ingress::Private::parentOf(const CallId &id) const
@@ -145,6 +163,9 @@
     }
     d->takeTimes(call, request);
     call.service = d->split.next(*call.route);
+    if (!call.view->trials.empty()) {
+        d->assignVersion(call);
+    }
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     const auto parent = d->parentOf(call.id);
     call.forRunningCall = parent.has_value();
@@ -196,6 +217,7 @@
         .route = call.route->name,
         .type = call.route->type,
         .service = call.service,
+        .version = call.version,
         .revision = call.view->config->revision(),
         .end = endOf(response),
         .status = response.result_int(),
@@ -321,6 +343,11 @@
     request.set(CallHeaders::Service, call.service.value());
     request.set(CallHeaders::Route, call.route->name.value());
     request.set(CallHeaders::TimeoutMs, std::to_string(std::chrono::duration_cast<Milliseconds>(call.deadline - now).count()));
+    if (call.trial != nullptr) {
+        request.set(CallHeaders::Version, call.trial->version.value());
+    } else {
+        request.erase(CallHeaders::Version);
+    }
     if (terms == CallTerms()) {
         request.erase(CallHeaders::Terms);
     } else {
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -26,6 +26,8 @@
     RouteName route;
     CallType type = CallType::NonIdempotent;
     ServiceName service;
+    // The version under test that the call was assigned to; empty: none.
+    TargetVersion version;
     Revision revision;
     CallEnd end = CallEnd::NotRun;
     unsigned status = 0;
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -32,6 +32,10 @@
     // As the last attempt sees it; stays while the rest of its answer is sent.
     std::optional<AttemptConnection> attemptConnection;
     OfferHistory offers;
+    // The version under test that the call is offered to; null: none.
+    const VersionTrial *trial = nullptr;
+    // The version that it was assigned to, for the log.
+    TargetVersion version;
     // Targets that may have run the call, and sidecars that had no room for a
     // repeat of it: a repeat goes to none of them.
     std::vector<NodeName> notToRepeatAt;
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -63,6 +63,7 @@
     }
     d->follower.start();
     d->directory.start();
+    d->rollouts.start();
     asio::co_spawn(d->context, d->tick(), asio::detached);
     d->log(LogLevel::Info,
         "started",
@@ -81,6 +82,9 @@
         fleet.tick();
         loads.tick(Clock::now());
         targetService.tick();
+        rollouts.tick();
+        releaseTarget();
+        applyVersionRules();
         if (ready() != wasReady) {
             wasReady = ready();
             log(LogLevel::Info, "readiness", {{"ready", wasReady}, {"revision", state->revisions.revision().value()}, {"others", fleet.others()}});
@@ -91,6 +95,31 @@
     }
 }
 
+void PlatformNode::Private::targetChanged(const TargetAnnouncement &target, MemberState newState)
+{
+    targetState = newState;
+    targetHeld = newState == MemberState::Ready && !rollouts.informed();
+    rollouts.setOwnVersion(target.version, target.warmUpLeft);
+    const auto published = targetHeld ? MemberState::Starting : newState;
+    sidecar.announced(target, published);
+    fleet.targetStateChanged(published, target.version);
+}
+
+void PlatformNode::Private::releaseTarget()
+{
+    if (const auto &target = targetService.target(); target && targetHeld && rollouts.informed()) {
+        targetChanged(*target, targetState);
+    }
+}
+
+// The door of the own target first: from then on no call comes in that the rules
+// forbid.
+void PlatformNode::Private::applyVersionRules()
+{
+    sidecar.setVersionRule(rollouts.ownRule());
+    fleet.setVersionRules(rollouts.rules());
+}
+
 void PlatformNode::Private::trimConnections()
 {
     const auto now = Clock::now();
@@ -110,14 +139,15 @@
 
 void PlatformNode::Private::datagramReceived(const Endpoint &from, const std::string &bytes)
 {
-    if (!isLoadReport(bytes)) {
-        fleet.datagramReceived(from, bytes);
-        return;
-    }
-    if (const auto report = decodeLoadReport(bytes)) {
-        loads.receive(from, *report, Clock::now());
+    const auto refused = [&](const Error &error) { log(LogLevel::Warning, "datagram-refused", {{"from", toString(from)}, {"reason", error.message}}); };
+    if (isLoadReport(bytes)) {
+        const auto report = decodeLoadReport(bytes);
+        report ? loads.receive(from, *report, Clock::now()) : refused(report.error());
+    } else if (isRolloutReport(bytes)) {
+        const auto report = decodeRolloutReport(bytes);
+        report ? rollouts.reportReceived(from, *report) : refused(report.error());
     } else {
-        log(LogLevel::Warning, "datagram-refused", {{"from", toString(from)}, {"reason", report.error().message}});
+        fleet.datagramReceived(from, bytes);
     }
 }
 
@@ -180,7 +210,8 @@
         co_return exchange.serve(std::string(target.substr(ConfigPrefix.size())));
     }
     if (request.method() == http::verb::get && target == "/metrics") {
-        co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metricsText(gauges(), metrics.report(Clock::now())) + stageText());
+        co_return makeResponse(
+            http::status::ok, "text/plain; version=0.0.4", metricsText(gauges(), metrics.report(Clock::now())) + stageText() + rollouts.metricsText());
     }
     co_return makeErrorResponse(http::status::not_found, "not-found", "this address has /config, /members and /metrics");
 }
@@ -204,13 +235,14 @@
 void PlatformNode::Private::report(const CallReport &call)
 {
     stageEnded(CallStage::Whole, call.latency);
-    const bool plain = call.end == CallEnd::Answered && call.asked <= 1;
+    const bool plain = call.end == CallEnd::Answered && call.asked <= 1 && call.version.value().empty();
     log(plain ? LogLevel::Debug : LogLevel::Info,
         call.cancelled ? "call-cancelled" : eventOf(call.end),
         {{"id", call.id.value()},
             {"route", call.route.value()},
             {"type", toString(call.type)},
             {"service", call.service.value()},
+            {"version_on_trial", call.version.value()},
             {"revision", call.revision.value()},
             {"status", call.status},
             {"target", call.target.value()},
--- a/src/daemon/platformnode.h
+++ b/src/daemon/platformnode.h
@@ -3,6 +3,7 @@
 #include "adapters/platform/documentstore.h"
 #include "core/calls/calldialect.h"
 #include "core/config/platformnodesettings.h"
+#include "core/rollouts/rolloutcontrol.h"
 #include "daemon/configfollower.h"
 #include "daemon/targetservice.h"
 #include "ports/logger.h"
@@ -27,6 +28,11 @@
         std::string configKind;
         std::string configName;
         ConfigDecoder decodeConfig;
+        // Where orders of rollouts lie, and how to read them and to write their end. An
+        // empty kind: there are none.
+        std::string rolloutKind;
+        std::function<Result<StoredRollout>(const StoredDocument &document)> decodeRollout;
+        std::function<std::string(const RolloutWrite &write)> encodeRolloutStatus;
         // How to read what the target says.
         std::function<Result<TargetMessage>(const HttpRequest &request)> decodeTarget;
         // Opens the store through the node's client.
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -11,6 +11,7 @@
 #include "daemon/metricstext.h"
 #include "daemon/platformnode.h"
 #include "daemon/revisionexchange.h"
+#include "daemon/rolloutservice.h"
 #include "daemon/sidecar.h"
 
 #include <array>
@@ -45,6 +46,11 @@
     Sidecar sidecar;
     LoadExchange loads;
     TargetService targetService;
+    // The target's state as it announced it. Until this node knows of the rollouts
+    // there are, its target counts as starting.
+    MemberState targetState = MemberState::Starting;
+    bool targetHeld = false;
+    RolloutService rollouts;
     FleetControl fleet;
     ConfigFollower follower;
     MemberDirectory directory;
@@ -67,6 +73,10 @@
     TargetService::Options targetOptions();
     FleetControlOptions fleetOptions();
     LoadExchange::Options loadOptions();
+    RolloutService::Options rolloutOptions();
+    void targetChanged(const TargetAnnouncement &target, MemberState newState);
+    void releaseTarget();
+    void applyVersionRules();
     void limitCallers(const CallerLimits &limits);
     ConfigFollower::Options followerOptions();
     MemberDirectory::Options directoryOptions();
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodeparts.cpp
@@ -131,6 +131,7 @@
     , sidecar(sidecarOptions())
     , loads(loadOptions())
     , targetService(targetOptions())
+    , rollouts(rolloutOptions())
     , fleet(fleetOptions())
     , follower(followerOptions())
     , directory(directoryOptions())
@@ -244,6 +245,7 @@
         .link = {.bytesPerSecond = std::uint64_t(settings.linkMbps) * BytesPerMegabit},
         .stateChanged = [](MemberState) {},
         .targetLost = [this] { targetService.targetLost(); },
+        .targetEnded = [this](const RouteName &route, TargetEnd end, std::chrono::microseconds time) { rollouts.callEnded(route, end, time); },
         .stageEnded = [this](CallStage stage, std::chrono::microseconds time) { stageEnded(stage, time); }};
 }
 
@@ -259,11 +261,25 @@
         .healthPath = [this] { return healthPath(); },
         .targetIdField = options.dialect.targetId,
         .log = log,
-        .changed =
-            [this](const TargetAnnouncement &target, MemberState newState) {
-                sidecar.announced(target, newState);
-                fleet.targetStateChanged(newState);
-            }};
+        .changed = [this](const TargetAnnouncement &target, MemberState newState) { targetChanged(target, newState); }};
+}
+
+RolloutService::Options PlatformNode::Private::rolloutOptions()
+{
+    return {.context = context,
+        .store = *store,
+        .kind = options.rolloutKind,
+        .decode = options.decodeRollout,
+        .encodeStatus = options.encodeRolloutStatus,
+        .self = self,
+        .seed = seed,
+        .exposureShare = settings.rolloutExposure,
+        .firstStart = settings.firstStart,
+        .log = log,
+        .send = [this](const Endpoint &to, const RolloutReport &report) { datagrams.send(to, encode(report)); },
+        .targetIdle = [this] { return sidecar.idle(); },
+        .rulesChanged = [this] { applyVersionRules(); },
+        .stopping = stopping};
 }
 
 FleetControlOptions PlatformNode::Private::fleetOptions()
@@ -278,6 +294,7 @@
         ingress.setRetryBudget(retryBudget(state->members().size()));
         ingress.setView(view);
         loads.setMembers(state->members());
+        rollouts.setMembers(state->members());
         sidecar.setView(view);
         // The store may hold no configuration yet.
         if (view->config) {
--- /dev/null
+++ b/src/daemon/rolloutservice.cpp
@@ -0,0 +1,234 @@
+#include "daemon/rolloutservice.h"
+
+#include "daemon/documentwatcher.h"
+
+#include <fmt/format.h>
+
+namespace Galenahill {
+
+namespace {
+
+// Failed lists after which a node doesn't wait for the store any more.
+constexpr int FailuresToGiveUp = 3;
+
+// Time between two lines about the state of a rollout.
+constexpr Milliseconds ProgressInterval{1000};
+
+}
+
+class RolloutService::Private : public std::enable_shared_from_this<RolloutService::Private>
+{
+public:
+    explicit Private(Options given)
+        : options(std::move(given))
+        , informed(options.firstStart || options.kind.empty())
+        , control({.self = options.self,
+              .seed = options.seed,
+              .exposureShare = options.exposureShare,
+              .send = options.send,
+              .targetIdle = options.targetIdle,
+              .changed = [this](const RolloutRecord &record, const std::string &why) { changed(record, why); }})
+        , watcher({.context = options.context,
+              .store = options.store,
+              .kind = options.kind,
+              .seed = options.seed + 1,
+              .log = options.log,
+              .firstList = options.firstStart ? std::nullopt : std::optional(Freshness::MayBeStale),
+              .watches = [this] { return control.isJudge(); },
+              .received = [this](const DocumentSet &documents, bool all) { return received(documents, all); },
+              .failed = [this] { informed = informed || ++failures >= FailuresToGiveUp; },
+              .stopping = options.stopping})
+    {
+    }
+
+    Options options;
+    bool informed;
+    int failures = 0;
+    TimePoint lastProgress;
+    RolloutControl control;
+    DocumentWatcher watcher;
+
+    void changed(const RolloutRecord &record, const std::string &why);
+    bool received(const DocumentSet &documents, bool all);
+    void take(const StoredDocument &document, bool listed);
+    asio::awaitable<void> write(RolloutWrite write);
+    asio::awaitable<void> reread(ServiceName service);
+    void logProgress();
+};
+
+RolloutService::RolloutService(Options options)
+    : d(std::make_shared<Private>(std::move(options)))
+{
+}
+
+RolloutService::~RolloutService() = default;
+
+void RolloutService::start()
+{
+    if (!d->options.kind.empty()) {
+        d->watcher.start();
+    }
+}
+
+void RolloutService::Private::changed(const RolloutRecord &record, const std::string &why)
+{
+    options.log(LogLevel::Info,
+        "rollout-stage",
+        {{"service", record.order.service.value()},
+            {"version", record.order.version.value()},
+            {"stage", toString(record.stage)},
+            {"age_ms", record.ageMs},
+            {"duration_ms", record.order.duration.count()},
+            {"store_version", record.seen.value()},
+            {"why", why},
+            {"reason", record.reason}});
+    options.rulesChanged();
+}
+
+bool RolloutService::Private::received(const DocumentSet &documents, bool all)
+{
+    informed = true;
+    std::vector<ServiceName> services;
+    for (const auto &document : documents.documents) {
+        services.emplace_back(document.name);
+        if (document.removed) {
+            control.orderRemoved(services.back(), Clock::now());
+        } else {
+            take(document, all);
+        }
+    }
+    if (all) {
+        control.ordersListed(services, documents.version, Clock::now());
+    }
+    return false;
+}
+
+void RolloutService::Private::take(const StoredDocument &document, bool listed)
+{
+    const auto stored = options.decode(document);
+    if (!stored) {
+        options.log(LogLevel::Error, "rollout-refused", {{"name", document.name}, {"reason", stored.error().message}});
+        return;
+    }
+    const RolloutRecord record{.order = stored->order, .seen = stored->version};
+    if (!isPlausible(record) || document.name != stored->order.service.value()) {
+        options.log(LogLevel::Error,
+            "rollout-refused",
+            {{"name", document.name}, {"reason", "names are too long, it lies under another service's name, or duration-s isn't from 1 to 86400"}});
+        return;
+    }
+    control.orderRead(*stored, listed, Clock::now());
+}
+
+void RolloutService::tick()
+{
+    d->control.tick(Clock::now());
+    for (auto &write : d->control.dueWrites(Clock::now())) {
+        asio::co_spawn(d->options.context, d->write(std::move(write)), asio::detached);
+    }
+    d->logProgress();
+}
+
+asio::awaitable<void> RolloutService::Private::write(RolloutWrite write)
+{
+    const auto keep = shared_from_this();
+    const auto status = options.encodeStatus(write);
+    const auto written = co_await options.store.writeStatus(options.kind, write.order.service.value(), status, write.expected);
+    options.log(written ? LogLevel::Info : LogLevel::Warning,
+        "rollout-written",
+        {{"service", write.order.service.value()},
+            {"version", write.order.version.value()},
+            {"stage", toString(write.stage)},
+            {"store_version", write.expected.value()},
+            {"done", written.has_value()},
+            {"reason", written ? write.reason : written.error().message}});
+    if (written) {
+        control.written(write, *written, Clock::now());
+    } else if (written.error().kind != ErrorKind::Unavailable) {
+        // Another node was first, or the answer was lost after the write.
+        co_await reread(write.order.service);
+    }
+}
+
+asio::awaitable<void> RolloutService::Private::reread(ServiceName service)
+{
+    const auto document = co_await options.store.read(options.kind, service.value());
+    if (document) {
+        take(*document, false);
+    } else if (document.error().kind == ErrorKind::NotFound) {
+        control.orderRemoved(service, Clock::now());
+    }
+}
+
+void RolloutService::Private::logProgress()
+{
+    const auto now = Clock::now();
+    if (!control.isJudge() || now - lastProgress < ProgressInterval) {
+        return;
+    }
+    lastProgress = now;
+    for (const auto &status : control.status(now)) {
+        if (isFinal(status.record.stage)) {
+            continue;
+        }
+        options.log(LogLevel::Info,
+            "rollout-progress",
+            {{"service", status.record.order.service.value()},
+                {"version", status.record.order.version.value()},
+                {"stage", toString(status.record.stage)},
+                {"step", status.step.name},
+                {"share", status.step.share},
+                {"age_ms", status.record.ageMs},
+                {"evidence", status.test}});
+    }
+}
+
+void RolloutService::reportReceived(const Endpoint &from, const RolloutReport &report)
+{
+    d->control.receive(from, report, Clock::now());
+}
+
+void RolloutService::setMembers(const std::vector<MemberRecord> &members)
+{
+    d->control.setMembers(members, Clock::now());
+}
+
+void RolloutService::setOwnVersion(const TargetVersion &version, Milliseconds warmUpLeft)
+{
+    d->control.setOwnVersion(version, Clock::now() + warmUpLeft);
+}
+
+void RolloutService::callEnded(const RouteName &route, TargetEnd end, std::chrono::microseconds time)
+{
+    d->control.callEnded(route, end, std::chrono::duration_cast<Milliseconds>(time), Clock::now());
+}
+
+bool RolloutService::informed() const
+{
+    return d->informed;
+}
+
+VersionRules RolloutService::rules() const
+{
+    return d->control.rules(Clock::now());
+}
+
+std::optional<VersionRule> RolloutService::ownRule() const
+{
+    return d->control.ownRule(Clock::now());
+}
+
+std::string RolloutService::metricsText() const
+{
+    std::string text;
+    for (const auto &status : d->control.status(Clock::now())) {
+        const auto labels = fmt::format(R"(service="{}",version="{}")", status.record.order.service.value(), status.record.order.version.value());
+        text += fmt::format("galenahill_rollout_stage{{{}}} {}\n", labels, static_cast<int>(status.record.stage));
+        text += fmt::format("galenahill_rollout_share{{{}}} {}\n", labels, status.step.share);
+        text += fmt::format("galenahill_rollout_calls{{{}}} {}\n", labels, status.calls);
+        text += fmt::format("galenahill_rollout_failures{{{}}} {}\n", labels, status.failures);
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/daemon/rolloutservice.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "adapters/platform/documentstore.h"
+#include "core/rollouts/rolloutcontrol.h"
+#include "ports/logger.h"
+
+#include <functional>
+#include <memory>
+
+namespace Galenahill {
+
+// Joins the rollouts' decisions with the store, the other nodes and the log.
+class RolloutService
+{
+public:
+    struct Options
+    {
+        asio::io_context &context;
+        DocumentStore &store;
+        // Where the orders lie in the store; empty: there are none.
+        std::string kind;
+        std::function<Result<StoredRollout>(const StoredDocument &document)> decode;
+        std::function<std::string(const RolloutWrite &write)> encodeStatus;
+        MemberRecord self;
+        std::uint64_t seed = 1;
+        double exposureShare = 0.1;
+        // Whether no order can be older than this node.
+        bool firstStart = false;
+        Logger log;
+        std::function<void(const Endpoint &to, const RolloutReport &report)> send;
+        std::function<bool()> targetIdle;
+        // What the rollouts say of the targets may have changed.
+        std::function<void()> rulesChanged;
+        const bool &stopping;
+    };
+
+    explicit RolloutService(Options options);
+    ~RolloutService();
+
+    void start();
+    void tick();
+    void reportReceived(const Endpoint &from, const RolloutReport &report);
+    void setMembers(const std::vector<MemberRecord> &members);
+    void setOwnVersion(const TargetVersion &version, Milliseconds warmUpLeft);
+    void callEnded(const RouteName &route, TargetEnd end, std::chrono::microseconds time);
+
+    // Whether this node has learnt of the orders there are, or can't: before, its
+    // target must not get calls.
+    bool informed() const;
+
+    VersionRules rules() const;
+    std::optional<VersionRule> ownRule() const;
+
+    // Series for the metrics: stage, calls and failures by service and version.
+    std::string metricsText() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+}
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -3,8 +3,10 @@
 #include "core/calls/answerverdict.h"
 #include "core/calls/calledservices.h"
 #include "core/calls/callheaders.h"
+#include "core/rollouts/versionguard.h"
 #include "daemon/bodyintake.h"
 #include "daemon/slotline.h"
+#include "daemon/targetprobe.h"
 
 #include <unordered_map>
 
@@ -14,19 +16,6 @@
 
 using Microseconds = std::chrono::microseconds;
 
-constexpr Milliseconds StartingProbeInterval{100};
-constexpr Milliseconds ReadyProbeInterval{250};
-constexpr Milliseconds ProbeTimeout{1000};
-
-// Connections to the target that are kept open, so that calls which come after
-// a pause don't wait for new ones.
-constexpr std::size_t WarmConnections = 4;
-
-// Unanswered probes in a row before a target counts as not ready, and probes
-// that it answered with "not ready"; one alone says little.
-constexpr int LostProbesToLeave = 3;
-constexpr int RefusedProbesToLeave = 2;
-
 // A call that nobody may repeat goes out on a connection that was in use so
 // lately. Targets are known to forget idle connections, the earliest after
 // 300 ms, and reset what comes next: the call didn't run, and can't be proven
@@ -57,16 +46,14 @@
     // itself.
     std::string targetId;
     std::uint32_t announcedSlots = 0;
+    VersionGuard guard;
     // The calls that the target is running, by id.
     std::unordered_map<std::string, RunningCall> running;
     // The services that runs of each route call.
     CalledServices called;
     MemberState state = MemberState::Starting;
-    int lostProbes = 0;
-    int refusedProbes = 0;
 
-    asio::awaitable<void> probeLoop();
-    void probed(const Result<HttpResponse> &answer);
+    asio::awaitable<void> probe();
     void setState(MemberState newState);
     std::string idOf(const HttpRequest &request) const;
     std::string refusal(const HttpRequest &request) const;
@@ -93,48 +80,19 @@
 
 void Sidecar::start()
 {
-    asio::co_spawn(d->options.context, d->probeLoop(), asio::detached);
+    asio::co_spawn(d->options.context, d->probe(), asio::detached);
 }
 
-asio::awaitable<void> Sidecar::Private::probeLoop()
+asio::awaitable<void> Sidecar::Private::probe()
 {
     const auto keep = shared_from_this();
-    asio::steady_timer timer(options.context);
-    while (!line->draining()) {
-        HttpRequest request(http::verb::get, options.healthPath, 11);
-        request.set(http::field::host, toString(options.target));
-        const auto answer = co_await options.client.exchange(options.target, std::move(request), Clock::now() + ProbeTimeout);
-        probed(answer);
-        if (state == MemberState::Ready) {
-            co_await options.client.warm(options.target, WarmConnections, Clock::now() + ProbeTimeout);
-        }
-        const bool settled = state == MemberState::Ready && lostProbes == 0 && refusedProbes == 0;
-        ErrorCode error;
-        timer.expires_after(settled ? ReadyProbeInterval : StartingProbeInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
-}
-
-void Sidecar::Private::probed(const Result<HttpResponse> &answer)
-{
-    if (line->draining()) {
-        return;
-    }
-    if (answer && answer->result() == http::status::ok) {
-        lostProbes = 0;
-        refusedProbes = 0;
-        setState(MemberState::Ready);
-        return;
-    }
-    const bool saysDraining = answer && answer->body().find("draining") != std::string::npos;
-    if (saysDraining) {
-        setState(MemberState::Draining);
-        return;
-    }
-    ++(answer ? refusedProbes : lostProbes);
-    if (lostProbes >= LostProbesToLeave || refusedProbes >= RefusedProbesToLeave) {
-        setState(MemberState::Starting);
-    }
+    TargetProbe prober({.context = options.context,
+        .client = options.client,
+        .target = options.target,
+        .path = options.healthPath,
+        .stopped = [this] { return line->draining(); },
+        .changed = [this](MemberState newState) { setState(newState); }});
+    co_await prober.run();
 }
 
 void Sidecar::Private::setState(MemberState newState)
@@ -173,6 +131,7 @@
     }
     d->targetId = target.id;
     d->announcedSlots = target.slots;
+    d->guard.setVersion(target.version);
     d->line->setSlots(target.slots);
     d->setState(state);
     if (state == MemberState::Ready) {
@@ -183,6 +142,14 @@
     }
 }
 
+void Sidecar::setVersionRule(const std::optional<VersionRule> &rule)
+{
+    if (d->guard.setRule(rule) && d->guard.isShut()) {
+        d->line->refuseWaiting();
+        d->bodies.refuseWaiting();
+    }
+}
+
 std::string Sidecar::Private::refusal(const HttpRequest &request) const
 {
     if (request[CallHeaders::Service] != options.service.value()) {
@@ -194,6 +161,10 @@
     if (state != MemberState::Ready) {
         return "the target is starting";
     }
+    const auto version = request[CallHeaders::Version];
+    if (auto reason = guard.refusal({version.data(), version.size()}); !reason.empty()) {
+        return reason;
+    }
     const auto left = timeoutHeader(request);
     if (!left || Milliseconds(*left) <= line->fastest()) {
         return "less time is left than any call takes";
@@ -336,9 +307,10 @@
     const auto begin = Clock::now();
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
     running.erase(call.id);
+    const auto time = std::chrono::duration_cast<Microseconds>(Clock::now() - begin);
     if (options.stageEnded) {
         options.stageEnded(CallStage::Line, std::chrono::duration_cast<Microseconds>(begin - call.arrived));
-        options.stageEnded(CallStage::Target, std::chrono::duration_cast<Microseconds>(Clock::now() - begin));
+        options.stageEnded(CallStage::Target, time);
     }
     if (response) {
         const auto verdict = judgeAnswer(dialect,
@@ -347,6 +319,9 @@
                 .saysNotExecuted = response->count(dialect.notExecuted) > 0,
                 .hasEncoding = response->count(http::field::content_encoding) > 0});
         const auto end = endOf(*response, verdict);
+        if (options.targetEnded && verdict != AnswerVerdict::NotExecuted) {
+            options.targetEnded(call.route, verdict == AnswerVerdict::Failed ? TargetEnd::Failed : TargetEnd::Answered, time);
+        }
         const bool streams = rest && (verdict == AnswerVerdict::Answered || verdict == AnswerVerdict::Failed);
         auto answer = answerOf(std::move(*response), verdict);
         if (const auto *services = called.of(call.route)) {
@@ -373,6 +348,9 @@
     }
     const bool late = Clock::now() >= call.deadline;
     const bool cancelled = connection.cancellation().cancelled();
+    if (options.targetEnded) {
+        options.targetEnded(call.route, late || cancelled ? TargetEnd::GivenUp : TargetEnd::Answered, time);
+    }
     options.log(LogLevel::Info,
         "target-gave-no-answer",
         {{"id", call.id},
@@ -454,7 +432,7 @@
     // have given the call up and told its caller so; running it now would
     // serve nobody. The ingress closes the connection when it gives up. The
     // target may have begun to leave as well.
-    const bool leaving = keep->state == MemberState::Draining;
+    const bool leaving = keep->state == MemberState::Draining || keep->guard.isShut();
     if (leaving || connection.peerClosed()) {
         keep->line->leave(call, AdmissionController::End::NotSent);
         const auto *reason = leaving ? "the target is leaving" : "the caller has gone";
@@ -489,7 +467,16 @@
 
 OwnLoad Sidecar::load() const
 {
-    return d->load();
+    auto load = d->load();
+    if (d->guard.isOnTrial() || d->guard.isShut()) {
+        load.load.limit = 0;
+    }
+    return load;
+}
+
+bool Sidecar::idle() const
+{
+    return d->line->running() == 0 && d->line->waiting() == 0;
 }
 
 std::uint32_t Sidecar::inFlight() const
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -10,6 +10,8 @@
 #include "core/fleet/loadexchange.h"
 #include "core/fleet/memberrecord.h"
 #include "core/fleet/targetregistration.h"
+#include "core/rollouts/versioncounts.h"
+#include "core/rollouts/versionrule.h"
 #include "ports/logger.h"
 
 #include <functional>
@@ -53,6 +55,8 @@
         // The target refused a connection or broke one before its answer, so
         // that it may have ended. May be null.
         std::function<void()> targetLost;
+        // The target ended a call of the route after that time. May be null.
+        std::function<void(const RouteName &route, TargetEnd end, std::chrono::microseconds time)> targetEnded;
         // A call has left the stage after that time. May be null.
         std::function<void(CallStage stage, std::chrono::microseconds time)> stageEnded;
     };
@@ -69,6 +73,10 @@
     // is sent to a target that doesn't take any.
     void announced(const TargetAnnouncement &target, MemberState state);
 
+    // What a rollout says of the service's targets; none: nothing. From the moment at
+    // which this returns, the target gets no further call that the rule forbids.
+    void setVersionRule(const std::optional<VersionRule> &rule);
+
     void setView(const std::shared_ptr<const RoutingView> &view);
 
     // Handles one call that an ingress passed on.
@@ -79,9 +87,13 @@
 
     std::uint32_t inFlight() const;
 
-    // The target's load; a limit of zero if it takes no calls.
+    // The target's load as far as other calls than those of a trial matter; a limit of
+    // zero if it takes none.
     OwnLoad load() const;
 
+    // Whether no call runs at the target, and none waits.
+    bool idle() const;
+
     // A run of a call of the route has made a call to the service.
     void runCalled(const RouteName &route, const ServiceName &service);
 
--- /dev/null
+++ b/src/daemon/targetprobe.cpp
@@ -0,0 +1,73 @@
+#include "daemon/targetprobe.h"
+
+namespace Galenahill {
+
+namespace {
+
+constexpr Milliseconds StartingInterval{100};
+constexpr Milliseconds ReadyInterval{250};
+constexpr Milliseconds Timeout{1000};
+
+// Connections to the target that are kept open, so that calls which come after
+// a pause don't wait for new ones.
+constexpr std::size_t WarmConnections = 4;
+
+// Unanswered probes in a row before a target counts as not ready, and probes
+// that it answered with "not ready"; one alone says little.
+constexpr int LostToLeave = 3;
+constexpr int RefusedToLeave = 2;
+
+}
+
+TargetProbe::TargetProbe(Options options)
+    : m_options(std::move(options))
+{
+}
+
+asio::awaitable<void> TargetProbe::run()
+{
+    asio::steady_timer timer(m_options.context);
+    while (!m_options.stopped()) {
+        HttpRequest request(http::verb::get, m_options.path, 11);
+        request.set(http::field::host, toString(m_options.target));
+        const auto answer = co_await m_options.client.exchange(m_options.target, std::move(request), Clock::now() + Timeout);
+        answered(answer);
+        if (m_state == MemberState::Ready) {
+            co_await m_options.client.warm(m_options.target, WarmConnections, Clock::now() + Timeout);
+        }
+        const bool settled = m_state == MemberState::Ready && m_lost == 0 && m_refused == 0;
+        ErrorCode ignored;
+        timer.expires_after(settled ? ReadyInterval : StartingInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void TargetProbe::setState(MemberState state)
+{
+    m_state = state;
+    m_options.changed(state);
+}
+
+void TargetProbe::answered(const Result<HttpResponse> &answer)
+{
+    if (m_options.stopped()) {
+        return;
+    }
+    if (answer && answer->result() == http::status::ok) {
+        m_lost = 0;
+        m_refused = 0;
+        setState(MemberState::Ready);
+        return;
+    }
+    const bool saysDraining = answer && answer->body().find("draining") != std::string::npos;
+    if (saysDraining) {
+        setState(MemberState::Draining);
+        return;
+    }
+    ++(answer ? m_refused : m_lost);
+    if (m_lost >= LostToLeave || m_refused >= RefusedToLeave) {
+        setState(MemberState::Starting);
+    }
+}
+
+}
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -38,6 +38,7 @@
     MemberState published = MemberState::Starting;
     std::string publishedId;
     std::uint32_t publishedSlots = 0;
+    TargetVersion publishedVersion;
     bool checking = false;
 
     TargetRegistration::Verdict take(const TargetMessage &message);
@@ -97,16 +98,23 @@
     return d->published;
 }
 
+const std::optional<TargetAnnouncement> &TargetService::target() const
+{
+    return d->registration.target();
+}
+
 void TargetService::Private::publish(const char *cause)
 {
     const auto &target = registration.target();
     const auto state = registration.state(Clock::now());
-    if (!target || (state == published && target->id == publishedId && target->slots == publishedSlots)) {
+    const bool same = target && state == published && target->id == publishedId && target->slots == publishedSlots && target->version == publishedVersion;
+    if (!target || same) {
         return;
     }
     published = state;
     publishedId = target->id;
     publishedSlots = target->slots;
+    publishedVersion = target->version;
     options.log(LogLevel::Info,
         "target-state",
         {{"state", toString(state)},
@@ -114,6 +122,7 @@
             {"started_at", target->startedAt},
             {"sequence", target->sequence},
             {"slots", target->slots},
+            {"version", target->version.value()},
             {"cause", cause}});
     options.changed(*target, state);
 }
--- a/src/daemon/targetservice.h
+++ b/src/daemon/targetservice.h
@@ -39,7 +39,7 @@
         // Field of a health answer that names the target; empty: none does.
         std::string targetIdField;
         Logger log;
-        // The target's state, id or slots changed. The sidecar's door is shut
+        // The target's state, id, slots or version changed. The sidecar's door is shut
         // when this returns, before the target gets its answer.
         std::function<void(const TargetAnnouncement &target, MemberState state)> changed;
     };
@@ -57,6 +57,9 @@
 
     MemberState state() const;
 
+    // The target as it last announced itself; nothing before that.
+    const std::optional<TargetAnnouncement> &target() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
