core: Name back-off, shedding and queueing by the field's terms

Cause: turns of speech (rest, givesWay, seemsFree, reportedWait, pickToWait) where the field has terms, comments that tell how values were chosen, and a file named for being parts. Ruled out: renaming metrics and log fields; they stay. Change: names and comments only; platformnodeparts is platformnodewiring; the reason of a shed call says so.

--- a/autotests/support/fleetload.h
+++ b/autotests/support/fleetload.h
@@ -349,7 +349,7 @@
             const auto &name = m_nodes[index].record.name;
             ingress.picker->end(name);
             ingress.picker->reported(name, load.load, m_now);
-            ingress.picker->reportedWait(name, load.wait, m_now);
+            ingress.picker->updateExpectedWait(name, load.wait, m_now);
             if (!ran) {
                 offer(call);
                 return;
--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -154,7 +154,7 @@
     std::map<std::string, int> picked;
     constexpr int Calls = 400;
     for (int i = 0; i < Calls; ++i) {
-        ++picked[picker.pickToWait(targets, {}, now)->name.value()];
+        ++picked[picker.selectForQueueing(targets, {}, now)->name.value()];
     }
     BOOST_TEST(picked.size() == targets.size());
     for (const auto &[name, count] : picked) {
@@ -168,12 +168,12 @@
 {
     for (const auto &target : targets) {
         picker.reported(target.name, {.calls = 7, .limit = 6}, now);
-        picker.reportedWait(target.name, Milliseconds(80), now);
+        picker.updateExpectedWait(target.name, Milliseconds(80), now);
     }
-    picker.reportedWait(targets[2].name, Milliseconds(30), now);
-    BOOST_TEST(picker.pickToWait(targets, {}, now)->name == targets[2].name);
-    picker.reportedWait(targets[0].name, Milliseconds(40), now);
-    BOOST_TEST(picker.pickToWait(targets, {}, now)->name == targets[0].name);
+    picker.updateExpectedWait(targets[2].name, Milliseconds(30), now);
+    BOOST_TEST(picker.selectForQueueing(targets, {}, now)->name == targets[2].name);
+    picker.updateExpectedWait(targets[0].name, Milliseconds(40), now);
+    BOOST_TEST(picker.selectForQueueing(targets, {}, now)->name == targets[0].name);
 }
 
 // Guards against a full data centre that keeps its calls because some target of
@@ -183,14 +183,14 @@
     for (auto &target : targets) {
         target.service = Service;
         picker.reported(target.name, {.calls = 7, .limit = 6}, now);
-        picker.reportedWait(target.name, Milliseconds(target.name == targets[0].name ? 50 : 0), now);
+        picker.updateExpectedWait(target.name, Milliseconds(target.name == targets[0].name ? 50 : 0), now);
     }
     now += Milliseconds(600);
     picker.poolObserved(targets[0].dataCentre, Service, {.calls = 7, .limit = 6}, Milliseconds(50), now);
     picker.poolObserved(targets[1].dataCentre, Service, {.calls = 3, .limit = 18}, Milliseconds(0), now);
-    BOOST_TEST(picker.pickToWait(targets, {}, now)->dataCentre == targets[1].dataCentre);
+    BOOST_TEST(picker.selectForQueueing(targets, {}, now)->dataCentre == targets[1].dataCentre);
     picker.poolObserved(targets[1].dataCentre, Service, {.calls = 21, .limit = 18}, Milliseconds(50), now + Milliseconds(1));
-    BOOST_TEST(picker.pickToWait(targets, {}, now + Milliseconds(2))->dataCentre == targets[0].dataCentre);
+    BOOST_TEST(picker.selectForQueueing(targets, {}, now + Milliseconds(2))->dataCentre == targets[0].dataCentre);
 }
 
 BOOST_AUTO_TEST_CASE(OverflowGoesOnlyToDataCentresThatAreKnownToHaveRoom)
@@ -213,9 +213,9 @@
 {
     picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
     picker.loadObserved(targets[0].name, {.calls = 0, .limit = 6}, Milliseconds(0), now - Milliseconds(100));
-    BOOST_TEST(!picker.seemsFree(targets[0].name, now));
+    BOOST_TEST(!picker.mayHaveFreeSlot(targets[0].name, now));
     picker.loadObserved(targets[0].name, {.calls = 0, .limit = 6}, Milliseconds(0), now + Milliseconds(100));
-    BOOST_TEST(picker.seemsFree(targets[0].name, now + Milliseconds(100)));
+    BOOST_TEST(picker.mayHaveFreeSlot(targets[0].name, now + Milliseconds(100)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/autotests/unit/urgencyguardtest.cpp
+++ b/autotests/unit/urgencyguardtest.cpp
@@ -39,7 +39,7 @@
     {
         int count = 0;
         for (int i = 0; i < 1000; ++i) {
-            count += guard.givesWay(calls, now) ? 1 : 0;
+            count += guard.shedLoad(calls, now) ? 1 : 0;
         }
         return count / 1000.0;
     }
--- a/src/core/calls/callpolicy.h
+++ b/src/core/calls/callpolicy.h
@@ -20,7 +20,7 @@
     bool queue = true;
     // The call that waited least goes first; else the one that waited longest.
     bool newestFirst = false;
-    // Targets that fail in a row are passed over.
+    // Targets that fail in a row are ejected.
     bool ejection = true;
     // Retries stay within the budget and leave time for the next attempt; else
     // each failed attempt is repeated whatever the load.
--- a/src/core/calls/callqueue.h
+++ b/src/core/calls/callqueue.h
@@ -27,10 +27,10 @@
 
 // Calls that wait for a slot of the target. By default shared fairly between
 // routes: the next call is of the route that runs the fewest, and when the
-// queue is full the route with the most waiting gives way. So a route that
+// queue is full the route with the most waiting is shed from. So a route that
 // floods the target fills only what the others leave. By urgency: the next
 // call is the most urgent that can still be in time, and the least urgent
-// gives way.
+// is refused.
 class CallQueue
 {
 public:
--- a/src/core/calls/offerorder.cpp
+++ b/src/core/calls/offerorder.cpp
@@ -20,14 +20,14 @@
 {
     if (targets.size() > 1 && history.asked.size() < MaxAsked) {
         const auto *first = history.asked.empty() ? terms.first : nullptr;
-        const auto *target = first != nullptr ? first : picker.pickToWait(targets, history.asked, now);
+        const auto *target = first != nullptr ? first : picker.selectForQueueing(targets, history.asked, now);
         const bool crosses = target != nullptr && target->dataCentre != terms.dataCentre;
-        if (target != nullptr && (terms.crossesUnasked || !crosses) && picker.seemsFree(target->name, now)) {
+        if (target != nullptr && (terms.crossesUnasked || !crosses) && picker.mayHaveFreeSlot(target->name, now)) {
             history.asked.push_back(target->name);
             return {target, false};
         }
     }
-    const auto *target = history.waitedAt.size() < MaxWaits ? picker.pickToWait(targets, history.waitedAt, now) : nullptr;
+    const auto *target = history.waitedAt.size() < MaxWaits ? picker.selectForQueueing(targets, history.waitedAt, now) : nullptr;
     if (target != nullptr) {
         history.waitedAt.push_back(target->name);
         return {target, true};
--- a/src/core/calls/returntime.cpp
+++ b/src/core/calls/returntime.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// Shortest time to come back after. Slots come free every few milliseconds to
-// some tens of them, so that a caller which returns this soon can still be
-// answered within an objective of 150 ms, the tightest on record.
+// Shortest time to come back after: several slots come free meanwhile, and a caller
+// can still be answered within its objective.
 constexpr Milliseconds Shortest{40};
 
 // Share of the time left that a caller is asked to wait at the most. Callers
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -11,11 +11,10 @@
 // begins to reject calls within some thirty of them, and not one or two targets.
 constexpr double FailingWeight = 24;
 
-// A run of failures as rare as this is taken for the target's own fault.
+// Probability below which a run of failures counts as the target's own fault.
 constexpr double RareRun = 0.03;
 
-// Beyond this share of failures any run is taken to be by chance up to the one of
-// this share, 35 in a row.
+// Bounds the run of failures that ejects a target while nearly all calls fail.
 constexpr double MaxFailing = 0.9;
 
 }
@@ -31,7 +30,7 @@
     return state.reportedAt != TimePoint() && now - state.reportedAt < m_options.loadAge;
 }
 
-// A target that reported nothing lately is taken to have room: otherwise one
+// A target that reported nothing lately may have room: otherwise one
 // bad report would keep every call, and so every better report, away from it.
 bool TargetPicker::hasRoom(const State &state, TimePoint now) const
 {
@@ -50,7 +49,7 @@
 TargetPicker::Candidates TargetPicker::usable(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
 {
     Candidates good;
-    Candidates resting;
+    Candidates backedOff;
     Candidates ejected;
     std::size_t ejectedInAll = 0;
     for (const auto &target : targets) {
@@ -60,17 +59,17 @@
         if (std::find(tried.begin(), tried.end(), target.name) != tried.end()) {
             continue;
         }
-        const bool rests = state.restsUntil > now || (fresh(state, now) && state.load.limit == 0) || target.state == MemberState::Suspect;
-        (rests ? resting : isEjected ? ejected : good).push_back(&target);
+        const bool backsOff = state.backOffUntil > now || (fresh(state, now) && state.load.limit == 0) || target.state == MemberState::Suspect;
+        (backsOff ? backedOff : isEjected ? ejected : good).push_back(&target);
     }
     // When more than half fail, the fault is more likely shared (the network,
     // this node, a bad call) than theirs; the few left would be overrun.
     if (ejectedInAll * 2 > targets.size()) {
         good.insert(good.end(), ejected.begin(), ejected.end());
     }
-    // A passed-over target is better than none: were all passed over, a fault
+    // An ejected target is better than none: were all ejected, a fault
     // that touches every target for a moment would become an outage.
-    return !good.empty() ? good : !ejected.empty() ? ejected : resting;
+    return !good.empty() ? good : !ejected.empty() ? ejected : backedOff;
 }
 
 const MemberRecord *TargetPicker::lessLoaded(const Candidates &candidates, TimePoint now)
@@ -156,7 +155,7 @@
     return chosen;
 }
 
-const MemberRecord *TargetPicker::pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
+const MemberRecord *TargetPicker::selectForQueueing(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
 {
     const auto candidates = sampled(usable(targets, tried, now));
     boost::container::small_vector<Clock::duration, 16> waits;
@@ -208,12 +207,12 @@
     });
 }
 
-bool TargetPicker::seemsFree(const NodeName &target, TimePoint now)
+bool TargetPicker::mayHaveFreeSlot(const NodeName &target, TimePoint now)
 {
     return hasRoom(m_states[target], now);
 }
 
-void TargetPicker::reportedWait(const NodeName &target, Milliseconds wait, TimePoint now)
+void TargetPicker::updateExpectedWait(const NodeName &target, Milliseconds wait, TimePoint now)
 {
     auto &state = m_states[target];
     state.wait = wait;
@@ -232,7 +231,7 @@
     state.load = load;
     state.reportedAt = observed;
     state.begunSince = state.lastBegun > observed ? state.begunSince : 0;
-    reportedWait(target, wait, observed);
+    updateExpectedWait(target, wait, observed);
 }
 
 void TargetPicker::poolObserved(const DataCentre &dataCentre, const ServiceName &service, TargetLoad load, Milliseconds wait, TimePoint observed)
@@ -306,9 +305,9 @@
     ++state.ejections;
 }
 
-void TargetPicker::rest(const NodeName &target, TimePoint now)
+void TargetPicker::backOff(const NodeName &target, TimePoint now)
 {
-    m_states[target].restsUntil = now + m_options.restTime;
+    m_states[target].backOffUntil = now + m_options.backOffTime;
 }
 
 }
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -23,8 +23,8 @@
         DataCentre dataCentre;
         std::uint64_t seed = 1;
         CallPolicy policy;
-        // Time that a target which takes no calls is passed over.
-        Milliseconds restTime{200};
+        // Back-off of a target that takes no calls.
+        Milliseconds backOffTime{200};
         // Age at which a reported load is no longer believed.
         Milliseconds loadAge{500};
         // Age at which the load of a service's targets in one data centre is no
@@ -61,22 +61,22 @@
     // The target at which a call that may wait should wait: the shortest told
     // wait, with that much more counted for another data centre. Null if none
     // is left.
-    const MemberRecord *pickToWait(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
+    const MemberRecord *selectForQueueing(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
     // A target in another data centre that is known to have free slots of the
     // service; the more free slots, the likelier it is chosen. Null if there is
     // none.
     const MemberRecord *pickOverflow(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
-    // Whether another target than those tried is taken to have a free slot by
+    // Whether another target than those tried has a free slot by
     // the last that it told, however old.
     bool roomElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
     // Whether the target isn't known to have all its slots taken.
-    bool seemsFree(const NodeName &target, TimePoint now);
+    bool mayHaveFreeSlot(const NodeName &target, TimePoint now);
 
     // The target's sidecar told how long a further call would wait for a slot.
-    void reportedWait(const NodeName &target, Milliseconds wait, TimePoint now);
+    void updateExpectedWait(const NodeName &target, Milliseconds wait, TimePoint now);
 
     // The target had that load, and a further call would have waited so long, at
     // the time of observation. Ignored if something later is known.
@@ -97,7 +97,7 @@
     // target can't be reached.
     void succeeded(const ServiceName &service, const NodeName &target);
     void failed(const ServiceName &service, const NodeName &target, TimePoint now);
-    void rest(const NodeName &target, TimePoint now);
+    void backOff(const NodeName &target, TimePoint now);
 
 private:
     struct State
@@ -112,7 +112,7 @@
         Milliseconds wait{0};
         TimePoint waitReportedAt;
         Milliseconds interval{0};
-        TimePoint restsUntil;
+        TimePoint backOffUntil;
         TimePoint ejectedUntil;
         std::uint32_t failures = 0;
         std::uint32_t ejections = 0;
--- a/src/core/calls/urgencyguard.cpp
+++ b/src/core/calls/urgencyguard.cpp
@@ -59,7 +59,7 @@
     return most;
 }
 
-bool UrgencyGuard::givesWay(const RouteDefinition &route, TimePoint now)
+bool UrgencyGuard::shedLoad(const RouteDefinition &route, TimePoint now)
 {
     const auto wanted = refusedAbove(route, now) - m_options.margin;
     if (wanted <= 0) {
@@ -70,7 +70,7 @@
     if (own >= wanted) {
         return false;
     }
-    // Those that don't give way are refused as often as before.
+    // Those that aren't shed are refused as often as before.
     return std::uniform_real_distribution<double>(0, 1)(m_random) < (wanted - own) / (1 - own);
 }
 
--- a/src/core/calls/urgencyguard.h
+++ b/src/core/calls/urgencyguard.h
@@ -15,7 +15,7 @@
 // that they make. Calls of running calls go first at every target, or the work
 // done so far would be lost; so lookups whose runs ask the submissions service
 // twice each take all of its slots, and submissions, more urgent, are refused.
-// The lookups have to give way before they start: as large a share of them is
+// The lookups are shed before they start: as large a share of them is
 // refused as of the more urgent calls of the services that they lead to. What a
 // route's runs call is learnt from their targets' nodes.
 class UrgencyGuard
@@ -39,7 +39,7 @@
 
     // Whether a call of the route is to be refused for the sake of more urgent
     // ones.
-    bool givesWay(const RouteDefinition &route, TimePoint now);
+    bool shedLoad(const RouteDefinition &route, TimePoint now);
 
     // Share of the more urgent calls that are refused at the services to which
     // the route's runs lead.
--- a/src/core/fleet/rumourqueue.cpp
+++ b/src/core/fleet/rumourqueue.cpp
@@ -7,11 +7,8 @@
 
 namespace {
 
-// Rounds in which one update is passed on, each to a few members. In a fleet of 60
-// they are four, to three members each: twelve are told by each member, so that one
-// in some 160,000 hears it from nobody. Who was missed learns it from the member
-// itself, with the next probe between the two. Three times the logarithm, tried
-// first, cost 24 records a member and change in a fleet of 100.
+// Rounds in which one update is passed on, each to a few members. A member that all of
+// them missed learns the update with the next probe of the member that it is about.
 std::uint32_t rounds(std::size_t fleetSize)
 {
     return 2 + static_cast<std::uint32_t>(std::ceil(std::log10(static_cast<double>(fleetSize + 1))));
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -66,9 +66,9 @@
     pickerFor(call).end(target);
 }
 
-void CallRouter::reportedWait(const IngressCall &call, const NodeName &target, Milliseconds wait)
+void CallRouter::updateExpectedWait(const IngressCall &call, const NodeName &target, Milliseconds wait)
 {
-    pickerFor(call).reportedWait(target, wait, Clock::now());
+    pickerFor(call).updateExpectedWait(target, wait, Clock::now());
 }
 
 void CallRouter::loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed)
@@ -173,7 +173,7 @@
     if (asked.size() >= MaxTrialOffers) {
         return {};
     }
-    const auto *target = pickerFor(call).pickToWait(call.trial->targets, asked, Clock::now());
+    const auto *target = pickerFor(call).selectForQueueing(call.trial->targets, asked, Clock::now());
     if (target != nullptr) {
         asked.push_back(target->name);
     }
@@ -251,9 +251,9 @@
         picker.failed(call.service, target, now);
         break;
     case AttemptEnd::NotRun:
-        // A full target is told by its load; one that can't say it rests.
+        // Back-off after a refusal that carried no load report.
         if (!load) {
-            picker.rest(target, now);
+            picker.backOff(target, now);
         }
         break;
     }
--- a/src/daemon/callrouter.h
+++ b/src/daemon/callrouter.h
@@ -62,7 +62,7 @@
     // An attempt at the target began, ended, or told what it knows.
     void begin(const IngressCall &call, const NodeName &target);
     void end(const IngressCall &call, const NodeName &target);
-    void reportedWait(const IngressCall &call, const NodeName &target, Milliseconds wait);
+    void updateExpectedWait(const IngressCall &call, const NodeName &target, Milliseconds wait);
     void loadObserved(const NodeName &target, TargetLoad load, Milliseconds wait, TimePoint observed);
     void poolObserved(const PoolReport &pool, TimePoint observed);
     void learn(const IngressCall &call, const NodeName &target, AttemptEnd end, const Result<HttpResponse> &response);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -23,8 +23,7 @@
 // Bytes of a failed attempt's answer that go into the log.
 constexpr std::size_t MaxReasonBytes = 120;
 
-// A body above this takes the slowest links on record, 5 Mbit/s, longer than two
-// round trips between data centres.
+// A body above this takes a slow link longer than a round trip between data centres.
 constexpr std::size_t LargeBodyBytes = 4096;
 
 // How often a call that has waited long for its target looks for another one
@@ -54,7 +53,7 @@
     AttemptTimer attempts;
     RouteLimiter routes{{}};
     std::atomic<std::uint64_t> retriesMade = 0;
-    std::atomic<std::uint64_t> gaveWay = 0;
+    std::atomic<std::uint64_t> shedCalls = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
@@ -197,9 +196,9 @@
     d->router.stop();
 }
 
-std::uint64_t Ingress::gaveWay() const
+std::uint64_t Ingress::shedCalls() const
 {
-    return d->gaveWay;
+    return d->shedCalls;
 }
 
 std::uint64_t Ingress::retries() const
@@ -252,11 +251,11 @@
             http::status::service_unavailable, "refused", fmt::format("this node holds as many calls of route {} as it may", call.route->name.value()));
     }
     // What a running call waits for is never refused here: its work would be lost.
-    if (!call.forRunningCall && guard.givesWay(*call.route, call.begin)) {
+    if (!call.forRunningCall && guard.shedLoad(*call.route, call.begin)) {
         routes.leave(call.route->name);
-        ++gaveWay;
-        call.reason = fmt::format(
-            "gives way: {:.2f} of the more urgent calls to the services that it leads to are refused", guard.refusedAbove(*call.route, call.begin));
+        ++shedCalls;
+        call.reason
+            = fmt::format("shed: {:.2f} of the more urgent calls to the services that it leads to are refused", guard.refusedAbove(*call.route, call.begin));
         co_return refusal(call);
     }
     auto response = co_await route(call);
@@ -442,7 +441,7 @@
     }
     const auto wait = waitHeader(*response);
     if (wait || loadHeader(*response)) {
-        router.reportedWait(call, target.name, wait.value_or(Milliseconds(0)));
+        router.updateExpectedWait(call, target.name, wait.value_or(Milliseconds(0)));
     }
     if (wait && result.end == AttemptEnd::NotRun) {
         call.toldWait = std::min(call.toldWait.value_or(*wait), *wait);
--- a/src/daemon/ingress.h
+++ b/src/daemon/ingress.h
@@ -111,7 +111,7 @@
     std::uint64_t retries() const;
 
     // Calls refused for the sake of more urgent ones.
-    std::uint64_t gaveWay() const;
+    std::uint64_t shedCalls() const;
 
 private:
     class Private;
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -189,7 +189,7 @@
         {"target_calls_running", sidecar.inFlight()},
         {"revisions_refused", static_cast<double>(follower.refused())},
         {"store_calls", static_cast<double>(store->calls())},
-        {"calls_gave_way", static_cast<double>(ingress.gaveWay())},
+        {"calls_gave_way", static_cast<double>(ingress.shedCalls())},
         {"call_retries", static_cast<double>(ingress.retries())},
         {"load_targets_known", static_cast<double>(loads.knownTargets())},
         {"load_oldest_ms", static_cast<double>(loads.oldestTarget(Clock::now()).count())},
--- a/src/daemon/platformnodeparts.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -1,4 +1,4 @@
-// The parts of a node, and how they are joined.
+// Joins the parts of a node by their hooks.
 
 #include "adapters/codec/binarycodec.h"
 #include "daemon/platformnode_p.h"
@@ -47,24 +47,19 @@
 // the fetch itself within the two seconds that a change may take.
 constexpr Milliseconds WatcherPatience{800};
 
-// Members of each data centre that watch the store. In fleets of a dozen all do,
-// at some 40 calls more in a day of 50 s; in larger ones the others fetch
-// deltas, since on a link of 5 Mbit/s a storm of whole documents leaves no room
-// for calls. With two, a herd that died took all watchers along, and for the
-// node that was left a change was in force after more than two seconds.
+// Members of each data centre that watch the store: enough that some outlive a mass
+// failure. The others fetch deltas from them.
 constexpr std::uint32_t Watchers = 4;
 
-// Time after its start in which a node doesn't begin to watch. Knowing nobody yet
-// it would take itself for the only watcher: of 58 nodes that start together each
-// held a watch, and got the first change in full over its own link.
+// Time after its start in which a node doesn't begin to watch: knowing nobody yet it
+// would take itself for the only watcher.
 constexpr Milliseconds WatchAfterStart{1000};
 
 // Deltas kept for the next peers; most nodes ask for the same one.
 constexpr std::size_t CachedDeltas = 2;
 
-// Revisions held as bases of deltas. In a storm of five changes a second, of
-// which a watcher takes two, they reach back more than a second: longer than a
-// change takes to come to every node.
+// Revisions held as bases of deltas: more than come in the time that a change takes to
+// every node.
 constexpr std::size_t HeldBases = 3;
 
 // Members that came back, as from a partition while the store is out, are
--- a/src/daemon/slotline.cpp
+++ b/src/daemon/slotline.cpp
@@ -14,23 +14,17 @@
 constexpr Microseconds ShortestWait{5000};
 constexpr Microseconds LongestWait{200000};
 
-// What a call is taken to need before the first answer tells.
+// Time supposed for a call before the first answer tells.
 constexpr Microseconds UnknownCallTime{25000};
 
-// Calls that wait at the most where urgency orders them. What bounds the
-// waiting there is time: with nine slots and calls of 15 ms, the shortest on
-// record, a fuller queue would mean a wait of over 100 ms.
+// Bounds the queue where urgency orders it; the calls' deadlines bound the wait.
 constexpr std::size_t MaxWaiting = 64;
 
-// A call is taken to need this many times the usual time of its route, so that
-// most of those admitted are in time: work times spread by up to 0.8 of their
-// mean, and half of all calls take longer than usual.
+// Margin over the usual time of a route within which most of its calls end.
 constexpr double TimeMargin = 1.3;
 
-// Share of its objective that a call is taken to need at a target that hasn't
-// answered any of its route: objectives leave about three times the work. Taken for
-// much faster, all calls that come at the fleet's return would be let in, and
-// most of them be late; for slower, a target with one slot would let none wait.
+// Share of its objective that a call needs at a target that hasn't answered any of its
+// route. Guards against admitting all calls, most of them late, after a full restart.
 constexpr double SupposedShare = 1.0 / 3;
 
 // Share of the time until its latest start that a large body may need to come. The
