calls: Count the calls of a repeated run as repeats

A lookup that fails for a shed inner call is repeated within its own service's budget; its second run makes its inner calls again, and those count as repeats where they go, which nobody bounded.

Change: a send says whether it repeats, the run's calls are repeats too and are spent from the budget of the service that they go to, beyond zero if need be; a call isn't repeated while a service that its runs call has no repeat left.

--- /dev/null
+++ b/autotests/unit/repeatbudgettest.cpp
@@ -0,0 +1,128 @@
+#include "core/calls/retrybudget.h"
+#include "daemon/callmessages.h"
+#include "daemon/ingress.h"
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Galenahill;
+
+namespace {
+
+const std::string Address = testAddress(10);
+const Endpoint IngressEndpoint{Address, 8080};
+const std::vector<Endpoint> Sidecars = {{Address, 8081}, {Address, 8082}};
+
+// An ingress whose target is running a call that was repeated, before two sidecars;
+// each fails the calls to /fails.
+struct Fixture
+{
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
+    HttpClient client{context, {}};
+    std::atomic<int> runs = 0;
+    CallDialect dialect;
+    std::unique_ptr<Ingress> ingress;
+    HttpServer ingressServer{context, {.endpoint = IngressEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) {
+                                           return ingress->handle(std::move(request), connection);
+                                       }}};
+    std::vector<std::unique_ptr<HttpServer>> sidecars;
+    std::thread thread;
+
+    Fixture()
+    {
+        dialect.requestId = "X-Id";
+        dialect.notExecuted = "X-Not-Executed";
+        dialect.parentOf = [](std::string_view id) { return id.find('.') == id.npos ? std::string_view() : id.substr(0, id.find('.')); };
+        ingress = std::make_unique<Ingress>(Ingress::Options{.client = client,
+            .node = NodeName("n"),
+            .dataCentre = DataCentre("rosario-a"),
+            .dialect = dialect,
+            .retries = {.perCall = 0, .most = 1},
+            .runningCall =
+                [](std::string_view) {
+                    return std::optional(RunningCall{RouteName("cola"), 0, true});
+                },
+            .callEnded = [](const RouteDefinition &, CallEnd, std::chrono::microseconds) {}});
+        for (const auto &endpoint : Sidecars) {
+            sidecars.push_back(std::make_unique<HttpServer>(context,
+                HttpServer::Options{.endpoint = endpoint, .handler = [this](HttpRequest request, ServerConnection &) { return serve(std::move(request)); }}));
+            BOOST_REQUIRE(sidecars.back()->listen().has_value());
+        }
+        BOOST_REQUIRE(ingressServer.listen().has_value());
+        setView();
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~Fixture()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    void setView()
+    {
+        const auto snapshot = ConfigSnapshot::validate({{FileName("all.ini"),
+            "[service ventas]\ndata-centres = rosario-a\nslots = 9\nconnections = 120\n"
+            "[route precio]\npath = /\nmethods = GET\nservice = ventas\nidempotent = yes\nretries = 1\nmax-targets = 2\ntimeout-ms = 1200\n"}});
+        BOOST_REQUIRE_MESSAGE(snapshot.has_value(), snapshot.error().message);
+        auto revision = std::make_shared<ConfigRevision>();
+        revision->snapshot = *snapshot;
+        std::vector<MemberRecord> members;
+        for (const auto &endpoint : Sidecars) {
+            MemberRecord member;
+            member.name = NodeName("s" + std::to_string(endpoint.port));
+            member.dataCentre = DataCentre("rosario-a");
+            member.service = ServiceName("ventas");
+            member.address = endpoint.address;
+            member.sidecarPort = endpoint.port;
+            member.state = MemberState::Ready;
+            members.push_back(member);
+        }
+        ingress->setView(RoutingView::build(revision, members));
+    }
+
+    asio::awaitable<HttpResponse> serve(HttpRequest request)
+    {
+        ++runs;
+        const bool fails = request.target() == "/fails";
+        co_return makeResponse(fails ? http::status::internal_server_error : http::status::ok, "text/plain", "");
+    }
+
+    int runsOf(const std::string &path, const std::string &id)
+    {
+        runs = 0;
+        RawCaller caller(IngressEndpoint);
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\nConnection: close\r\n\r\n");
+        BOOST_REQUIRE(caller.readToEnd().has_value());
+        return runs;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(budget, Fixture)
+
+BOOST_AUTO_TEST_CASE(ACallThatFailedIsRepeatedWithinTheBudget)
+{
+    BOOST_TEST(runsOf("/fails", "a") == 2);
+    BOOST_TEST(runsOf("/fails", "b") == 1);
+}
+
+// Guards against a service that gets more repeats than its budget by way of repeated
+// runs of its callers.
+BOOST_AUTO_TEST_CASE(CallsOfARepeatedRunAreRepeats)
+{
+    BOOST_TEST(runsOf("/works", "parent.1") == 1);
+    BOOST_TEST(runsOf("/fails", "b") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(SaysWhetherACallIsARepeat)
+{
+    const CallTerms terms{.priority = 1, .mayWait = false, .repeat = true};
+    HttpRequest request;
+    request.set(CallHeaders::Terms, formatTerms(terms));
+    BOOST_TEST((termsHeader(request) == terms));
+}
--- a/src/core/calls/retrybudget.cpp
+++ b/src/core/calls/retrybudget.cpp
@@ -35,6 +35,11 @@
     return true;
 }
 
+void RetryBudget::spend()
+{
+    m_left -= 1;
+}
+
 void RetryBudget::giveBack()
 {
     m_left = std::min(m_options.most, m_left + 1);
--- a/src/core/calls/retrybudget.h
+++ b/src/core/calls/retrybudget.h
@@ -31,6 +31,10 @@
     // Takes one retry; false if none is left.
     bool tryTake();
 
+    // A repeat was made that nobody could keep back. What it takes beyond what is left
+    // is missing for the next ones.
+    void spend();
+
     // The retry that was taken wasn't made.
     void giveBack();
 
--- a/src/core/calls/urgencyguard.cpp
+++ b/src/core/calls/urgencyguard.cpp
@@ -32,6 +32,13 @@
     m_calls[route] = std::move(services);
 }
 
+const std::vector<ServiceName> &UrgencyGuard::calledBy(const RouteName &route) const
+{
+    static const std::vector<ServiceName> none;
+    const auto found = m_calls.find(route);
+    return found == m_calls.end() ? none : found->second;
+}
+
 void UrgencyGuard::ended(const RouteDefinition &route, const ServiceName &service, bool refused, TimePoint now)
 {
     keepBounded(m_services, service);
--- a/src/core/calls/urgencyguard.h
+++ b/src/core/calls/urgencyguard.h
@@ -34,6 +34,9 @@
     // The run of a call of the route makes calls to those services.
     void learn(const RouteName &route, std::vector<ServiceName> services);
 
+    // The services that runs of the route are known to call.
+    const std::vector<ServiceName> &calledBy(const RouteName &route) const;
+
     // A call of the route to the service ended, refused for want of room or not.
     void ended(const RouteDefinition &route, const ServiceName &service, bool refused, TimePoint now);
 
--- a/src/daemon/callmessages.cpp
+++ b/src/daemon/callmessages.cpp
@@ -17,9 +17,10 @@
 
 // Until a call that may have run should be asked about again.
 constexpr const char *UnknownRetryAfter = "1";
-constexpr std::size_t TermsParts = 5;
+constexpr std::size_t TermsParts = 6;
 constexpr const char *NoWait = "no-wait";
 constexpr const char *RunningCall = "inner";
+constexpr const char *Repeat = "repeat";
 constexpr const char *InternalPrefix = "Galenahill-";
 
 // The number that the text spells, if it spells nothing else.
@@ -122,18 +123,20 @@
     if (const auto left = wholeNumber<std::int64_t>(parts[4])) {
         terms.waitLeft = Milliseconds(*left);
     }
+    terms.repeat = parts[5] == Repeat;
     return terms;
 }
 
 std::string formatTerms(const CallTerms &terms)
 {
     const auto text = [](const std::optional<Milliseconds> &time) { return time ? std::to_string(time->count()) : std::string(); };
-    return fmt::format("{};{};{};{};{}",
+    return fmt::format("{};{};{};{};{};{}",
         terms.priority,
         text(terms.objectiveLeft),
         terms.mayWait ? "wait" : NoWait,
         terms.forRunningCall ? RunningCall : "",
-        text(terms.waitLeft));
+        text(terms.waitLeft),
+        terms.repeat ? Repeat : "");
 }
 
 std::optional<Milliseconds> waitHeader(const HttpResponse &response)
--- a/src/daemon/callmessages.h
+++ b/src/daemon/callmessages.h
@@ -27,6 +27,8 @@
     // Whether a call that a target is running waits for this one. Refused, it
     // would waste what that target has done.
     bool forRunningCall = false;
+    // Whether the call may have run before, or is made by a run of which that holds.
+    bool repeat = false;
 
     friend bool operator==(const CallTerms &, const CallTerms &) = default;
 };
--- a/src/daemon/callrouter.cpp
+++ b/src/daemon/callrouter.cpp
@@ -46,9 +46,22 @@
     m_stopping = true;
 }
 
-void CallRouter::callMade(const ServiceName &service)
+void CallRouter::callMade(const IngressCall &call)
 {
-    budgetOf(service).callMade();
+    auto &budget = budgetOf(call.service);
+    call.ofRepeat ? budget.spend() : budget.callMade();
+}
+
+// A repeated run makes its calls again, and they count as repeats where they go. While
+// those services can't bear any, the repeat would take from the calls that are tried
+// there for the first time.
+bool CallRouter::calledCanBear(const IngressCall &call)
+{
+    if (!m_options.calledBy) {
+        return true;
+    }
+    const auto &services = m_options.calledBy(call.route->name);
+    return std::all_of(services.begin(), services.end(), [this](const ServiceName &service) { return budgetOf(service).hasOne(); });
 }
 
 TargetPicker &CallRouter::pickerFor(const IngressCall &call)
@@ -115,7 +128,7 @@
     if (mayHaveRun(end)) {
         // Only here could a call run twice: what may have run is repeated
         // only if the route says that repeating does no harm.
-        if (!mayRepeat(call)) {
+        if (!mayRepeat(call) || !calledCanBear(call)) {
             return false;
         }
         ++call.uncertain;
@@ -224,7 +237,7 @@
     if (m_stopping || bodyGone || call.sent + 1 >= call.route->maxTargets || call.repeatsOffered >= MaxRepeatOffers) {
         return false;
     }
-    if (!budgetOf(call.service).hasOne()) {
+    if (!budgetOf(call.service).hasOne() || !calledCanBear(call)) {
         return false;
     }
     auto passedOver = call.notToRepeatAt;
--- a/src/daemon/callrouter.h
+++ b/src/daemon/callrouter.h
@@ -6,7 +6,9 @@
 #include "core/calls/targetpicker.h"
 #include "daemon/ingresscall.h"
 
+#include <functional>
 #include <unordered_map>
+#include <vector>
 
 namespace Galenahill {
 
@@ -23,6 +25,8 @@
         CallPolicy policy;
         // Repeats of what may have run, for each service.
         RetryBudget::Options retries;
+        // The services that runs of the route call. May be null.
+        std::function<const std::vector<ServiceName> &(const RouteName &route)> calledBy;
     };
 
     explicit CallRouter(Options options);
@@ -33,8 +37,8 @@
     // This node is about to stop: no running attempt is given up any more.
     void stop();
 
-    // A call for the service came; it earns its part of a repeat.
-    void callMade(const ServiceName &service);
+    // The call came. It earns its service a part of a repeat, or is one itself.
+    void callMade(const IngressCall &call);
 
     // The sidecar to ask next; none if the call has been offered enough.
     Choice choose(IngressCall &call);
@@ -69,6 +73,7 @@
 
 private:
     RetryBudget &budgetOf(const ServiceName &service);
+    bool calledCanBear(const IngressCall &call);
     Choice chooseToRepeat(IngressCall &call);
     Choice chooseOnTrial(IngressCall &call);
     const MemberRecord *ownTarget(const IngressCall &call) const;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -37,7 +37,12 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , router({.node = options.node, .dataCentre = options.dataCentre, .seed = options.seed, .policy = options.policy, .retries = options.retries})
+        , router({.node = options.node,
+              .dataCentre = options.dataCentre,
+              .seed = options.seed,
+              .policy = options.policy,
+              .retries = options.retries,
+              .calledBy = [this](const RouteName &route) -> const std::vector<ServiceName> & { return guard.calledBy(route); }})
         , versions(options.seed)
         , returnTime(options.seed)
         , guard({.seed = options.seed})
@@ -168,6 +173,7 @@
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     const auto parent = d->parentOf(call.id);
     call.forRunningCall = parent.has_value();
+    call.ofRepeat = parent && parent->repeat;
     call.priority = parent ? parent->priority : call.route->priority;
     if (parent && d->options.runCalled) {
         d->options.runCalled(parent->route, call.service);
@@ -291,7 +297,7 @@
 
 asio::awaitable<HttpResponse> Ingress::Private::route(IngressCall &call)
 {
-    router.callMade(call.service);
+    router.callMade(call);
     Attempt last;
     std::optional<Attempt> failed;
     auto choice = router.choose(call);
@@ -330,8 +336,12 @@
 {
     auto &request = call.request;
     const auto now = Clock::now();
-    CallTerms terms{
-        .priority = call.priority, .objectiveLeft = std::nullopt, .mayWait = mayWait, .waitLeft = router.waitLeft(call), .forRunningCall = call.forRunningCall};
+    CallTerms terms{.priority = call.priority,
+        .objectiveLeft = std::nullopt,
+        .mayWait = mayWait,
+        .waitLeft = router.waitLeft(call),
+        .forRunningCall = call.forRunningCall,
+        .repeat = call.ofRepeat || call.uncertain > 0};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
--- a/src/daemon/ingresscall.h
+++ b/src/daemon/ingresscall.h
@@ -57,6 +57,8 @@
     std::uint32_t priority = 0;
     // A call that the target beside this node is running waits for this one.
     bool forRunningCall = false;
+    // That call is being run once more, and makes its calls again.
+    bool ofRepeat = false;
 };
 
 // How one attempt ended.
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -303,7 +303,7 @@
             return id.empty() || id == forwarded[dialect.requestId];
         };
     }
-    running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority});
+    running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority, call.terms.repeat});
     const auto begin = Clock::now();
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, companions);
     running.erase(call.id);
