fleet: Let a restarted node find its contact in the store

Cause: each start writes the node's contact and reads the list, two priced calls; when a whole fleet returns, the contacts are there already. Ruled out: a stale list (a tenth of the price): after a planned stop it may still show a contact that is gone, and a node that believes it is in no list. Not withdrawing at a planned stop: joiners would ask contacts that are gone.

--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -38,6 +38,7 @@
             .store = store,
             .client = client,
             .self = record("b"),
+            .firstStart = firstStart,
             .log = [this](LogLevel, std::string_view event, const std::vector<LogField> &) { events.emplace_back(event); },
             .listed =
                 [this](const std::vector<MemberRecord> &members) {
@@ -69,6 +70,7 @@
     bool stopping = false;
     bool sweeps = false;
     bool consulted = false;
+    bool firstStart = true;
 };
 
 }
@@ -123,4 +125,22 @@
     BOOST_TEST(std::vector<std::string>(store.calledWith.begin(), store.calledWith.begin() + 4) == expected, boost::test_tools::per_element());
 }
 
+// Guards against a write a node when a whole fleet returns.
+BOOST_AUTO_TEST_CASE(ARestartedNodeFindsItsContact)
+{
+    firstStart = false;
+    store.answers = {contactsOf({"a", "b"})};
+    run(1, Milliseconds(300));
+    BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts"}), boost::test_tools::per_element());
+}
+
+// It was removed at a planned stop, or the VM is new.
+BOOST_AUTO_TEST_CASE(ARestartedNodeWithoutAContactWritesOne)
+{
+    firstStart = false;
+    store.answers = {contactsOf({"a"})};
+    run(2, Milliseconds(300));
+    BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts", "put contacts b"}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <utility>
 
 namespace Galenahill {
 
@@ -68,12 +69,27 @@
     return record;
 }
 
+namespace {
+
+// Whether others reach the member in the same way, whenever it was started.
+bool isSamePlace(const MemberRecord &left, const MemberRecord &right)
+{
+    auto contact = left;
+    contact.incarnation = right.incarnation;
+    contact.version = right.version;
+    contact.state = right.state;
+    return contact == right;
+}
+
+}
+
 class MemberDirectory::Private : public std::enable_shared_from_this<MemberDirectory::Private>
 {
 public:
     explicit Private(Options given)
         : options(std::move(given))
         , random(options.seed)
+        , mayBeListed(!options.firstStart)
     {
     }
 
@@ -83,6 +99,9 @@
     // Whether the list was read, and after this node was written into it.
     bool consulted = false;
     bool listed = false;
+    // Whether this node's contact may be in the list though this process hasn't written
+    // it.
+    bool mayBeListed = false;
     // Of the listed contacts, those in the own data centre.
     std::vector<Endpoint> near;
     int failures = 0;
@@ -166,14 +185,22 @@
 }
 
 // Of two nodes that start together, the one that writes later finds the other in
-// the list, since each writes before it reads. One such read is enough.
+// the list, since each writes before it reads. One such read is enough. A restarted
+// node reads first: its contact is mostly there, and a fleet that returns as a whole
+// would write one for each.
 asio::awaitable<void> MemberDirectory::Private::join()
 {
     while (!options.stopping) {
-        if (!registered) {
+        if (!registered && !mayBeListed) {
             co_await registerSelf();
         }
         const auto found = co_await contacts();
+        if (std::exchange(mayBeListed, false) && !registered) {
+            co_await registerSelf();
+            // New beside a fleet that the list names; with none there, the next list
+            // is read after the write.
+            listed = registered && !options.others().empty();
+        }
         co_await askSome(found);
         const bool complete = registered && listed;
         if (complete && !options.others().empty()) {
@@ -203,18 +230,20 @@
         co_return found;
     }
     consulted = true;
-    listed = registered;
     std::vector<MemberRecord> members;
     near.clear();
     for (const auto &document : documents->documents) {
         auto record = contactFromDocument(document.content);
         if (!record) {
             options.log(LogLevel::Warning, "contact-refused", {{"name", document.name}, {"reason", record.error().message}});
-        } else if (record->name != options.self.name) {
+        } else if (record->name == options.self.name) {
+            registered = registered || isSamePlace(*record, options.self);
+        } else {
             (record->dataCentre == options.self.dataCentre ? near : found).push_back(record->control());
             members.push_back(std::move(*record));
         }
     }
+    listed = registered;
     options.listed(members);
     co_return choose(std::move(found));
 }
--- a/src/daemon/memberdirectory.h
+++ b/src/daemon/memberdirectory.h
@@ -24,6 +24,9 @@
         DocumentStore &store;
         HttpClient &client;
         MemberRecord self;
+        // Whether the whole fleet starts for the first time. Otherwise an earlier
+        // process of this node may have written its contact.
+        bool firstStart = true;
         std::vector<Endpoint> seeds;
         std::uint64_t seed = 1;
         Logger log;
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -348,6 +348,7 @@
         .store = *store,
         .client = client,
         .self = self,
+        .firstStart = settings.firstStart,
         .seeds = settings.seeds,
         .seed = seed,
         .log = log,
