rollouts: Cut off a promoted version whose targets are lost

Cause: while a version takes all calls, the old targets are shut; were its targets lost, the service had none until a quarter beyond the order's time. Found by reading the change again. Ruled out: nothing else looks at the targets after the promotion began. Change: a judge cuts the version off once fewer targets than a quarter of the others are left.

--- a/autotests/unit/rolloutrecordtest.cpp
+++ b/autotests/unit/rolloutrecordtest.cpp
@@ -192,3 +192,19 @@
     fixture.control.tick(fixture.now);
     BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
 }
+
+// Guards against a service without targets: the new version's end while it takes all
+// calls.
+BOOST_AUTO_TEST_CASE(APromotedVersionWhoseTargetsAreLostIsCutOff)
+{
+    Fixture fixture;
+    fixture.read(std::nullopt);
+    auto promoted = record(RolloutStage::Promoting, 13000);
+    promoted.promotedAtMs = 10000;
+    fixture.control.receive(member(2, "v1").control(), {.records = {promoted}, .counts = {}}, fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Only));
+    fixture.control.setMembers({member(1, "v1"), member(2, "v1")}, fixture.now);
+    fixture.now += Milliseconds(600);
+    fixture.control.tick(fixture.now);
+    BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
+}
--- a/src/core/rollouts/rolloutentry.cpp
+++ b/src/core/rollouts/rolloutentry.cpp
@@ -30,8 +30,15 @@
 // Share of the convicting score at which a version isn't promoted.
 constexpr double DoubtfulShare = 0.5;
 
-// Least targets of the version that take all calls, as a share of the others.
+// Least targets of the version, as a share of the others, to begin a promotion and to go
+// on with it. The second is lower, so that a mass failure of both versions undoes nothing.
 constexpr double LeastTargets = 0.5;
+constexpr double LeastTargetsLeft = 0.25;
+
+double targetShare(const VersionCensus &census)
+{
+    return static_cast<double>(census.ofVersion.size()) / static_cast<double>(std::max<std::size_t>(census.othersReady, 1));
+}
 
 }
 
@@ -168,6 +175,9 @@
         return false;
     }
     m_lastObserved = now;
+    if (stage() == RolloutStage::Promoting && targetShare(census) < LeastTargetsLeft) {
+        return cutOff("too few targets of the version are left to take all calls", now);
+    }
     m_test.observe(m_evidence, now);
     if (m_test.convicts()) {
         const auto *what = m_test.failureScore() > m_test.slownessScore() ? "fails more than" : "is slower than";
@@ -185,8 +195,7 @@
 {
     const bool proven
         = m_test.calls() >= LeastCalls && std::max(m_test.failureScore(), m_test.slownessScore()) < DoubtfulShare * VersionTest::Options().threshold;
-    const bool enough = static_cast<double>(census.ofVersion.size()) >= LeastTargets * static_cast<double>(census.othersReady);
-    return proven && enough && !census.ofVersion.empty();
+    return proven && !census.ofVersion.empty() && targetShare(census) >= LeastTargets;
 }
 
 bool RolloutEntry::othersRetired(const VersionCensus &census, TimePoint now) const
