rollouts: Split the peers from the control, and the model from its header

Ruled out: nothing. Change: RolloutPeers; rolloutfleet.cpp; RolloutEntry::since and RolloutControl::records go. The test of an order found begun now checks that nothing is sent, which is what it was about. Comments of load reports and gossip in the field's terms. Figures: none; no behaviour.

--- a/autotests/support/rolloutfleet.h
+++ b/autotests/support/rolloutfleet.h
@@ -3,8 +3,6 @@
 #include "core/rollouts/rolloutcontrol.h"
 #include "core/rollouts/versionsplit.h"
 
-#include <algorithm>
-#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -81,39 +79,19 @@
         }
     };
 
-    explicit RolloutFleet(Options options)
-        : m_options(std::move(options))
-        , m_random(m_options.seed)
-    {
-        const auto count = m_options.oldTargets + m_options.newTargets;
-        for (std::size_t i = 0; i < count; ++i) {
-            m_nodes.push_back({.record = recordOf(i)});
-            start(i);
-        }
-    }
+    explicit RolloutFleet(Options options);
 
-    Result run()
-    {
-        m_order = {Service, TargetVersion("v2"), m_options.duration, ObjectVersion(10)};
-        changeStore(std::nullopt);
-        const auto steps = static_cast<std::size_t>(m_options.duration * 1.3 / Step);
-        for (std::size_t step = 0; step < steps; ++step) {
-            m_now += Step;
-            m_seconds += std::chrono::duration<double>(Step).count();
-            deliver();
-            endCalls();
-            beginCalls();
-            if (step % (Tick / Step) == 0) {
-                tick();
-            }
-        }
-        return m_result;
-    }
+    // Plays the order from its beginning to a third beyond its time.
+    Result run();
 
 private:
     static constexpr Milliseconds Step{20};
     static constexpr Milliseconds Tick{100};
     static inline const ServiceName Service{"tablero"};
+    // Seconds after the order at which the new version's targets take calls, and at
+    // which they are no longer slow.
+    static constexpr double NewReadyAt = 2;
+    static constexpr double NewWarmAt = 5;
 
     struct Call
     {
@@ -157,276 +135,26 @@
     std::optional<double> m_fiftiethBad;
     Result m_result;
 
-    double uniform()
-    {
-        return std::uniform_real_distribution<double>(0, 1)(m_random);
-    }
-
-    bool isNew(std::size_t node) const
-    {
-        return node >= m_options.oldTargets;
-    }
-
-    MemberRecord recordOf(std::size_t i) const
-    {
-        MemberRecord record;
-        record.name = NodeName("node-" + std::to_string(i));
-        record.dataCentre = DataCentre("dc-" + std::to_string(i % 4));
-        record.service = Service;
-        record.address = "10.0.0." + std::to_string(i);
-        record.controlPort = 7000;
-        record.incarnation = 1;
-        record.version = TargetVersion(isNew(i) ? "v2" : "v1");
-        record.state = MemberState::Ready;
-        return record;
-    }
-
+    double uniform();
+    bool isNew(std::size_t node) const;
+    MemberRecord recordOf(std::size_t i) const;
     // The new version's targets join when they are ready.
-    std::vector<MemberRecord> members() const
-    {
-        std::vector<MemberRecord> members;
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            if (!isNew(i) || m_seconds >= NewReadyAt) {
-                members.push_back(m_nodes[i].record);
-            }
-        }
-        return members;
-    }
-
-    // The new version's targets take calls two seconds after the order, and are slow
-    // until three seconds later.
-    static constexpr double NewReadyAt = 2;
-    static constexpr double NewWarmAt = 5;
-
-    void start(std::size_t i)
-    {
-        auto &node = m_nodes[i];
-        ++node.record.incarnation;
-        node.control = std::make_unique<RolloutControl>(RolloutControl::Options{.self = node.record,
-            .seed = m_options.seed * 1000 + i,
-            .send = [this, i](const Endpoint &to, const RolloutReport &report) { send(i, to, report); },
-            .targetIdle = [this, i] { return m_nodes[i].running.empty(); },
-            .changed = [](const RolloutRecord &, const std::string &) {}});
-        node.split = std::make_unique<VersionSplit>(m_options.seed * 1000 + i);
-        node.control->setOwnVersion(node.record.version, isNew(i) ? m_now + std::chrono::seconds(5) - secondsSinceOrder() : m_now);
-        node.control->setMembers(members(), m_now);
-        node.read = ObjectVersion();
-    }
-
-    Milliseconds secondsSinceOrder() const
-    {
-        return Milliseconds(static_cast<std::int64_t>(std::min(m_seconds, NewWarmAt) * 1000));
-    }
-
-    void changeStore(std::optional<RolloutStage> stage)
-    {
-        m_version = ObjectVersion(m_version.value() + 1);
-        m_stage = stage;
-        if (stage) {
-            m_result.written.push_back(*stage);
-            m_result.writtenAt = m_seconds;
-        }
-        if (stage == RolloutStage::Succeeded) {
-            for (std::size_t i = 0; i < m_options.oldTargets; ++i) {
-                m_result.runningOnOld += m_nodes[i].running.size();
-            }
-        }
-    }
-
-    void send(std::size_t from, const Endpoint &to, const RolloutReport &report)
-    {
-        const auto target = static_cast<std::size_t>(std::stoul(to.address.substr(to.address.rfind('.') + 1)));
-        m_result.datagramBytes += 60 * report.records.size() + 60 * report.counts.size();
-        if (m_options.cutOff(from, m_seconds) || m_options.cutOff(target, m_seconds) || uniform() < m_options.lostDatagrams) {
-            return;
-        }
-        const Milliseconds delay(static_cast<std::int64_t>(1 + 30 * uniform()));
-        m_datagrams.push_back({m_now + delay, from, target, report});
-    }
-
-    void deliver()
-    {
-        std::vector<Datagram> due;
-        std::partition_copy(m_datagrams.begin(), m_datagrams.end(), std::back_inserter(due), m_datagrams.begin(), [this](const Datagram &datagram) {
-            return datagram.due <= m_now;
-        });
-        m_datagrams.resize(m_datagrams.size() - due.size());
-        for (const auto &datagram : due) {
-            m_nodes[datagram.to].control->receive(m_nodes[datagram.from].record.control(), datagram.report, m_now);
-            updateRule(datagram.to);
-        }
-    }
-
-    void updateRule(std::size_t node)
-    {
-        const auto rules = m_nodes[node].control->rules(m_now);
-        const auto rule = rules.find(Service);
-        m_nodes[node].rule = rule == rules.end() ? std::nullopt : std::optional(rule->second);
-        m_nodes[node].ownRule = m_nodes[node].control->ownRule(m_now);
-    }
-
-    bool takes(std::size_t target, bool assigned) const
-    {
-        const auto &rule = m_nodes[target].ownRule;
-        if (!rule) {
-            return true;
-        }
-        const bool ofVersion = m_nodes[target].record.version == rule->version;
-        switch (rule->mode) {
-        case VersionRule::Mode::Trial:
-            return !ofVersion || assigned;
-        case VersionRule::Mode::Excluded:
-            return !ofVersion;
-        case VersionRule::Mode::Only:
-            return ofVersion;
-        }
-        return false;
-    }
-
-    std::optional<std::size_t> place(bool onNew, bool assigned, const std::vector<NodeName> &chosen)
-    {
-        const auto first = onNew ? m_options.oldTargets : 0;
-        const auto count = onNew ? m_options.newTargets : m_options.oldTargets;
-        const auto offset = std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
-        for (std::size_t i = 0; i < count; ++i) {
-            const auto target = first + (offset + i) % count;
-            const auto &node = m_nodes[target];
-            const bool meant = chosen.empty() || std::find(chosen.begin(), chosen.end(), node.record.name) != chosen.end();
-            if (meant && node.running.size() < m_options.slots && takes(target, assigned)) {
-                return target;
-            }
-        }
-        return std::nullopt;
-    }
-
-    void beginCalls()
-    {
-        const auto mean = m_options.callsPerSecond * m_options.burst(m_seconds) * std::chrono::duration<double>(Step).count();
-        const auto arrivals = std::poisson_distribution<int>(mean)(m_random);
-        for (int i = 0; i < arrivals; ++i) {
-            beginCall(std::uniform_int_distribution<std::size_t>(0, m_nodes.size() - 1)(m_random));
-        }
-    }
-
-    void beginCall(std::size_t ingress)
-    {
-        ++m_result.calls;
-        const auto rule = m_nodes[ingress].rule.value_or(VersionRule{.mode = VersionRule::Mode::Excluded});
-        const bool trial = rule.mode == VersionRule::Mode::Trial;
-        const bool only = rule.mode == VersionRule::Mode::Only;
-        const bool assigned = m_seconds >= NewReadyAt && trial && m_nodes[ingress].split->next(Service, rule.share);
-        auto target = assigned || only ? place(true, assigned, rule.targets) : std::nullopt;
-        if (!target && !only) {
-            target = place(false, false, {});
-        }
-        if (!target) {
-            ++m_result.unplaced;
-            return;
-        }
-        run(*target);
-    }
-
-    void run(std::size_t target)
-    {
-        auto &node = m_nodes[target];
-        const bool ofNew = isNew(target);
-        Call call;
-        call.route = std::uniform_int_distribution<std::size_t>(0, m_options.routeMs.size() - 1)(m_random);
-        const Situation situation{.ofNewVersion = ofNew,
-            .target = target,
-            .route = call.route,
-            .seconds = m_seconds,
-            .load = static_cast<double>(node.running.size()) / static_cast<double>(m_options.slots),
-            .odd = m_result.calls % 2 == 1};
-        const auto behaviour = m_options.behaviour(situation);
-        const double speeds[] = {0.67, 1, 1, 2};
-        const double cold = ofNew && m_seconds < NewWarmAt ? 2 : 1;
-        const double work = std::lognormal_distribution<double>(-0.11, 0.47)(m_random);
-        const double wanted = m_options.routeMs[call.route] * work * speeds[target % 4] * cold * behaviour.slowdown;
-        const double timeout = 6 * m_options.routeMs[call.route];
-        const bool fails = uniform() < behaviour.failing + 0.001;
-        call.how = fails ? TargetEnd::Failed : wanted > timeout ? TargetEnd::GivenUp : TargetEnd::Answered;
-        call.time = Milliseconds(static_cast<std::int64_t>(std::min(wanted, timeout)));
-        call.end = m_now + call.time;
-        call.bad = ofNew && (fails || behaviour.slowdown > 2);
-        node.running.push_back(call);
-        if (ofNew) {
-            ++m_result.newVersionCalls;
-            m_result.afterCutOff += m_fiftiethBad && m_seconds > *m_fiftiethBad + 5 ? 1 : 0;
-        }
-    }
-
-    void endCalls()
-    {
-        for (auto &node : m_nodes) {
-            std::erase_if(node.running, [&](const Call &call) {
-                if (call.end > m_now) {
-                    return false;
-                }
-                node.control->callEnded(RouteName("route-" + std::to_string(call.route)), call.how, call.time, m_now);
-                m_result.badAnswers += call.bad ? 1 : 0;
-                if (m_result.badAnswers >= 50 && !m_fiftiethBad) {
-                    m_fiftiethBad = m_seconds;
-                }
-                return true;
-            });
-        }
-    }
-
-    void tick()
-    {
-        const auto all = members();
-        const bool joined = all.size() != m_members;
-        m_members = all.size();
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            auto &node = m_nodes[i];
-            const bool restarting = m_options.restarts(i, m_seconds);
-            if (restarting && !node.wasRestarting && (!isNew(i) || m_seconds >= NewReadyAt)) {
-                start(i);
-            }
-            node.wasRestarting = restarting;
-            if (isNew(i) && m_seconds < NewReadyAt) {
-                continue;
-            }
-            if (joined) {
-                node.control->setMembers(all, m_now);
-            }
-            readStore(i);
-            node.control->tick(m_now);
-            writeStore(i);
-            updateRule(i);
-        }
-    }
-
-    void readStore(std::size_t i)
-    {
-        auto &node = m_nodes[i];
-        const bool reads = node.control->isJudge() && node.read != m_version && m_options.storeAnswers(i, m_seconds);
-        if (reads) {
-            node.control->orderRead({m_order, m_version, m_stage}, node.read == ObjectVersion(), m_now);
-            node.read = m_version;
-        }
-    }
-
-    void writeStore(std::size_t i)
-    {
-        auto &node = m_nodes[i];
-        for (const auto &write : node.control->dueWrites(m_now)) {
-            if (!m_options.storeAnswers(i, m_seconds)) {
-                continue;
-            }
-            if (write.expected != m_version) {
-                node.read = ObjectVersion(1);
-                readStore(i);
-                continue;
-            }
-            changeStore(write.stage);
-            // One answer in four is lost after the write.
-            if (uniform() < 0.75) {
-                node.control->written(write, m_version, m_now);
-            }
-        }
-    }
+    std::vector<MemberRecord> members() const;
+    void start(std::size_t i);
+    Milliseconds secondsSinceOrder() const;
+    void changeStore(std::optional<RolloutStage> stage);
+    void send(std::size_t from, const Endpoint &to, const RolloutReport &report);
+    void deliver();
+    void updateRule(std::size_t node);
+    bool takes(std::size_t target, bool assigned) const;
+    std::optional<std::size_t> place(bool onNew, bool assigned, const std::vector<NodeName> &chosen);
+    void beginCalls();
+    void beginCall(std::size_t ingress);
+    void run(std::size_t target);
+    void endCalls();
+    void tick();
+    void readStore(std::size_t i);
+    void writeStore(std::size_t i);
 };
 
 }
--- a/autotests/unit/rolloutrecordtest.cpp
+++ b/autotests/unit/rolloutrecordtest.cpp
@@ -187,7 +187,8 @@
     Fixture fixture;
     fixture.control.orderRead({order(10), ObjectVersion(11), RolloutStage::Running}, true, fixture.now);
     BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Excluded));
-    BOOST_TEST(fixture.control.records(fixture.now).records.empty());
+    fixture.control.tick(fixture.now);
+    BOOST_TEST(fixture.sent == 0);
     fixture.now += Milliseconds(2100);
     fixture.control.tick(fixture.now);
     BOOST_TEST((fixture.rule()->mode == VersionRule::Mode::Trial));
--- a/autotests/unit/targetpickertest.cpp
+++ b/autotests/unit/targetpickertest.cpp
@@ -208,7 +208,7 @@
     BOOST_TEST(picker.pickOverflow(targets, {}, now + Milliseconds(4000)) == nullptr);
 }
 
-// A report that took long must not replace what an answer told since.
+// A late report must not replace the load that a later answer carried.
 BOOST_AUTO_TEST_CASE(ALateReportDoesntReplaceALaterAnswer)
 {
     picker.reported(targets[0].name, {.calls = 6, .limit = 6}, now);
--- a/autotests/unit/targetspreadtest.cpp
+++ b/autotests/unit/targetspreadtest.cpp
@@ -53,7 +53,7 @@
         const auto result = played(options);
         BOOST_TEST(worstBehind(result) <= MaxBehind);
         BOOST_TEST(result.busiestToMean() <= MaxBusiestToMean);
-        // What data centres lack, 2% of all calls, and as much again by chance.
+        // Twice the share of calls that exceed the slots of their data centre.
         BOOST_TEST(share(result.crossed, result) <= 0.05);
     }
 }
--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -117,16 +117,15 @@
     return known ? &found->second : nullptr;
 }
 
-// Nothing is known of a pool that no report told of: no wait is supposed there.
+// A pool without a report has no expected wait.
 Clock::duration TargetPicker::poolWait(const MemberRecord &target, TimePoint now) const
 {
     const auto *known = pool(target, now);
     return known != nullptr ? known->wait : Milliseconds(0);
 }
 
-// A report says less of the target the older it is, and an unknown target is
-// taken for one like its peers: taken for free, some target of a full data centre
-// would always be preferred to free ones elsewhere.
+// A report loses weight with its age, and an unknown target counts as its pool does:
+// counted as free, it would keep every call in a data centre that is full.
 Clock::duration TargetPicker::expectedWait(const MemberRecord &target, const State &state, TimePoint now) const
 {
     const auto crossing = target.dataCentre == m_options.dataCentre ? Milliseconds(0) : m_options.crossing;
--- a/src/core/fleet/gossippeers.cpp
+++ b/src/core/fleet/gossippeers.cpp
@@ -24,9 +24,9 @@
     return chosen;
 }
 
-// Gossip at random sends five of six datagrams of a fleet with six data centres from
-// one to another. Told within each, and by some members across, news takes about as
-// long for a fraction of those bytes.
+// Peers chosen at random are mostly in other data centres. Chosen within each, with some
+// members that send across, news takes about as long for a fraction of the bytes
+// between data centres.
 std::vector<MemberRecord> GossipPeers::mostlyNear(std::size_t count, const Condition &wanted) const
 {
     const auto isNear = [this](const MemberTable::Member &member) { return member.record.dataCentre == m_options.dataCentre; };
--- a/src/core/fleet/loadexchange.cpp
+++ b/src/core/fleet/loadexchange.cpp
@@ -183,8 +183,8 @@
     options.poolLoad(report, observed);
 }
 
-// That a target takes no calls, members tell by their state and at once. Told here,
-// it would hold calls back from a target that has just become ready.
+// A target without slots isn't reported: the members' states spread that at once, and a
+// report of it would hold calls back from a target that has just become ready.
 void LoadExchange::Private::observeOwn(TimePoint now)
 {
     const auto own = options.ownLoad();
--- a/src/core/rollouts/rolloutcontrol.cpp
+++ b/src/core/rollouts/rolloutcontrol.cpp
@@ -1,31 +1,20 @@
 #include "core/rollouts/rolloutcontrol.h"
 
-#include "core/fleet/rendezvous.h"
 #include "core/rollouts/rolloutentry.h"
 #include "core/rollouts/rolloutlimits.h"
+#include "core/rollouts/rolloutpeers.h"
 
 #include <algorithm>
-#include <random>
-#include <unordered_map>
-#include <unordered_set>
 
 namespace Galenahill {
 
 namespace {
 
-constexpr const char *JudgeRole = "rollouts";
-
-// Judges of each data centre: one may be gone without anybody having noticed yet.
-constexpr std::size_t JudgesPerDataCentre = 2;
-
 // Time that each judge leaves to those before it to write an end to the store, and
 // time until it tries again.
 constexpr Milliseconds WriteStagger{400};
 constexpr Milliseconds WriteRetry{1000};
 
-// Of this many reports of stages, one goes to another data centre.
-constexpr int NearReports = 4;
-
 // A node that is up so long knows the versions of all targets.
 constexpr Milliseconds KnowsFleetAfter{10000};
 
@@ -36,20 +25,12 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , random(options.seed)
+        , peers(options.self, options.seed)
     {
     }
 
     Options options;
-    std::mt19937_64 random;
-    std::vector<MemberRecord> members;
-    std::unordered_map<std::string, NodeName> senders;
-    std::unordered_map<NodeName, ServiceName> services;
-    std::vector<Endpoint> near;
-    std::vector<Endpoint> far;
-    std::vector<Endpoint> judges;
-    bool judge = false;
-    std::size_t rank = 0;
+    RolloutPeers peers;
     TimePoint started;
     std::map<ServiceName, RolloutEntry> entries;
     std::map<ServiceName, TimePoint> nextWrite;
@@ -74,7 +55,6 @@
     void reportStages(TimePoint now);
     void reportCounts(const RolloutEntry &entry, TimePoint now);
     void tellAll(const RolloutEntry &entry, TimePoint now);
-    std::optional<Endpoint> chosenPeer();
 };
 
 RolloutControl::RolloutControl(Options options)
@@ -119,32 +99,7 @@
 void RolloutControl::setMembers(const std::vector<MemberRecord> &members, TimePoint now)
 {
     d->started = d->started == TimePoint() ? now : d->started;
-    d->members = members;
-    d->senders.clear();
-    d->services.clear();
-    d->near.clear();
-    d->far.clear();
-    d->judges.clear();
-    const auto &self = d->options.self;
-    d->judge = holdsRole(JudgeRole, JudgesPerDataCentre, self, members);
-    std::vector<MemberRecord> judges;
-    for (const auto &member : members) {
-        d->services.emplace(member.name, member.service);
-        if (holdsRole(JudgeRole, JudgesPerDataCentre, member, members) && member.state <= MemberState::Draining) {
-            judges.push_back(member);
-        }
-        if (member.name == self.name) {
-            continue;
-        }
-        d->senders.emplace(toString(member.control()), member.name);
-        (member.dataCentre == self.dataCentre ? d->near : d->far).push_back(member.control());
-    }
-    d->rank = rankOf(JudgeRole, self, judges);
-    for (const auto &member : judges) {
-        if (member.name != self.name) {
-            d->judges.push_back(member.control());
-        }
-    }
+    d->peers.setMembers(members);
 }
 
 void RolloutControl::setOwnVersion(const TargetVersion &version, TimePoint warmFrom)
@@ -174,7 +129,7 @@
         return;
     }
     begun->takeStored(stored.version, stored.stage, now);
-    const auto census = VersionCensus::of(stored.order, d->members);
+    const auto census = VersionCensus::of(stored.order, d->peers.members());
     if (census.others.empty() && !census.ofVersion.empty() && now - d->started >= KnowsFleetAfter) {
         begun->supposeInForce();
     }
@@ -202,7 +157,7 @@
 void RolloutControl::receive(const Endpoint &from, const RolloutReport &report, TimePoint now)
 {
     const bool tooMany = report.records.size() > RolloutLimits::MaxServices || report.counts.size() > RolloutLimits::MaxServices;
-    if (!d->senders.contains(toString(from)) || tooMany) {
+    if (!d->peers.isMember(from) || tooMany) {
         ++d->dropped;
         return;
     }
@@ -232,9 +187,8 @@
 // Only the node beside a target may count for it.
 void RolloutControl::Private::receiveCounts(const TargetCounts &counts, TimePoint now)
 {
-    const auto member = services.find(counts.node);
     auto *known = entry(counts.service);
-    const bool belongs = member != services.end() && member->second == counts.service;
+    const bool belongs = peers.serves(counts.node, counts.service);
     const bool current = known != nullptr && known->order().created == counts.order;
     if (!belongs || !current || !known->merge(counts, now)) {
         ++dropped;
@@ -272,7 +226,7 @@
 void RolloutControl::Private::judgeAll(TimePoint now)
 {
     for (auto &[service, entry] : entries) {
-        if (entry.judge(VersionCensus::of(entry.order(), members), now)) {
+        if (entry.judge(VersionCensus::of(entry.order(), peers.members()), now)) {
             changed(entry, entry.record(now).reason, now);
             tellAll(entry, now);
         }
@@ -283,10 +237,8 @@
 void RolloutControl::Private::tellAll(const RolloutEntry &entry, TimePoint now)
 {
     const RolloutReport news{.records = {entry.record(now)}};
-    for (const auto *peers : {&near, &far}) {
-        for (const auto &peer : *peers) {
-            options.send(peer, news);
-        }
+    for (const auto &peer : peers.others()) {
+        options.send(peer, news);
     }
 }
 
@@ -301,21 +253,11 @@
     return report;
 }
 
-std::optional<Endpoint> RolloutControl::Private::chosenPeer()
-{
-    const bool goesFar = near.empty() || std::uniform_int_distribution<int>(0, NearReports - 1)(random) == 0;
-    const auto &peers = goesFar && !far.empty() ? far : near;
-    if (peers.empty()) {
-        return std::nullopt;
-    }
-    return peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(random)];
-}
-
 void RolloutControl::Private::reportStages(TimePoint now)
 {
     const auto report = records(now);
     for (std::size_t i = 0; i < options.fanOut && !report.records.empty(); ++i) {
-        if (const auto peer = chosenPeer()) {
+        if (const auto peer = peers.next()) {
             options.send(*peer, report);
         }
     }
@@ -328,14 +270,14 @@
     }
     countFor(entry);
     ++own.report;
-    const auto rule = entry.rule(VersionCensus::of(entry.order(), members), now);
+    const auto rule = entry.rule(VersionCensus::of(entry.order(), peers.members()), now);
     const bool replaced = rule && rule->mode == VersionRule::Mode::Only && rule->version != ownVersion;
     own.retired = replaced && options.targetIdle();
     promisedUntil = own.retired ? now + RetirementPromise : promisedUntil;
-    if (judge) {
+    if (peers.isJudge()) {
         receiveCounts(own, now);
     }
-    for (const auto &peer : judges) {
+    for (const auto &peer : peers.judges()) {
         options.send(peer, {.counts = {own}});
     }
 }
@@ -363,7 +305,7 @@
         entry.tick(now);
     }
     d->report(now);
-    if (d->judge) {
+    if (d->peers.isJudge()) {
         d->judgeAll(now);
     }
 }
@@ -372,7 +314,7 @@
 {
     VersionRules rules;
     for (const auto &[service, entry] : d->entries) {
-        if (auto rule = entry.rule(VersionCensus::of(entry.order(), d->members), now)) {
+        if (auto rule = entry.rule(VersionCensus::of(entry.order(), d->peers.members()), now)) {
             rules.emplace(service, std::move(*rule));
         }
     }
@@ -385,7 +327,7 @@
     if (known == nullptr) {
         return std::nullopt;
     }
-    auto rule = known->rule(VersionCensus::of(known->order(), d->members), now);
+    auto rule = known->rule(VersionCensus::of(known->order(), d->peers.members()), now);
     if (rule && known->stage() == RolloutStage::CutOff && now < d->promisedUntil) {
         rule->mode = VersionRule::Mode::Only;
     }
@@ -394,18 +336,18 @@
 
 bool RolloutControl::isJudge() const
 {
-    return d->judge;
+    return d->peers.isJudge();
 }
 
 std::vector<RolloutWrite> RolloutControl::dueWrites(TimePoint now)
 {
     std::vector<RolloutWrite> writes;
-    if (!d->judge) {
+    if (!d->peers.isJudge()) {
         return writes;
     }
-    const auto stagger = WriteStagger * static_cast<int>(d->rank);
+    const auto stagger = WriteStagger * static_cast<int>(d->peers.rank());
     for (const auto &[service, entry] : d->entries) {
-        const auto stage = entry.wantedInStore(VersionCensus::of(entry.order(), d->members), now);
+        const auto stage = entry.wantedInStore(VersionCensus::of(entry.order(), d->peers.members()), now);
         auto &next = d->nextWrite[service];
         if (!stage) {
             next = TimePoint();
@@ -432,11 +374,6 @@
     }
 }
 
-RolloutReport RolloutControl::records(TimePoint now) const
-{
-    return d->records(now);
-}
-
 std::uint64_t RolloutControl::dropped() const
 {
     return d->dropped;
--- a/src/core/rollouts/rolloutcontrol.h
+++ b/src/core/rollouts/rolloutcontrol.h
@@ -109,9 +109,6 @@
     // A write was done.
     void written(const RolloutWrite &write, ObjectVersion version, TimePoint now);
 
-    // What is told to a node that joins.
-    RolloutReport records(TimePoint now) const;
-
     // Reports, and parts of reports, that were dropped: from an unknown sender, of an
     // unknown node, or out of range.
     std::uint64_t dropped() const;
--- a/src/core/rollouts/rolloutentry.cpp
+++ b/src/core/rollouts/rolloutentry.cpp
@@ -13,15 +13,16 @@
 // Time between two looks at the evidence.
 constexpr Milliseconds ObserveInterval{500};
 
-// Time in which other nodes tell of an order that this one finds begun.
+// Time to wait for the records of other nodes about an order that is found begun.
 constexpr Milliseconds EvidenceWait{2000};
 
-// Time in which a cut-off reaches the other nodes, before it is written down.
+// Time for a cut-off to reach the other nodes before it is written to the store.
 constexpr Milliseconds CutOffSpread{300};
 
-// Time for which the others are told of an order that has ended, and for which the old
-// targets, which are stopped now, get no calls.
+// Time for which reports of an order that has ended stay frequent.
 constexpr Milliseconds EndSpread{3000};
+
+// Time after a success in which the old targets, which the platform stops, get no calls.
 constexpr Milliseconds OldTargetsStop{10000};
 
 // Calls of the version without which it isn't promoted.
@@ -88,11 +89,6 @@
     return m_record.stage;
 }
 
-TimePoint RolloutEntry::since() const
-{
-    return m_since;
-}
-
 const VersionTest &RolloutEntry::test() const
 {
     return m_test;
--- a/src/core/rollouts/rolloutentry.h
+++ b/src/core/rollouts/rolloutentry.h
@@ -57,8 +57,6 @@
 
     // The stage that the store should hold, if it holds another.
     std::optional<RolloutStage> wantedInStore(const VersionCensus &census, TimePoint now) const;
-    // Since when it is wanted.
-    TimePoint since() const;
 
     std::optional<VersionRule> rule(const VersionCensus &census, TimePoint now) const;
 
