daemon: Log response fields of targets that no module reads

The building of messages to and from the target moves from Sidecar into targetmessages, unchanged.

No routing decision changes.

--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -187,6 +187,7 @@
         {"ready", ready() ? 1 : 0},
         {"target_ready", targetService.state() == MemberState::Ready ? 1 : 0},
         {"target_calls_running", sidecar.inFlight()},
+        {"target_calls_sent", static_cast<double>(sidecar.callsSent())},
         {"revisions_refused", static_cast<double>(configWatcher.rejectedRevisions())},
         {"store_calls", static_cast<double>(store->calls())},
         {"calls_gave_way", static_cast<double>(ingress.shedCalls())},
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -256,6 +256,7 @@
         .healthPath = [this] { return healthPath(); },
         .targetIdField = options.headerNames.targetId,
         .log = log,
+        .responded = [this](const HttpResponse &response) { sidecar.targetResponded(response); },
         .changed = [this](const TargetAnnouncement &target, MemberState newState) { targetChanged(target, newState); }};
 }
 
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -2,11 +2,12 @@
 
 #include "core/calls/calledservices.h"
 #include "core/calls/callheaders.h"
-#include "core/calls/responseclass.h"
 #include "core/rollouts/versionguard.h"
 #include "daemon/bodyreceiver.h"
 #include "daemon/slotqueue.h"
+#include "daemon/targetmessages.h"
 #include "daemon/targetprobe.h"
+#include "daemon/targetstatements.h"
 
 #include <unordered_map>
 
@@ -22,10 +23,6 @@
 // millisecond.
 constexpr Milliseconds MaxIdleWithoutRetry{200};
 
-// Subtracted from the timeout that is passed to the target, so that the target's own timeout response
-// arrives while the ingress still waits, and the connection can be reused.
-constexpr Milliseconds ResponseMargin{10};
-
 }
 
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
@@ -35,12 +32,15 @@
         : options(std::move(given))
         , slots(std::make_shared<SlotQueue>(options.context, options.policy))
         , bodyReceiver(options.context, options.link, *slots)
+        , statements({.headerNames = options.headerNames, .log = options.log})
     {
     }
 
     Options options;
     std::shared_ptr<SlotQueue> slots;
     BodyReceiver bodyReceiver;
+    TargetStatements statements;
+    std::uint64_t callsSent = 0;
     // Id and slots that the target announced; zero slots if it does not announce itself.
     std::string targetId;
     std::uint32_t announcedSlots = 0;
@@ -64,9 +64,6 @@
     asio::awaitable<std::optional<HttpResponse>> bufferBody(HttpRequest &request, SlotCall &call, ServerConnection &connection);
     HttpResponse rejectBody(const SlotCall &call, TimePoint arrival) const;
     asio::awaitable<HttpResponse> forward(HttpRequest request, SlotCall call, ServerConnection &connection);
-    HttpRequest targetRequest(HttpRequest request, const SlotCall &call) const;
-    AdmissionController::ReleaseReason releaseReasonOf(const HttpResponse &response, ResponseClass responseClass) const;
-    HttpResponse responseOf(HttpResponse response, ResponseClass responseClass) const;
 };
 
 Sidecar::Sidecar(Options options)
@@ -120,6 +117,11 @@
     }
 }
 
+void Sidecar::targetResponded(const HttpResponse &response)
+{
+    d->statements.read(response, d->targetId);
+}
+
 void Sidecar::targetAnnounced(const TargetAnnouncement &target, MemberState state)
 {
     if (d->targetId != target.id) {
@@ -224,70 +226,11 @@
     return response;
 }
 
-HttpRequest Sidecar::Private::targetRequest(HttpRequest request, const SlotCall &call) const
-{
-    const auto &headerNames = options.headerNames;
-    const std::string callId(request[CallHeaders::CallId]);
-    const bool retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
-    stripFields(request, headerNames);
-    if (headerNames.requestId.empty()) {
-        request.set(CallHeaders::CallId, callId);
-    }
-    const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - call.acquiredAt);
-    request.set(headerNames.timeoutMs, std::to_string(std::max(left - ResponseMargin, Milliseconds(1)).count()));
-    if (!headerNames.expectedTarget.empty()) {
-        request.set(headerNames.expectedTarget, targetId);
-    }
-    if (!headerNames.callerService.empty()) {
-        request.set(headerNames.callerService, call.callerService);
-    }
-    if (retriedAbove) {
-        request.set(CallHeaders::RetriedAbove, "yes");
-    }
-    request.keep_alive(true);
-    return request;
-}
-
-AdmissionController::ReleaseReason Sidecar::Private::releaseReasonOf(const HttpResponse &response, ResponseClass responseClass) const
-{
-    using Reason = AdmissionController::ReleaseReason;
-    switch (responseClass) {
-    case ResponseClass::NotExecuted:
-        return Reason::Overloaded;
-    case ResponseClass::Untrusted:
-        return Reason::ConnectionLost;
-    case ResponseClass::Answered:
-    case ResponseClass::Failed:
-        break;
-    }
-    const bool provesNotRun = !options.headerNames.notExecuted.empty();
-    return !provesNotRun && response.result() == http::status::service_unavailable ? Reason::Overloaded : Reason::Answered;
-}
-
-// Returns the response to the ingress for the target's response.
-HttpResponse Sidecar::Private::responseOf(HttpResponse response, ResponseClass responseClass) const
-{
-    switch (responseClass) {
-    case ResponseClass::NotExecuted: {
-        auto rejected = notRunResponse(http::status::service_unavailable, "refused", "the target states that it did not run the call");
-        rejected.set(CallHeaders::Outcome, CallHeaders::NotRunByTarget);
-        return rejected;
-    }
-    case ResponseClass::Untrusted:
-        return outcomeUnknownResponse("the response cannot be attributed to the target", http::status::bad_gateway);
-    case ResponseClass::Answered:
-    case ResponseClass::Failed:
-        break;
-    }
-    stripFields(response, options.headerNames);
-    return response;
-}
-
 asio::awaitable<HttpResponse> Sidecar::Private::forward(HttpRequest request, SlotCall call, ServerConnection &connection)
 {
     using Reason = AdmissionController::ReleaseReason;
     const auto &headerNames = options.headerNames;
-    auto forwarded = targetRequest(std::move(request), call);
+    auto forwarded = targetRequest(std::move(request), call, headerNames, targetId);
     std::unique_ptr<BodySource> remainingBody;
     HttpClient::ExchangeOptions exchangeOptions;
     exchangeOptions.cancellation = &connection.cancellation();
@@ -304,6 +247,7 @@
     }
     running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority, call.terms.isRetry});
     const auto begin = Clock::now();
+    ++callsSent;
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, exchangeOptions);
     running.erase(call.id);
     const auto time = std::chrono::duration_cast<Microseconds>(Clock::now() - begin);
@@ -312,31 +256,30 @@
         options.stageEnded(CallStage::Target, time);
     }
     if (response) {
-        const auto responseClass = classifyResponse(headerNames,
-            {.status = response->result_int(),
-                .hasOriginMarker = response->count(headerNames.originMarker) > 0,
-                .isMarkedNotExecuted = response->count(headerNames.notExecuted) > 0,
-                .hasEncoding = response->count(http::field::content_encoding) > 0});
-        const auto reason = releaseReasonOf(*response, responseClass);
+        const auto responseClass = classOf(*response, headerNames);
+        const auto reason = releaseReasonOf(*response, responseClass, headerNames);
+        if (responseClass != ResponseClass::Untrusted) {
+            statements.read(*response, targetId);
+        }
         if (options.callEnded && responseClass != ResponseClass::NotExecuted) {
             options.callEnded(call.route, responseClass == ResponseClass::Failed ? TargetResult::Failed : TargetResult::Answered, time);
         }
         const bool streamed = remainingBody && (responseClass == ResponseClass::Answered || responseClass == ResponseClass::Failed);
-        auto ingressResponse = responseOf(std::move(*response), responseClass);
+        auto answer = ingressResponse(std::move(*response), responseClass, headerNames);
         if (const auto *services = calledServices.servicesOf(call.route)) {
-            ingressResponse.set(CallHeaders::Calls, formatCalledServices(*services));
+            answer.set(CallHeaders::Calls, formatCalledServices(*services));
         }
         if (streamed) {
-            reportLoad(ingressResponse);
-            co_await connection.sendStreamed(std::move(ingressResponse), *remainingBody);
+            reportLoad(answer);
+            co_await connection.sendStreamed(std::move(answer), *remainingBody);
             slots->release(call, reason);
-            co_return ingressResponse;
+            co_return answer;
         }
         // The reported load leaves this call out: otherwise a target with one slot would never appear to
         // have a free one.
         slots->release(call, reason);
-        reportLoad(ingressResponse);
-        co_return ingressResponse;
+        reportLoad(answer);
+        co_return answer;
     }
     if (response.error().kind == ErrorKind::Unavailable) {
         slots->release(call, Reason::NotSent);
@@ -483,4 +426,9 @@
     return d->slots->running();
 }
 
+std::uint64_t Sidecar::callsSent() const
+{
+    return d->callsSent;
+}
+
 }
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -70,6 +70,9 @@
     // call is sent to a target that accepts none.
     void targetAnnounced(const TargetAnnouncement &target, MemberState state);
 
+    // Processes what the target states about itself in a response to a health check.
+    void targetResponded(const HttpResponse &response);
+
     // Sets the rule of the service's rollout, or none. Once this returns, the target gets no further
     // call that the rule forbids.
     void setVersionRule(const std::optional<VersionRule> &rule);
@@ -84,6 +87,9 @@
 
     std::uint32_t inFlight() const;
 
+    // Number of calls that were sent to the target.
+    std::uint64_t callsSent() const;
+
     // The target's load, with a limit of zero if it accepts no calls, or only those of a canary.
     LocalTargetLoad load() const;
 
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -142,6 +142,9 @@
         const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
         const bool healthy = same && response->result() == http::status::ok;
         options.log(LogLevel::Info, "target-checked", {{"target", target.id}, {"healthy", healthy}, {"same_target", same}});
+        if (same && options.responded) {
+            options.responded(*response);
+        }
         registration.healthChecked(target.id, healthy, Clock::now());
         publish("checked");
         if (registration.needsHealthCheck()) {
