--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -33,6 +33,14 @@
     return matches ? CallOutcome::Answered : CallOutcome::Mismatched;
 }
 
+void recordStatements(const HttpResponse &response, const CallHeaderNames &names, CallRecord &record)
+{
+    const auto value = [&](const std::string &name) { return name.empty() ? std::string() : std::string(response[name]); };
+    record.target = value(names.originMarker);
+    record.statedRateLimit = value(names.rateLimit);
+    record.statedLeaving = value(names.leaving) == "1";
+}
+
 asio::awaitable<void> sendCall(HttpClient &client, const LoadGenerator::Options &options, PlannedCall call, TimePoint deadline, CallRecord &record)
 {
     const auto idField = options.headerNames.requestId.empty() ? std::string("Request-Id") : options.headerNames.requestId;
@@ -46,7 +54,12 @@
     if (verb == http::verb::post) {
         request.body() = "order " + record.id;
     }
+    record.sentAt = Clock::now();
     const auto response = co_await client.exchange(call.ingress, std::move(request), deadline);
+    record.endedAt = Clock::now();
+    if (response) {
+        recordStatements(*response, options.headerNames, record);
+    }
     record.latency = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - call.scheduled);
     record.outcome = outcomeOf(response, record.id, idField);
     record.status = response ? static_cast<int>(response->result_int()) : 0;
--- a/bench/loadgenerator.h
+++ b/bench/loadgenerator.h
@@ -36,6 +36,13 @@
     std::chrono::microseconds latency{0};
     // Scheduled send time, relative to the start of the run.
     std::chrono::microseconds scheduled{0};
+    // When the call was sent and when it ended, by the monotonic clock.
+    TimePoint sentAt;
+    TimePoint endedAt;
+    // Target that the response names, and what the response states of it.
+    std::string target;
+    std::string statedRateLimit;
+    bool statedLeaving = false;
 };
 
 // Open-loop load generator: sends calls at a fixed rate, whether or not earlier ones have ended.
--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -8,7 +8,9 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <map>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 namespace Galenahill {
@@ -26,9 +28,41 @@
 constexpr std::uint16_t TargetProxyPort = 9001;
 
 constexpr Milliseconds ReadinessTimeout{500};
+constexpr Milliseconds InstructionTimeout{1000};
 constexpr Milliseconds PollInterval{50};
 constexpr Milliseconds StartLimit{20000};
 
+// Adds the event in a line of a target's log to the history of the target's last start.
+void readEvent(const std::string &line, std::vector<TargetHistory> &histories)
+{
+    std::istringstream words(line);
+    std::string kind;
+    std::string field;
+    TargetHistory::Event event;
+    std::int64_t time = 0;
+    words >> kind;
+    if (kind == "started") {
+        histories.emplace_back();
+        words >> histories.back().target;
+        return;
+    }
+    if (kind == "stated") {
+        words >> field;
+    }
+    // Other programs' messages may stand in the log as well.
+    if (histories.empty() || !(words >> event.value >> time)) {
+        return;
+    }
+    event.time = std::chrono::microseconds(time);
+    auto &history = histories.back();
+    const std::map<std::string, std::vector<TargetHistory::Event> *> lists
+        = {{"got", &history.arrivals}, {"ran", &history.executions}, {"stated rate-limit", &history.rateLimits}, {"stated leaving", &history.departures}};
+    const auto list = lists.find(field.empty() ? kind : kind + " " + field);
+    if (list != lists.end()) {
+        list->second->push_back(event);
+    }
+}
+
 }
 
 class PlatformFleet::Private
@@ -232,17 +266,34 @@
     return d->path(fmt::format("node-{}.log", node));
 }
 
-std::vector<std::string> PlatformFleet::executedCalls() const
+bool PlatformFleet::instructTarget(std::size_t node, const std::string &json) const
 {
-    std::vector<std::string> ids;
+    HttpRequest request(http::verb::post, "/admin", 11);
+    request.set(http::field::host, "target");
+    request.body() = json;
+    const auto response = blockingExchange(target(node), std::move(request), InstructionTimeout);
+    return response && response->result() == http::status::ok;
+}
+
+std::vector<TargetHistory> PlatformFleet::targetHistories() const
+{
+    std::vector<TargetHistory> histories;
     for (std::size_t node = 0; node < size(); ++node) {
         std::ifstream log(d->path(fmt::format("target-{}.log", node)));
-        std::string word;
-        std::string id;
-        while (log >> word) {
-            if (word == "ran" && log >> id) {
-                ids.push_back(id);
-            }
+        std::string line;
+        while (std::getline(log, line)) {
+            readEvent(line, histories);
+        }
+    }
+    return histories;
+}
+
+std::vector<std::string> PlatformFleet::executedCalls() const
+{
+    std::vector<std::string> ids;
+    for (const auto &history : targetHistories()) {
+        for (const auto &execution : history.executions) {
+            ids.push_back(execution.value);
         }
     }
     return ids;
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -11,6 +11,27 @@
 
 namespace Galenahill {
 
+// What a target stand-in logged of one of its starts, in order. Times are those of the monotonic clock.
+struct TargetHistory
+{
+    struct Event
+    {
+        std::string value;
+        std::chrono::microseconds time{0};
+    };
+
+    // Id of the target.
+    std::string target;
+    // Ids of the calls that arrived, also of those that the target rejected.
+    std::vector<Event> arrivals;
+    // Ids of the calls that ran; an id occurs once for each execution.
+    std::vector<Event> executions;
+    // Rate limits that it stated, as text; "none" if it lifted its limit.
+    std::vector<Event> rateLimits;
+    // When it stated that it is leaving.
+    std::vector<Event> departures;
+};
+
 // A fleet of real processes on loopback addresses, set up as on the platform: the stand-in for the
 // platform's store, and nodes (galenahillnode) that have a target stand-in each, which announces
 // itself to its node.
@@ -69,6 +90,12 @@
     // Path of the node's log file, which contains the output of all its starts.
     std::string nodeLog(std::size_t node) const;
 
+    // Sends the target stand-in an instruction, as described at its /admin endpoint.
+    bool instructTarget(std::size_t node, const std::string &json) const;
+
+    // Histories of all starts of all targets.
+    std::vector<TargetHistory> targetHistories() const;
+
     // Ids of the calls that the targets ran; an id occurs once for each execution.
     std::vector<std::string> executedCalls() const;
 
--- a/src/core/calls/callheadernames.h
+++ b/src/core/calls/callheadernames.h
@@ -39,6 +39,13 @@
 
     // Id of the target that responded.
     std::string targetId;
+
+    // States in each response of a target the calls per second that it accepts from all nodes
+    // together, as a decimal number, for as long as the limit applies.
+    std::string rateLimit;
+
+    // With the value 1, states in each response of a target that it is leaving.
+    std::string leaving;
 };
 
 }
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -3,18 +3,22 @@
 //   GET  /health   200 ready, or 503 starting or draining
 //   GET  /load     slots in use, as JSON
 //   GET  /ledger   ids of the calls that ran, one per line, in order
-//   POST /admin    {"drain": B, "service_us": N, "slots": N, "cold_ms": N, "freeze": B, "misreport": B}
+//   POST /admin    {"drain": B, "service_us": N, "slots": N, "cold_ms": N, "freeze": B, "misreport": B,
+//                   "rate_limit": TEXT, "leaving": B}
 // A request for any other path is a call. It takes the service time, and the response contains the
 // request id.
 // With --log-runs, each ledger entry is also written to standard error as "ran ID MICROSECONDS",
-// with the time of the monotonic clock, so that the ledger outlives the process.
+// with the time of the monotonic clock, so that the ledger outlives the process. Likewise logged are
+// "started ID MICROSECONDS", "got ID MICROSECONDS" for each call that arrives, and "stated FIELD VALUE MICROSECONDS" for each
+// change of what the target states about itself.
 // A call that finds no free slot counts as an overrun. It waits in the backlog and then runs, even
 // if its caller has disconnected; if the backlog is full, the target rejects the call with 503.
 // "cold_ms" makes the target reject all calls for that time, as during a cold start. "freeze" holds
 // back all responses until it is reset. "misreport" makes /health and /load report ready and idle.
 // With --announce, the target announces itself to the node on its VM and uses the header fields of
 // the platform: it returns the request id, adds the origin marker to its responses, rejects calls
-// that are meant for another target, and marks responses to calls that it did not run.
+// that are meant for another target, and marks responses to calls that it did not run. "rate_limit"
+// and "leaving" are stated in a header field of each of its responses; an empty text states no limit.
 
 #include "adapters/http/httpserver.h"
 #include "announcer.h"
@@ -70,6 +74,7 @@
         , m_options(std::move(options))
         , m_readyAt(Clock::now() + m_options.coldStart)
     {
+        logEvent("started " + m_options.id);
         if (m_options.announces()) {
             m_headerNames = Platform::callHeaderNames();
         }
@@ -95,6 +100,9 @@
     asio::awaitable<bool> acquireSlot();
     std::string requestIdOf(const HttpRequest &request) const;
     HttpResponse notRunResponse(http::status status, const std::string &kind, const std::string &message) const;
+    void logEvent(const std::string &event) const;
+    void setStatements(const std::string &rateLimit, bool leaving);
+    HttpResponse withStatements(HttpResponse response) const;
 
     asio::io_context &m_context;
     TargetOptions m_options;
@@ -110,6 +118,9 @@
     bool m_draining = false;
     bool m_responsesHeld = false;
     bool m_misreports = false;
+    // Text of the rate limit that each response states; empty for none.
+    std::string m_rateLimit;
+    bool m_leaving = false;
 };
 
 HttpResponse Target::health() const
@@ -148,9 +159,40 @@
     m_responsesHeld = json.value("freeze", m_responsesHeld);
     m_misreports = json.value("misreport", m_misreports);
     m_options.serviceTime = std::chrono::microseconds(json.value("service_us", m_options.serviceTime.count()));
+    setStatements(json.value("rate_limit", m_rateLimit), json.value("leaving", m_leaving));
     return makeResponse(http::status::ok, "text/plain", "");
 }
 
+void Target::logEvent(const std::string &event) const
+{
+    if (m_options.logRuns) {
+        fmt::print(stderr, "{} {}\n", event, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
+    }
+}
+
+void Target::setStatements(const std::string &rateLimit, bool leaving)
+{
+    if (rateLimit != m_rateLimit) {
+        logEvent(fmt::format("stated rate-limit {}", rateLimit.empty() ? "none" : rateLimit));
+    }
+    if (leaving != m_leaving) {
+        logEvent(fmt::format("stated leaving {}", leaving ? 1 : 0));
+    }
+    m_rateLimit = rateLimit;
+    m_leaving = leaving;
+}
+
+HttpResponse Target::withStatements(HttpResponse response) const
+{
+    if (!m_headerNames.rateLimit.empty() && !m_rateLimit.empty()) {
+        response.set(m_headerNames.rateLimit, m_rateLimit);
+    }
+    if (!m_headerNames.leaving.empty() && m_leaving) {
+        response.set(m_headerNames.leaving, "1");
+    }
+    return response;
+}
+
 asio::awaitable<HttpResponse> Target::handle(HttpRequest request)
 {
     const auto target = request.target();
@@ -159,7 +201,7 @@
         if (!m_headerNames.targetId.empty()) {
             response.set(m_headerNames.targetId, m_options.id);
         }
-        co_return response;
+        co_return withStatements(std::move(response));
     }
     if (target == "/load") {
         co_return load();
@@ -170,7 +212,8 @@
     if (target == "/admin") {
         co_return admin(request);
     }
-    co_return co_await runCall(std::move(request));
+    logEvent("got " + requestIdOf(request));
+    co_return withStatements(co_await runCall(std::move(request)));
 }
 
 asio::awaitable<bool> Target::acquireSlot()
@@ -224,9 +267,7 @@
     }
     const auto id = requestIdOf(request);
     m_ledger += id + "\n";
-    if (m_options.logRuns) {
-        fmt::print(stderr, "ran {} {}\n", id, std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
-    }
+    logEvent("ran " + id);
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
     timer.expires_after(m_options.serviceTime);
