daemon: Hold the rate limit that a target states in its responses

Callers of a target in need saw nothing at once; the target got more than it can take.

Cause: no module read the field. The sidecar admitted by slots alone, and ingresses picked by load. Ruled out: a limit that each machine keeps for itself, and surplus from retries, nested calls or health checks.

Change: TargetStatements parses the field; StatedRateLimit orders what responses state (unknown order: the stricter; a response to a request sent after the last statement: the later one); TargetRateLimiter holds it with a token bucket. SlotQueue starts a call only with a slot and a token, wakes its queue at the next token, and rejects queued calls that can't start in time under a new limit. Slots that the limit leaves unused are reported as taken, so that ingresses go to targets with room; what none can take is rejected as not run, with the wait for the limit as Retry-After. A health check asks once nothing has confirmed a limit for four seconds, else a limit near zero could not be lifted. Malformed values are logged and change nothing.

Weighed: a share of the limit at each ingress, by gossip. It has to be told to all nodes before it holds, is stale where a node is cut off, and leaves shares unused where demand is uneven. The sidecar is the only way to its target, so one counter is exact.

--- a/src/daemon/bodyreceiver.cpp
+++ b/src/daemon/bodyreceiver.cpp
@@ -34,7 +34,7 @@
     if (m_bufferedBytes + length > MaxBufferedBodies) {
         return false;
     }
-    const bool idle = m_queue->canBegin() && m_slots.running() < m_slots.limit();
+    const bool idle = m_queue->canBegin() && m_slots.freeSlots() > 0;
     const bool inTime = m_slots.canMeetObjective(call, arrival);
     return call.terms.mayWait ? idle || inTime : idle && inTime;
 }
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -182,12 +182,16 @@
 
 NodeGauges PlatformNode::Private::gauges() const
 {
+    const auto rateLimit = sidecar.rateLimiter().limit();
     return {{"revision_in_force", static_cast<double>(state->revisions.revision().value())},
         {"members_live", static_cast<double>(fleet.peerCount() + 1)},
         {"ready", ready() ? 1 : 0},
         {"target_ready", targetService.state() == MemberState::Ready ? 1 : 0},
         {"target_calls_running", sidecar.inFlight()},
         {"target_calls_sent", static_cast<double>(sidecar.callsSent())},
+        {"target_rate_limit", rateLimit ? rateLimit->value() : -1},
+        {"target_rate_limit_age_ms", rateLimit ? static_cast<double>(sidecar.rateLimiter().age(Clock::now()).count()) : 0},
+        {"calls_over_rate_limit", static_cast<double>(sidecar.rateLimitedCalls())},
         {"revisions_refused", static_cast<double>(configWatcher.rejectedRevisions())},
         {"store_calls", static_cast<double>(store->calls())},
         {"calls_gave_way", static_cast<double>(ingress.shedCalls())},
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -23,6 +23,12 @@
 // millisecond.
 constexpr Milliseconds MaxIdleWithoutRetry{200};
 
+// The limit as it is logged; negative if there is none.
+double rateOf(const std::optional<CallsPerSecond> &limit)
+{
+    return limit ? limit->value() : -1;
+}
+
 }
 
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
@@ -32,7 +38,9 @@
         : options(std::move(given))
         , slots(std::make_shared<SlotQueue>(options.context, options.policy))
         , bodyReceiver(options.context, options.link, *slots)
-        , statements({.headerNames = options.headerNames, .log = options.log})
+        , statements({.headerNames = options.headerNames, .log = options.log, .rateLimitRead = [this](std::optional<CallsPerSecond> limit, TimePoint sentAt) {
+                          updateRateLimit(limit, sentAt);
+                      }})
     {
     }
 
@@ -41,6 +49,7 @@
     BodyReceiver bodyReceiver;
     TargetStatements statements;
     std::uint64_t callsSent = 0;
+    std::uint64_t rateLimitedCalls = 0;
     // Id and slots that the target announced; zero slots if it does not announce itself.
     std::string targetId;
     std::uint32_t announcedSlots = 0;
@@ -52,11 +61,12 @@
     MemberState state = MemberState::Starting;
 
     asio::awaitable<void> probe();
+    void updateRateLimit(std::optional<CallsPerSecond> limit, TimePoint sentAt);
     void setState(MemberState newState);
     std::string callIdOf(const HttpRequest &request) const;
     std::string rejectionReason(const HttpRequest &request) const;
     HttpResponse reject(const std::string &reason) const;
-    HttpResponse rejectFull(const SlotCall &call) const;
+    HttpResponse rejectFull(const SlotCall &call);
     void logRejection(const SlotCall &call, const std::string &reason) const;
     LocalTargetLoad load() const;
     void reportLoad(HttpResponse &response) const;
@@ -117,9 +127,29 @@
     }
 }
 
-void Sidecar::targetResponded(const HttpResponse &response)
+void Sidecar::targetResponded(const HttpResponse &response, TimePoint sentAt)
 {
-    d->statements.read(response, d->targetId);
+    d->statements.read(response, d->targetId, sentAt);
+}
+
+void Sidecar::Private::updateRateLimit(std::optional<CallsPerSecond> limit, TimePoint sentAt)
+{
+    const auto &limiter = slots->rateLimiter();
+    const auto previous = limiter.limit();
+    const auto previousAge = limiter.age(Clock::now());
+    const auto change = slots->updateRateLimit(limit, sentAt);
+    if (change == StatedRateLimit::Change::None) {
+        return;
+    }
+    options.log(LogLevel::Info,
+        "target-rate-limit",
+        {{"change", toString(change)},
+            {"rate_limit", rateOf(limiter.limit())},
+            {"previous", rateOf(previous)},
+            {"previous_age_ms", previousAge.count()},
+            {"target", targetId},
+            {"running", slots->running()},
+            {"waiting", slots->waiting()}});
 }
 
 void Sidecar::targetAnnounced(const TargetAnnouncement &target, MemberState state)
@@ -128,6 +158,7 @@
         // Idle connections lead to the target process that was there before.
         d->options.client.closeIdle(d->options.target);
         d->setState(MemberState::Starting);
+        d->slots->resetRateLimit();
     }
     d->targetId = target.id;
     d->announcedSlots = target.slots;
@@ -176,8 +207,11 @@
 {
     const bool acceptsCalls = state == MemberState::Ready && !slots->draining();
     const auto wait = options.policy.byUrgency && acceptsCalls ? slots->expectedWait() : Microseconds(0);
-    return {
-        {slots->running() + static_cast<std::uint32_t>(slots->waiting()), acceptsCalls ? slots->limit() : 0}, std::chrono::duration_cast<Milliseconds>(wait)};
+    const auto limit = acceptsCalls ? slots->limit() : 0;
+    // Slots that the rate limit leaves unused count as taken.
+    const auto taken = limit - std::min(limit, slots->freeSlots());
+    const auto calls = std::max(slots->running() + static_cast<std::uint32_t>(slots->waiting()), taken);
+    return {{calls, limit}, std::chrono::duration_cast<Milliseconds>(wait)};
 }
 
 void Sidecar::Private::reportLoad(HttpResponse &response) const
@@ -212,16 +246,20 @@
             {"for_running_call", call.terms.hasRunningParent},
             {"waited_ms", std::chrono::duration_cast<Milliseconds>(now - call.arrived).count()},
             {"expected_wait_ms", std::chrono::duration_cast<Milliseconds>(slots->expectedWait(call)).count()},
-            {"left_ms", std::chrono::duration_cast<Milliseconds>(call.deadline - now).count()}});
+            {"left_ms", std::chrono::duration_cast<Milliseconds>(call.deadline - now).count()},
+            {"rate_limit", rateOf(slots->rateLimiter().limit())},
+            {"rate_limit_age_ms", slots->rateLimiter().age(now).count()}});
 }
 
-HttpResponse Sidecar::Private::rejectFull(const SlotCall &call) const
+HttpResponse Sidecar::Private::rejectFull(const SlotCall &call)
 {
+    const bool rateLimited = slots->isRateLimited();
+    rateLimitedCalls += rateLimited ? 1 : 0;
     // An offer that may not wait only asks for a free slot; its rejection is not logged.
-    if (call.terms.mayWait) {
-        logRejection(call, "no slot in time");
+    if (call.terms.mayWait || rateLimited) {
+        logRejection(call, rateLimited ? "the target's rate limit is used up" : "no slot in time");
     }
-    auto response = reject("all slots of the target are in use");
+    auto response = reject(rateLimited ? "the target's rate limit is used up" : "all slots of the target are in use");
     response.set(CallHeaders::WaitMs, std::to_string(std::chrono::duration_cast<Milliseconds>(slots->costOf(call)).count()));
     return response;
 }
@@ -247,6 +285,7 @@
     }
     running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority, call.terms.isRetry});
     const auto begin = Clock::now();
+    const auto sentTo = targetId;
     ++callsSent;
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, exchangeOptions);
     running.erase(call.id);
@@ -258,8 +297,8 @@
     if (response) {
         const auto responseClass = classOf(*response, headerNames);
         const auto reason = releaseReasonOf(*response, responseClass, headerNames);
-        if (responseClass != ResponseClass::Untrusted) {
-            statements.read(*response, targetId);
+        if (sentTo == targetId && responseClass != ResponseClass::Untrusted) {
+            statements.read(*response, targetId, begin);
         }
         if (options.callEnded && responseClass != ResponseClass::NotExecuted) {
             options.callEnded(call.route, responseClass == ResponseClass::Failed ? TargetResult::Failed : TargetResult::Answered, time);
@@ -431,4 +470,14 @@
     return d->callsSent;
 }
 
+std::uint64_t Sidecar::rateLimitedCalls() const
+{
+    return d->rateLimitedCalls;
+}
+
+const TargetRateLimiter &Sidecar::rateLimiter() const
+{
+    return d->slots->rateLimiter();
+}
+
 }
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -7,6 +7,7 @@
 #include "core/calls/linkschedule.h"
 #include "core/calls/routingview.h"
 #include "core/calls/runningcall.h"
+#include "core/calls/targetratelimiter.h"
 #include "core/fleet/loadexchange.h"
 #include "core/fleet/memberrecord.h"
 #include "core/fleet/targetregistration.h"
@@ -71,7 +72,7 @@
     void targetAnnounced(const TargetAnnouncement &target, MemberState state);
 
     // Processes what the target states about itself in a response to a health check.
-    void targetResponded(const HttpResponse &response);
+    void targetResponded(const HttpResponse &response, TimePoint sentAt);
 
     // Sets the rule of the service's rollout, or none. Once this returns, the target gets no further
     // call that the rule forbids.
@@ -87,8 +88,12 @@
 
     std::uint32_t inFlight() const;
 
-    // Number of calls that were sent to the target.
+    // Number of calls that were sent to the target, and of those that its rate limit kept from it.
     std::uint64_t callsSent() const;
+    std::uint64_t rateLimitedCalls() const;
+
+    // The rate limit that the target states.
+    const TargetRateLimiter &rateLimiter() const;
 
     // The target's load, with a limit of zero if it accepts no calls, or only those of a canary.
     LocalTargetLoad load() const;
--- a/src/daemon/slotqueue.cpp
+++ b/src/daemon/slotqueue.cpp
@@ -52,6 +52,7 @@
     , m_admission(policy)
     , m_queue({.newestFirst = policy.newestFirst, .fairShares = policy.fairShares, .byUrgency = policy.byUrgency})
     , m_lateCallFilter({})
+    , m_rateTimer(context)
 {
 }
 
@@ -66,6 +67,27 @@
     m_times.clear();
 }
 
+void SlotQueue::resetRateLimit()
+{
+    m_rateLimiter.reset(Clock::now());
+}
+
+// Calls that were queued before the limit was known may have no chance to start in time under it.
+StatedRateLimit::Change SlotQueue::updateRateLimit(std::optional<CallsPerSecond> stated, TimePoint sentAt)
+{
+    const auto change = m_rateLimiter.update(stated, sentAt, Clock::now());
+    if (change != StatedRateLimit::Change::None) {
+        rejectUnschedulable();
+        admitWaiting();
+    }
+    return change;
+}
+
+const TargetRateLimiter &SlotQueue::rateLimiter() const
+{
+    return m_rateLimiter;
+}
+
 void SlotQueue::startDraining()
 {
     m_admission.startDraining();
@@ -92,6 +114,17 @@
     return m_queue.size();
 }
 
+std::uint32_t SlotQueue::freeSlots() const
+{
+    const auto free = limit() - std::min(running(), limit());
+    return m_rateLimiter.available(free, Clock::now());
+}
+
+bool SlotQueue::isRateLimited() const
+{
+    return running() < limit() && freeSlots() == 0;
+}
+
 std::chrono::microseconds SlotQueue::lowestBaseline() const
 {
     return m_admission.lowestBaseline();
@@ -135,7 +168,7 @@
 bool SlotQueue::canMeetObjective(const SlotCall &call, TimePoint bodyArrival) const
 {
     const auto now = Clock::now();
-    const auto slotFree = running() < limit() ? now : now + expectedWait(call);
+    const auto slotFree = freeSlots() > 0 ? now : now + expectedWait(call);
     const auto span = std::chrono::duration<double>(latestOnTimeStart(call) - now) * MaxBodyTimeShare;
     return std::max<TimePoint>(bodyArrival, slotFree) <= now + std::chrono::duration_cast<Clock::duration>(span);
 }
@@ -153,19 +186,36 @@
     return average / std::max<std::uint32_t>(m_admission.limit(), 1);
 }
 
-// Each call ahead in the queue takes one of the slots that become free.
-std::chrono::microseconds SlotQueue::expectedWait(const SlotCall &call) const
+// Average time between two calls that leave the queue.
+std::chrono::microseconds SlotQueue::drainInterval() const
+{
+    const auto queued = static_cast<std::uint32_t>(m_queue.size());
+    const bool rateAllowsAll = m_rateLimiter.available(queued, Clock::now()) == queued;
+    return rateAllowsAll ? slotInterval() : std::max(slotInterval(), m_rateLimiter.interval());
+}
+
+// Wait of the call at that position of the queue: each of them takes one of the slots that become
+// free, and one of the calls that the rate limit allows.
+std::chrono::microseconds SlotQueue::waitAt(std::size_t position) const
 {
-    if (!m_policy.byUrgency) {
-        return m_admission.averageLatency() * (m_queue.size() + 1) / std::max<std::uint32_t>(m_admission.limit(), 1);
+    const auto rateWait = m_rateLimiter.timeUntil(position, Clock::now());
+    if (isRateLimited()) {
+        return rateWait;
     }
-    return slotInterval() * (m_queue.countAhead(urgencyOf(call)) + 1);
+    const auto slots = std::max<std::uint32_t>(m_admission.limit(), 1);
+    const Microseconds slotWait = m_policy.byUrgency ? slotInterval() * position : m_admission.averageLatency() * position / slots;
+    return std::max(slotWait, rateWait);
+}
+
+std::chrono::microseconds SlotQueue::expectedWait(const SlotCall &call) const
+{
+    return waitAt(m_queue.countAhead(urgencyOf(call)) + 1);
 }
 
 // Lateness counts like a wait, so that targets that would answer too late compare badly.
 std::chrono::microseconds SlotQueue::costOf(const SlotCall &call) const
 {
-    const auto wait = running() < limit() ? Microseconds(0) : expectedWait(call);
+    const auto wait = freeSlots() > 0 ? Microseconds(0) : expectedWait(call);
     const auto end = Clock::now() + expectedServiceTime(call);
     const bool late = m_policy.byUrgency && call.objective < end;
     return wait + (late ? std::chrono::duration_cast<Microseconds>(end - call.objective) : Microseconds(0));
@@ -173,15 +223,12 @@
 
 std::chrono::microseconds SlotQueue::expectedWait() const
 {
-    if (m_admission.inFlight() < m_admission.limit()) {
-        return Microseconds(0);
-    }
-    return slotInterval() * (m_queue.size() + 1);
+    return freeSlots() > 0 ? Microseconds(0) : waitAt(m_queue.size() + 1);
 }
 
 void SlotQueue::rejectUnschedulable()
 {
-    while (const auto ticket = m_queue.popUnschedulable(Clock::now(), slotInterval())) {
+    while (const auto ticket = m_queue.popUnschedulable(Clock::now(), drainInterval())) {
         wake(*ticket, false);
     }
 }
@@ -190,10 +237,19 @@
 // while a call that may wait has been offered to those before.
 bool SlotQueue::rejectsAsLate(const SlotCall &call)
 {
-    const bool hasAlternatives = m_policy.byUrgency && !call.terms.mayWait && running() < limit();
+    const bool hasAlternatives = m_policy.byUrgency && !call.terms.mayWait && freeSlots() > 0;
     return hasAlternatives && m_lateCallFilter.shouldReject(call.acquiredAt, call.acquiredAt + expectedServiceTime(call), call.objective);
 }
 
+// Takes a slot, and the permission of the rate limit; neither without the other.
+bool SlotQueue::tryStart(TimePoint now)
+{
+    if (m_rateLimiter.available(1, now) == 0 || !m_admission.tryAcquire(now)) {
+        return false;
+    }
+    return m_rateLimiter.tryAcquire(now);
+}
+
 asio::awaitable<bool> SlotQueue::acquire(SlotCall &call, ServerConnection &connection)
 {
     call.acquiredAt = Clock::now();
@@ -203,7 +259,7 @@
     if (rejectsAsLate(call)) {
         co_return false;
     }
-    if (m_queue.size() == 0 && m_admission.tryAcquire(call.acquiredAt)) {
+    if (m_queue.size() == 0 && tryStart(call.acquiredAt)) {
         m_queue.callStarted(call.route);
         co_return true;
     }
@@ -229,6 +285,7 @@
         wake(*rejected, false);
     }
     rejectUnschedulable();
+    armRateTimer();
     // A call whose caller cancels it leaves the queue at once.
     connection.cancellation().setHook([weak = weak_from_this(), ticket] {
         if (const auto self = weak.lock()) {
@@ -258,11 +315,26 @@
 void SlotQueue::admitWaiting()
 {
     m_admission.releaseHeld(Clock::now());
-    while (m_queue.size() > 0 && m_admission.tryAcquire(Clock::now())) {
+    while (m_queue.size() > 0 && tryStart(Clock::now())) {
         const auto ticket = *m_queue.pop(Clock::now());
         m_queue.callStarted(m_waiters.at(ticket.value())->route);
         wake(ticket, true);
     }
+    armRateTimer();
+}
+
+void SlotQueue::armRateTimer()
+{
+    if (m_queue.size() == 0 || !isRateLimited()) {
+        return;
+    }
+    m_rateTimer.expires_after(m_rateLimiter.timeUntil(1, Clock::now()));
+    m_rateTimer.async_wait([weak = weak_from_this()](const ErrorCode &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->admitWaiting();
+        }
+    });
 }
 
 asio::awaitable<void> SlotQueue::admitWhenReleased()
@@ -277,6 +349,9 @@
 void SlotQueue::release(const SlotCall &call, AdmissionController::ReleaseReason reason)
 {
     m_queue.callEnded(call.route);
+    if (reason == AdmissionController::ReleaseReason::NotSent) {
+        m_rateLimiter.release(Clock::now());
+    }
     if (reason == AdmissionController::ReleaseReason::Answered) {
         m_times.record(call.route, std::chrono::duration_cast<Microseconds>(Clock::now() - call.acquiredAt));
     }
--- a/src/daemon/slotqueue.h
+++ b/src/daemon/slotqueue.h
@@ -6,6 +6,7 @@
 #include "core/calls/callqueue.h"
 #include "core/calls/latecallfilter.h"
 #include "core/calls/servicetimes.h"
+#include "core/calls/targetratelimiter.h"
 #include "daemon/callmessages.h"
 
 #include <memory>
@@ -32,7 +33,8 @@
     std::uint64_t bufferedBytes = 0;
 };
 
-// The slots of one target and the queue of calls that wait for them. Used on the data thread only.
+// The slots and the rate limit of one target, and the queue of calls that wait for them. A call gets
+// a slot only when the rate limit allows it. Used on the data thread only.
 class SlotQueue : public std::enable_shared_from_this<SlotQueue>
 {
 public:
@@ -44,6 +46,14 @@
     // Discards what is known about the target, after the target was restarted or replaced.
     void restart();
 
+    // Forgets the target's rate limit, after the target was restarted or replaced.
+    void resetRateLimit();
+
+    // Processes the rate limit that a response of the target states, or that it states none. The
+    // request was sent at `sentAt`.
+    StatedRateLimit::Change updateRateLimit(std::optional<CallsPerSecond> stated, TimePoint sentAt);
+    const TargetRateLimiter &rateLimiter() const;
+
     // Rejects the waiting calls and all further ones.
     void startDraining();
     bool draining() const;
@@ -76,6 +86,12 @@
     std::uint32_t limit() const;
     std::size_t waiting() const;
 
+    // Number of calls that could start now: there are slots, and the rate limit allows them.
+    std::uint32_t freeSlots() const;
+
+    // Whether slots are free, but the rate limit allows no call now.
+    bool isRateLimited() const;
+
     // Lowest baseline latency of any route's calls; zero while unknown.
     std::chrono::microseconds lowestBaseline() const;
 
@@ -90,7 +106,11 @@
     bool rejectsAsLate(const SlotCall &call);
     std::chrono::microseconds slotInterval() const;
     asio::awaitable<bool> waitForSlot(SlotCall &call, ServerConnection &connection);
+    bool tryStart(TimePoint now);
+    std::chrono::microseconds drainInterval() const;
+    std::chrono::microseconds waitAt(std::size_t position) const;
     void rejectUnschedulable();
+    void armRateTimer();
     void wake(QueueTicket ticket, bool admitted);
     asio::awaitable<void> admitWhenReleased();
 
@@ -100,6 +120,9 @@
     CallQueue m_queue;
     ServiceTimes m_times;
     LateCallFilter m_lateCallFilter;
+    TargetRateLimiter m_rateLimiter;
+    // Wakes the queue when the rate limit allows the next call.
+    asio::steady_timer m_rateTimer;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
     std::uint64_t m_nextTicket = 1;
 };
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -9,6 +9,9 @@
 // Time between two health checks of a target whose announcement has not been confirmed yet.
 constexpr Milliseconds CheckInterval{300};
 
+// Time between two health checks of a ready target, which wait for the slots of its calls.
+constexpr Milliseconds StatementInterval{4000};
+
 const char *registrationResultName(TargetRegistration::RegistrationResult result)
 {
     switch (result) {
@@ -40,10 +43,13 @@
     std::uint32_t publishedSlots = 0;
     TargetVersion publishedVersion;
     bool checking = false;
+    TimePoint lastStatementCheck;
 
     TargetRegistration::RegistrationResult processMessage(const TargetMessage &message);
     void publish(const char *cause);
+    void startCheck();
     asio::awaitable<void> check();
+    asio::awaitable<void> checkOnce();
 };
 
 TargetService::TargetService(Options options)
@@ -78,9 +84,8 @@
             "this node accepts announcements only from the target of its own VM, with its configured service and address");
     }
     keep->publish(registrationResultName(result));
-    if (keep->registration.needsHealthCheck() && !keep->checking) {
-        keep->checking = true;
-        asio::co_spawn(keep->options.context, keep->check(), asio::detached);
+    if (keep->registration.needsHealthCheck()) {
+        keep->startCheck();
     }
     co_return makeResponse(http::status::ok, "application/json", "{}");
 }
@@ -88,6 +93,12 @@
 void TargetService::tick()
 {
     d->publish("silent");
+    const auto now = Clock::now();
+    const bool due = d->published == MemberState::Ready && now - d->lastStatementCheck >= StatementInterval;
+    if (due && d->options.needsStatement && d->options.needsStatement()) {
+        d->lastStatementCheck = now;
+        d->startCheck();
+    }
 }
 
 void TargetService::targetUnreachable()
@@ -130,30 +141,44 @@
     options.changed(*target, state);
 }
 
+void TargetService::Private::startCheck()
+{
+    if (!checking) {
+        checking = true;
+        asio::co_spawn(options.context, check(), asio::detached);
+    }
+}
+
 asio::awaitable<void> TargetService::Private::check()
 {
     const auto keep = shared_from_this();
+    co_await checkOnce();
     asio::steady_timer timer(options.context);
     while (registration.needsHealthCheck()) {
-        const auto target = *registration.target();
-        HttpRequest request(http::verb::get, options.healthPath(), 11);
-        request.set(http::field::host, toString(target.address));
-        const auto response = co_await options.client.exchange(target.address, std::move(request), Clock::now() + CheckTimeout);
-        const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
-        const bool healthy = same && response->result() == http::status::ok;
-        options.log(LogLevel::Info, "target-checked", {{"target", target.id}, {"healthy", healthy}, {"same_target", same}});
-        if (same && options.responded) {
-            options.responded(*response);
-        }
-        registration.healthChecked(target.id, healthy, Clock::now());
-        publish("checked");
-        if (registration.needsHealthCheck()) {
-            ErrorCode ignored;
-            timer.expires_after(CheckInterval);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
+        ErrorCode ignored;
+        timer.expires_after(CheckInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await checkOnce();
     }
     checking = false;
 }
 
+asio::awaitable<void> TargetService::Private::checkOnce()
+{
+    const auto target = *registration.target();
+    HttpRequest request(http::verb::get, options.healthPath(), 11);
+    request.set(http::field::host, toString(target.address));
+    const auto sentAt = Clock::now();
+    const auto response = co_await options.client.exchange(target.address, std::move(request), sentAt + CheckTimeout);
+    const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
+    const bool healthy = same && response->result() == http::status::ok;
+    options.log(LogLevel::Info, "target-checked", {{"target", target.id}, {"healthy", healthy}, {"same_target", same}});
+    const bool isCurrent = registration.target()->id == target.id;
+    if (same && isCurrent && options.responded) {
+        options.responded(*response, sentAt);
+    }
+    registration.healthChecked(target.id, healthy, Clock::now());
+    publish("checked");
+}
+
 }
--- a/src/daemon/targetservice.h
+++ b/src/daemon/targetservice.h
@@ -39,8 +39,10 @@
         // Header field of health check responses that holds the target's id; empty if there is none.
         std::string targetIdField;
         Logger log;
-        // Called with each response of the target to a health check. May be null.
-        std::function<void(const HttpResponse &response)> responded;
+        // Called with each response of the target to a health check that was sent at that time. May be null.
+        std::function<void(const HttpResponse &response, TimePoint sentAt)> responded;
+        // Whether to check the health of a ready target now, to learn what it states. May be null.
+        std::function<bool()> needsStatement;
         // Called when the target's state, id, slots or version changes. Returns only after the sidecar has
         // stopped sending calls to a target that accepts none, so that this precedes the response to the
         // target.
--- a/src/daemon/targetstatements.cpp
+++ b/src/daemon/targetstatements.cpp
@@ -7,9 +7,15 @@
 // Longest part of a field's value that is logged.
 constexpr std::size_t MaxValueBytes = 64;
 
+std::string valueOf(const HttpResponse &response, const std::string &field)
+{
+    const auto value = response[field];
+    return std::string(value.substr(0, MaxValueBytes));
+}
+
 std::vector<std::string> fieldsRead(const CallHeaderNames &names)
 {
-    return {names.requestId, names.originMarker, names.notExecuted, names.targetId};
+    return {names.requestId, names.originMarker, names.notExecuted, names.targetId, names.rateLimit};
 }
 
 }
@@ -20,9 +26,37 @@
 {
 }
 
-void TargetStatements::read(const HttpResponse &response, const std::string &target)
+void TargetStatements::read(const HttpResponse &response, const std::string &target, TimePoint sentAt)
 {
     logIgnoredFields(response, target);
+    readRateLimit(response, target, sentAt);
+}
+
+// An invalid value neither states a limit nor lifts one: the target's need is known, its size isn't.
+void TargetStatements::readRateLimit(const HttpResponse &response, const std::string &target, TimePoint sentAt)
+{
+    const auto &field = m_options.headerNames.rateLimit;
+    if (field.empty() || !m_options.rateLimitRead) {
+        return;
+    }
+    if (response.count(field) == 0) {
+        m_options.rateLimitRead(std::nullopt, sentAt);
+        return;
+    }
+    const auto value = valueOf(response, field);
+    if (const auto limit = parseRate(value)) {
+        m_options.rateLimitRead(limit, sentAt);
+    } else {
+        logInvalid(field, value, target);
+    }
+}
+
+void TargetStatements::logInvalid(const std::string &field, const std::string &value, const std::string &target)
+{
+    if (value != m_lastInvalid) {
+        m_options.log(LogLevel::Warning, "target-field-invalid", {{"field", field}, {"value", value}, {"target", target}});
+    }
+    m_lastInvalid = value;
 }
 
 // Standard fields are left out: those that concern the target are read by the HTTP client.
