daemon: Send no calls to a target that states in a response that it leaves

In targetleavingtest a target that states its leaving while its heartbeats say ready got calls of all three nodes for as long as the load ran.

Cause: as with the rate limit, no module read the field. A target whose notice of leaving was lost, or is late, was known to leave only by its responses.

Change: TargetStatements reads the field, and the target's service records the leaving of that start of the target, as a departure that the target announced: the sidecar rejects calls from that moment, queued ones too, and the fleet learns it by gossip. Responses to health checks count, so that a restarted node learns it before its first call. A new start of the target doesn't inherit it. A value other than 1 is logged and ignored.

Evidence: targetleavingtest (failed before; three cases pass).

--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -244,6 +244,7 @@
         .link = {.bytesPerSecond = std::uint64_t(settings.linkMbps) * BytesPerMegabit},
         .stateChanged = [](MemberState) {},
         .targetUnreachable = [this] { targetService.targetUnreachable(); },
+        .targetLeaving = [this](const std::string &id, std::int64_t startedAt) { targetService.targetLeaving(id, startedAt); },
         .callEnded = [this](const RouteName &route, TargetResult end, std::chrono::microseconds time) { rollouts.callEnded(route, end, time); },
         .stageEnded = [this](CallStage stage, std::chrono::microseconds time) { stageEnded(stage, time); }};
 }
--- a/src/daemon/sidecar.cpp
+++ b/src/daemon/sidecar.cpp
@@ -38,9 +38,10 @@
         : options(std::move(given))
         , slots(std::make_shared<SlotQueue>(options.context, options.policy))
         , bodyReceiver(options.context, options.link, *slots)
-        , statements({.headerNames = options.headerNames, .log = options.log, .rateLimitRead = [this](std::optional<CallsPerSecond> limit, TimePoint sentAt) {
-                          updateRateLimit(limit, sentAt);
-                      }})
+        , statements({.headerNames = options.headerNames,
+              .log = options.log,
+              .rateLimitRead = [this](std::optional<CallsPerSecond> limit, TimePoint sentAt) { updateRateLimit(limit, sentAt); },
+              .leavingRead = [this] { targetLeaving(); }})
     {
     }
 
@@ -50,8 +51,9 @@
     TargetStatements statements;
     std::uint64_t callsSent = 0;
     std::uint64_t rateLimitedCalls = 0;
-    // Id and slots that the target announced; zero slots if it does not announce itself.
+    // Id, start time and slots that the target announced; zero slots if it does not announce itself.
     std::string targetId;
+    std::int64_t targetStartedAt = 0;
     std::uint32_t announcedSlots = 0;
     VersionGuard guard;
     // Calls that the target is running, by id.
@@ -62,6 +64,7 @@
 
     asio::awaitable<void> probe();
     void updateRateLimit(std::optional<CallsPerSecond> limit, TimePoint sentAt);
+    void targetLeaving() const;
     void setState(MemberState newState);
     std::string callIdOf(const HttpRequest &request) const;
     std::string rejectionReason(const HttpRequest &request) const;
@@ -152,15 +155,23 @@
             {"waiting", slots->waiting()}});
 }
 
+void Sidecar::Private::targetLeaving() const
+{
+    if (options.targetLeaving) {
+        options.targetLeaving(targetId, targetStartedAt);
+    }
+}
+
 void Sidecar::targetAnnounced(const TargetAnnouncement &target, MemberState state)
 {
-    if (d->targetId != target.id) {
+    if (d->targetId != target.id || d->targetStartedAt != target.startedAt) {
         // Idle connections lead to the target process that was there before.
         d->options.client.closeIdle(d->options.target);
         d->setState(MemberState::Starting);
         d->slots->resetRateLimit();
     }
     d->targetId = target.id;
+    d->targetStartedAt = target.startedAt;
     d->announcedSlots = target.slots;
     d->guard.setVersion(target.version);
     d->slots->setSlots(target.slots);
@@ -285,7 +296,7 @@
     }
     running.insert_or_assign(call.id, RunningCall{call.route, call.terms.priority, call.terms.isRetry});
     const auto begin = Clock::now();
-    const auto sentTo = targetId;
+    const auto sentTo = std::pair(targetId, targetStartedAt);
     ++callsSent;
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, exchangeOptions);
     running.erase(call.id);
@@ -297,7 +308,8 @@
     if (response) {
         const auto responseClass = classOf(*response, headerNames);
         const auto reason = releaseReasonOf(*response, responseClass, headerNames);
-        if (sentTo == targetId && responseClass != ResponseClass::Untrusted) {
+        const bool isCurrentTarget = sentTo == std::pair(targetId, targetStartedAt);
+        if (isCurrentTarget && responseClass != ResponseClass::Untrusted) {
             statements.read(*response, targetId, begin);
         }
         if (options.callEnded && responseClass != ResponseClass::NotExecuted) {
--- a/src/daemon/sidecar.h
+++ b/src/daemon/sidecar.h
@@ -55,6 +55,8 @@
         std::function<void(MemberState)> stateChanged;
         // Called when the target cannot be reached, so that it may have exited. May be null.
         std::function<void()> targetUnreachable;
+        // Called when the target with that id and start time states in a response that it is leaving. May be null.
+        std::function<void(const std::string &id, std::int64_t startedAt)> targetLeaving;
         // Called when a call of the route ends at the target, with its duration there. May be null.
         std::function<void(const RouteName &route, TargetResult result, std::chrono::microseconds time)> callEnded;
         // Called when a call leaves the stage, with the time that it spent there. May be null.
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -101,6 +101,12 @@
     }
 }
 
+void TargetService::targetLeaving(const std::string &id, std::int64_t startedAt)
+{
+    d->registration.leaveAnnounced(id, startedAt);
+    d->publish("stated in a response");
+}
+
 void TargetService::targetUnreachable()
 {
     d->registration.targetUnreachable();
@@ -173,7 +179,7 @@
     const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
     const bool healthy = same && response->result() == http::status::ok;
     options.log(LogLevel::Info, "target-checked", {{"target", target.id}, {"healthy", healthy}, {"same_target", same}});
-    const bool isCurrent = registration.target()->id == target.id;
+    const bool isCurrent = registration.target()->id == target.id && registration.target()->startedAt == target.startedAt;
     if (same && isCurrent && options.responded) {
         options.responded(*response, sentAt);
     }
--- a/src/daemon/targetservice.h
+++ b/src/daemon/targetservice.h
@@ -60,6 +60,9 @@
     // Records that the target could not be reached.
     void targetUnreachable();
 
+    // Records that the target with that id and start time stated that it is leaving.
+    void targetLeaving(const std::string &id, std::int64_t startedAt);
+
     MemberState state() const;
 
     // The target's last announcement, if any.
--- a/src/daemon/targetstatements.cpp
+++ b/src/daemon/targetstatements.cpp
@@ -7,6 +7,8 @@
 // Longest part of a field's value that is logged.
 constexpr std::size_t MaxValueBytes = 64;
 
+constexpr const char *Leaving = "1";
+
 std::string valueOf(const HttpResponse &response, const std::string &field)
 {
     const auto value = response[field];
@@ -15,7 +17,7 @@
 
 std::vector<std::string> fieldsRead(const CallHeaderNames &names)
 {
-    return {names.requestId, names.originMarker, names.notExecuted, names.targetId, names.rateLimit};
+    return {names.requestId, names.originMarker, names.notExecuted, names.targetId, names.rateLimit, names.leaving};
 }
 
 }
@@ -30,6 +32,7 @@
 {
     logIgnoredFields(response, target);
     readRateLimit(response, target, sentAt);
+    readLeaving(response, target);
 }
 
 // An invalid value neither states a limit nor lifts one: the target's need is known, its size isn't.
@@ -51,6 +54,20 @@
     }
 }
 
+void TargetStatements::readLeaving(const HttpResponse &response, const std::string &target)
+{
+    const auto &field = m_options.headerNames.leaving;
+    if (field.empty() || response.count(field) == 0) {
+        return;
+    }
+    const auto value = valueOf(response, field);
+    if (value != Leaving) {
+        logInvalid(field, value, target);
+    } else if (m_options.leavingRead) {
+        m_options.leavingRead();
+    }
+}
+
 void TargetStatements::logInvalid(const std::string &field, const std::string &value, const std::string &target)
 {
     if (value != m_lastInvalid) {
--- a/src/daemon/targetstatements.h
+++ b/src/daemon/targetstatements.h
@@ -23,6 +23,8 @@
         // Called for each response with the rate limit that it states, or none. Not called if the
         // field has an invalid value.
         std::function<void(std::optional<CallsPerSecond> limit, TimePoint sentAt)> rateLimitRead;
+        // Called if a response states that the target is leaving.
+        std::function<void()> leavingRead;
     };
 
     explicit TargetStatements(Options options);
@@ -33,6 +35,7 @@
 
 private:
     void readRateLimit(const HttpResponse &response, const std::string &target, TimePoint sentAt);
+    void readLeaving(const HttpResponse &response, const std::string &target);
     void logInvalid(const std::string &field, const std::string &value, const std::string &target);
     void logIgnoredFields(const HttpResponse &response, const std::string &target);
 
