daemon: Notice a target that restarts under its id between two heartbeats

Its start time is read to order announcements, but a new start under the same id, ready before and after, was not reported to the sidecar, which kept the old process's idle connections, service times and, now, its rate limit.

Change: the service of the target reports a changed start time like a changed id; the sidecar then starts anew with it.

Evidence: targetservicetest, ReportsARestartUnderTheSameId failed before (one change reported instead of two).

--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -40,6 +40,7 @@
     TargetRegistration registration;
     MemberState published = MemberState::Starting;
     std::string publishedId;
+    std::int64_t publishedStart = 0;
     std::uint32_t publishedSlots = 0;
     TargetVersion publishedVersion;
     bool checking = false;
@@ -127,12 +128,14 @@
 {
     const auto &target = registration.target();
     const auto state = registration.state(Clock::now());
-    const bool same = target && state == published && target->id == publishedId && target->slots == publishedSlots && target->version == publishedVersion;
+    const bool same = target && state == published && target->id == publishedId && target->startedAt == publishedStart && target->slots == publishedSlots
+        && target->version == publishedVersion;
     if (!target || same) {
         return;
     }
     published = state;
     publishedId = target->id;
+    publishedStart = target->startedAt;
     publishedSlots = target->slots;
     publishedVersion = target->version;
     options.log(LogLevel::Info,
