daemon: Let a restarted node list the contacts again after a failed list

Cause: the first list timed out, the write after it succeeded, and members that had found the node by gossip made its lookup count as complete. No list was read and no third call failed, so that the node waited for a lookup that had ended. Ruled out: the statements of targets; the node's target was ready, and the readiness gate depends on none of them.

Change: the lookup is complete only once a list has been read.

Evidence: memberdirectorytest, ARestartedNodeListsAgainAfterAFailedList failed before (two calls instead of three, lookup never done).

--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -143,4 +143,16 @@
     BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts", "put contacts b"}), boost::test_tools::per_element());
 }
 
+// Guards against a restarted node that never becomes ready: its first list fails, its write succeeds, and
+// members that found it meanwhile make the lookup seem complete.
+BOOST_AUTO_TEST_CASE(ARestartedNodeListsAgainAfterAFailedList)
+{
+    firstStart = false;
+    peers.push_back(record("a").control());
+    store.responses = {failure(ErrorKind::Unavailable, "the store is unavailable"), contactsOf({"a", "b"})};
+    run(3, Milliseconds(300));
+    BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts", "put contacts b", "list contacts"}), boost::test_tools::per_element());
+    BOOST_TEST(lookupDone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -198,7 +198,7 @@
             co_await registerSelf();
             // If the list names running members, a new node needs no second list;
             // otherwise the next list is read after the write.
-            listReadAfterRegistration = registered && !options.peerAddresses().empty();
+            listReadAfterRegistration = registered && listRead && !options.peerAddresses().empty();
         }
         co_await querySome(found);
         const bool complete = registered && listReadAfterRegistration;
