autotests: Cover a rate limit in the queue, and closes that a server states

Change: slotqueuetest follows calls that are queued, offered, or carry a large body while a rate limit is stated, holds, and is lifted. httpclienttest covers two statements of servers that were read but shown by no test: Connection: close and the idle time in Keep-Alive.

--- a/autotests/unit/httpclienttest.cpp
+++ b/autotests/unit/httpclienttest.cpp
@@ -288,3 +288,40 @@
     BOOST_TEST(send(HttpClient::ExchangeOptions().maxIdle));
     BOOST_TEST(client->openConnections(ServerEndpoint) == 2U);
 }
+
+// Guards against a connection that is used again although the server stated that it closes it.
+BOOST_FIXTURE_TEST_CASE(DoesNotReuseAConnectionThatTheServerCloses, Fixture)
+{
+    ScriptedServer *running = nullptr;
+    ScriptedServer server([&](Tcp::socket &socket, int) {
+        while (running->readRequest(socket)) {
+            ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood");
+        }
+    });
+    running = &server;
+    BOOST_TEST(exchange().has_value());
+    BOOST_TEST(client->openConnections(ServerEndpoint) == 0U);
+    BOOST_TEST(exchange().has_value());
+    client.reset();
+}
+
+// Guards against a request on a connection that the server is about to close as idle: it states after
+// which time.
+BOOST_FIXTURE_TEST_CASE(DoesNotReuseAConnectionPastTheServersIdleTime, Fixture)
+{
+    ScriptedServer *running = nullptr;
+    std::atomic<int> connections = 0;
+    ScriptedServer server([&](Tcp::socket &socket, int) {
+        ++connections;
+        for (int request = 0; request < 1 && running->readRequest(socket); ++request) {
+            ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 4\r\n\r\ngood");
+        }
+        std::this_thread::sleep_for(Milliseconds(900));
+    });
+    running = &server;
+    BOOST_TEST(exchange().has_value());
+    std::this_thread::sleep_for(Milliseconds(850));
+    BOOST_TEST(exchange().has_value());
+    BOOST_TEST(connections == 2);
+    client.reset();
+}
--- a/autotests/unit/slotqueuetest.cpp
+++ b/autotests/unit/slotqueuetest.cpp
@@ -164,4 +164,70 @@
     BOOST_TEST(!nestedAcquired.has_value());
 }
 
+// Guards against calls that stay queued, until their objective has passed, for a limit that was stated
+// after they had been queued.
+BOOST_AUTO_TEST_CASE(ANewRateLimitRejectsQueuedCallsThatCannotBeInTime)
+{
+    auto running = call(Milliseconds(30000));
+    acquire(running, first, firstAcquired);
+    auto waiting = call(Milliseconds(30000));
+    acquire(waiting, second, secondAcquired);
+    runReady();
+    BOOST_TEST(!secondAcquired.has_value());
+    BOOST_TEST((slots->updateRateLimit(CallsPerSecond(0.01), Clock::now()) == StatedRateLimit::Change::Stated));
+    runReady();
+    BOOST_TEST(!secondAcquired.value());
+}
+
+// Guards against a limit that is only held, not used: the queue has to wake up when it allows a call.
+BOOST_AUTO_TEST_CASE(AWaitingCallStartsWhenTheRateLimitAllowsIt)
+{
+    slots->setSlots(4);
+    slots->updateRateLimit(CallsPerSecond(20), Clock::now());
+    auto waiting = call(Milliseconds(30000));
+    acquire(waiting, first, firstAcquired);
+    runReady();
+    BOOST_TEST(!firstAcquired.has_value());
+    BOOST_TEST(slots->isRateLimited());
+    const auto until = Clock::now() + std::chrono::seconds(30);
+    while (!firstAcquired && Clock::now() < until) {
+        context.restart();
+        context.run_for(Milliseconds(5));
+    }
+    BOOST_TEST(firstAcquired.value());
+    BOOST_TEST((Clock::now() - waiting.arrived >= Milliseconds(49)));
+}
+
+// Guards against offers that wait under a limit, and against a Retry-After that ignores it.
+BOOST_AUTO_TEST_CASE(ARateLimitRejectsOffersAtOnceWithItsWait)
+{
+    slots->setSlots(4);
+    slots->updateRateLimit(CallsPerSecond(0.5), Clock::now());
+    auto offered = call(Milliseconds(30000), false);
+    acquire(offered, first, firstAcquired);
+    runReady();
+    BOOST_TEST(!firstAcquired.value());
+    BOOST_TEST(slots->freeSlots() == 0U);
+    BOOST_TEST((slots->costOf(offered) > Milliseconds(1500)));
+    BOOST_TEST((slots->costOf(offered) <= Milliseconds(2000)));
+    // A large body, once received, would wait here and not go to another target.
+    const auto upload = call(Milliseconds(500));
+    BOOST_TEST(!slots->canMeetObjective(upload, Clock::now()));
+}
+
+// Guards against calls that stay queued after the limit that held them back.
+BOOST_AUTO_TEST_CASE(ALiftedRateLimitAdmitsWaitingCalls)
+{
+    slots->setSlots(4);
+    slots->updateRateLimit(CallsPerSecond(0.1), Clock::now());
+    auto waiting = call(Milliseconds(30000));
+    acquire(waiting, first, firstAcquired);
+    runReady();
+    BOOST_TEST(!firstAcquired.has_value());
+    BOOST_TEST((slots->updateRateLimit(std::nullopt, Clock::now()) == StatedRateLimit::Change::Lifted));
+    runReady();
+    BOOST_TEST(firstAcquired.value());
+    BOOST_TEST(slots->freeSlots() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -1,6 +1,7 @@
 // Soak test of a fleet of platform nodes under random faults from a seed: signals to processes,
-// faults of the store, and proxies in front of the store and of each target that delay, reset or
-// hold back data. Violations are found in the records of callers and targets.
+// faults of the store, proxies in front of the store and of each target that delay, reset or hold
+// back data, and targets that state rate limits or that they are leaving. Violations are found in the
+// records of callers and targets.
 
 #include "adapters/http/blockinghttpclient.h"
 #include "experiments.h"
@@ -10,6 +11,7 @@
 #include "platform/callheadernames.h"
 #include "platformfleet.h"
 #include "sampledocument.h"
+#include "statementchecks.h"
 
 #include <algorithm>
 #include <csignal>
@@ -25,18 +27,28 @@
 namespace {
 
 constexpr std::size_t Nodes = 6;
+
+// Each tenth seed runs a fleet as large as the limits on processes allow: two for each node.
+constexpr std::size_t LargeFleetNodes = 60;
+constexpr std::uint64_t LargeFleetEvery = 10;
+
 constexpr double CallsPerSecond = 150;
+constexpr double LargeFleetCallsPerSecond = 600;
 
 // Each seed uses its own addresses, so that several runs can go on at once.
 constexpr std::uint8_t FirstNetwork = 20;
 constexpr std::uint64_t Networks = 50;
-constexpr Milliseconds Length{8000};
-constexpr Milliseconds QuickLength{4000};
+constexpr Milliseconds Length{16000};
+constexpr Milliseconds QuickLength{10000};
 constexpr int FaultsPerSecond = 2;
 
 // Upper bound of the random part of a fault's duration. Faults can overlap.
 constexpr int MaxRandomFaultMs = 2500;
 
+// A target's statements last longer than the time that nodes have to settle and the window in which
+// arrivals are counted.
+constexpr Milliseconds StatementLength{8000};
+
 // Users expect a planned stop to end within its grace period, and a configuration to be in force
 // within two seconds. The test waits longer, since the machine may be busy, and only checks that
 // both happen at all.
@@ -67,6 +79,7 @@
         std::string subject;
         std::function<void()> begin;
         std::function<void()> end;
+        Milliseconds minLength{100};
     };
 
     // Each revision has a route that no other revision has.
@@ -74,19 +87,27 @@
     Fault drawFault();
     Fault nodeFault(std::size_t node);
     Fault targetFault(std::size_t node);
+    Fault targetStatement(std::size_t node);
+    void restartTarget(std::size_t node);
+    void recordDisruption(std::size_t node);
+    void endDisruption(std::size_t node);
     Fault storeFault();
     Fault connectionFault(const std::string &name, FaultProxy &proxy);
     void setStoreMode(const std::string &mode) const;
     void injectFaults();
     void stopNode(std::size_t node);
     void checkCalls(const std::vector<CallRecord> &records);
+    void checkStatements(const std::vector<CallRecord> &records);
     void checkRecovery();
     int statusOf(std::size_t node, const std::string &path) const;
     void addViolation(std::string guarantee, std::string description);
+    double callsPerSecond() const;
     std::vector<CallRecord> call(std::size_t calls, const std::string &prefix) const;
 
     ExperimentOptions m_options;
     std::mt19937_64 m_random;
+    bool m_largeFleet;
+    std::size_t m_nodes;
     PlatformFleet m_fleet;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::vector<std::unique_ptr<FaultProxy>> m_targetProxies;
@@ -95,23 +116,26 @@
     int m_revision = 1;
     Milliseconds m_length;
     std::vector<std::string> m_injectedFaults;
+    std::vector<NodeDisruption> m_disruptions;
     std::vector<Violation> m_violations;
 };
 
 Soak::Soak(const ExperimentOptions &options)
     : m_options(options)
     , m_random(options.seed)
+    , m_largeFleet(options.seed % LargeFleetEvery == 0)
+    , m_nodes(m_largeFleet ? LargeFleetNodes : Nodes)
     , m_fleet({.programs = options.programs,
           .sources = options.sources,
           .folder = options.folder,
           .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + FirstNetwork + options.seed % Networks),
-          .nodes = Nodes,
+          .nodes = m_nodes,
           .services = {"tablero", "ventas"},
           .proxied = true})
     , m_length(options.quick ? QuickLength : Length)
 {
     m_storeProxy = std::make_unique<FaultProxy>(m_fleet.storeForNodes(), m_fleet.store());
-    for (std::size_t node = 0; node < Nodes; ++node) {
+    for (std::size_t node = 0; node < m_nodes; ++node) {
         m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node)));
     }
 }
@@ -139,11 +163,26 @@
     (void)blockingExchange(m_fleet.store(), std::move(request), Milliseconds(500));
 }
 
+void Soak::recordDisruption(std::size_t node)
+{
+    m_disruptions.push_back({.node = node, .begin = Clock::now(), .end = TimePoint::max()});
+}
+
+void Soak::endDisruption(std::size_t node)
+{
+    for (auto &disruption : m_disruptions) {
+        if (disruption.node == node && disruption.end == TimePoint::max()) {
+            disruption.end = Clock::now();
+        }
+    }
+}
+
 // Performs a planned stop: the process must exit by itself with code 0 within the limit, without
 // interrupting calls.
 void Soak::stopNode(std::size_t node)
 {
     auto &process = m_fleet.nodeProcess(node);
+    recordDisruption(node);
     process.signal(SIGTERM);
     const auto until = Clock::now() + StopLimit;
     while (process.running() && Clock::now() < until) {
@@ -157,6 +196,7 @@
         addViolation("graceful-stop", fmt::format("node {} ended with exit code {} instead of 0 (-1: killed by a signal)", node, process.wait()));
     }
     m_fleet.startNode(node);
+    endDisruption(node);
 }
 
 Soak::Fault Soak::nodeFault(std::size_t node)
@@ -166,34 +206,66 @@
     case 0:
         return {"kill",
             name,
-            [=, this] { m_fleet.nodeProcess(node).signal(SIGKILL); },
+            [=, this] {
+                recordDisruption(node);
+                m_fleet.nodeProcess(node).signal(SIGKILL);
+            },
             [=, this] {
                 m_fleet.nodeProcess(node).wait();
                 m_fleet.startNode(node);
+                endDisruption(node);
             }};
     case 1:
-        return {"pause", name, [=, this] { m_fleet.nodeProcess(node).signal(SIGSTOP); }, [=, this] { m_fleet.nodeProcess(node).signal(SIGCONT); }};
+        return {"pause",
+            name,
+            [=, this] {
+                recordDisruption(node);
+                m_fleet.nodeProcess(node).signal(SIGSTOP);
+            },
+            [=, this] {
+                m_fleet.nodeProcess(node).signal(SIGCONT);
+                endDisruption(node);
+            }};
     default:
         return {"stop", name, [] {}, [=, this] { stopNode(node); }};
     }
 }
 
+void Soak::restartTarget(std::size_t node)
+{
+    m_fleet.targetProcess(node).signal(SIGKILL);
+    m_fleet.targetProcess(node).wait();
+    m_fleet.startTarget(node);
+}
+
+// A rate limit that is lifted at the end, or a leaving that ends with a successor. It excludes other
+// faults of the target and of its connections: these hold calls back that were sent in time.
+Soak::Fault Soak::targetStatement(std::size_t node)
+{
+    const auto subject = fmt::format("target-{}", node);
+    if (m_random() % 3 == 0) {
+        return {
+            "state-leaving", subject, [=, this] { m_fleet.instructTarget(node, R"({"leaving": true})"); }, [=, this] { restartTarget(node); }, StatementLength};
+    }
+    static const std::vector<std::string> limits = {"0.5", "2", "3.5", "5", "6.5"};
+    const auto instruction = fmt::format(R"({{"rate_limit": "{}"}})", limits[m_random() % limits.size()]);
+    return {"state-limit",
+        subject,
+        [=, this] { m_fleet.instructTarget(node, instruction); },
+        [=, this] { m_fleet.instructTarget(node, R"({"rate_limit": ""})"); },
+        StatementLength};
+}
+
 Soak::Fault Soak::targetFault(std::size_t node)
 {
     const auto name = fmt::format("target-{}", node);
     switch (m_random() % 3) {
     case 0:
-        return {"kill",
-            name,
-            [=, this] { m_fleet.targetProcess(node).signal(SIGKILL); },
-            [=, this] {
-                m_fleet.targetProcess(node).wait();
-                m_fleet.startTarget(node);
-            }};
+        return {"kill", name, [=, this] { m_fleet.targetProcess(node).signal(SIGKILL); }, [=, this] { restartTarget(node); }};
     case 1:
         return {"pause", name, [=, this] { m_fleet.targetProcess(node).signal(SIGSTOP); }, [=, this] { m_fleet.targetProcess(node).signal(SIGCONT); }};
     default:
-        return connectionFault(fmt::format("connections-of-{}", name), *m_targetProxies[node]);
+        return connectionFault(name, *m_targetProxies[node]);
     }
 }
 
@@ -228,14 +300,16 @@
 
 Soak::Fault Soak::drawFault()
 {
-    const auto node = m_random() % Nodes;
-    switch (m_random() % 4) {
+    const auto node = m_random() % m_nodes;
+    switch (m_random() % 5) {
     case 0:
         return nodeFault(node);
     case 1:
         return targetFault(node);
     case 2:
         return storeFault();
+    case 3:
+        return targetStatement(node);
     default:
         // The store may reject what the operator writes during a store fault; checkRecovery writes
         // the last document again.
@@ -273,19 +347,24 @@
         }
         m_injectedFaults.push_back(fmt::format("{} {}@{}", fault.kind, fault.subject, std::chrono::duration_cast<Milliseconds>(Clock::now() - begin).count()));
         fault.begin();
-        running.push_back({Clock::now() + Milliseconds(100 + m_random() % MaxRandomFaultMs), fault.subject, fault.end});
+        running.push_back({Clock::now() + fault.minLength + Milliseconds(m_random() % MaxRandomFaultMs), fault.subject, fault.end});
     }
     endDue(TimePoint::max());
 }
 
+double Soak::callsPerSecond() const
+{
+    return m_largeFleet ? LargeFleetCallsPerSecond : CallsPerSecond;
+}
+
 std::vector<CallRecord> Soak::call(std::size_t calls, const std::string &prefix) const
 {
     LoadGenerator::Options load;
-    for (std::size_t node = 0; node < Nodes; ++node) {
+    for (std::size_t node = 0; node < m_nodes; ++node) {
         load.ingresses.push_back(m_fleet.ingress(node));
     }
     load.kinds = {{.method = "GET", .path = "/cola/1"}, {.method = "POST", .path = "/orden/1", .idempotent = false}};
-    load.rate = CallsPerSecond;
+    load.rate = callsPerSecond();
     load.calls = calls;
     load.timeout = Milliseconds(2500);
     load.seed = m_options.seed;
@@ -318,6 +397,17 @@
     }
 }
 
+void Soak::checkStatements(const std::vector<CallRecord> &records)
+{
+    const StatementRecords all{.targets = m_fleet.targetHistories(), .calls = records, .disruptions = m_disruptions};
+    for (auto &violation : rateLimitViolations(all)) {
+        addViolation("rate-limit", std::move(violation));
+    }
+    for (auto &violation : leavingViolations(all)) {
+        addViolation("leaving", std::move(violation));
+    }
+}
+
 int Soak::statusOf(std::size_t node, const std::string &path) const
 {
     HttpRequest request(http::verb::get, path, 11);
@@ -341,7 +431,7 @@
         return;
     }
     const auto last = fmt::format("/r{}/1", m_revision);
-    for (std::size_t node = 0; node < Nodes; ++node) {
+    for (std::size_t node = 0; node < m_nodes; ++node) {
         int status = 404;
         while ((status == 404 || status == 0) && Clock::now() < until + RecoveryLimit) {
             status = statusOf(node, last);
@@ -367,16 +457,17 @@
         return false;
     }
     std::vector<CallRecord> records;
-    std::thread callers([&] { records = call(static_cast<std::size_t>(CallsPerSecond * static_cast<double>(m_length.count()) / 1000), "soak"); });
+    std::thread callers([&] { records = call(static_cast<std::size_t>(callsPerSecond() * static_cast<double>(m_length.count()) / 1000), "soak"); });
     injectFaults();
     callers.join();
     checkRecovery();
     checkCalls(records);
+    checkStatements(records);
     const auto answered = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.outcome == CallOutcome::Answered; });
     nlohmann::json result = {{"bench", "soak"},
         {"commit", m_options.commit},
         {"seed", m_options.seed},
-        {"nodes", Nodes},
+        {"nodes", m_nodes},
         {"faults", m_injectedFaults},
         {"calls", records.size()},
         {"answered", answered},
