--- a/autotests/processes/explainfailuretest.cpp
+++ b/autotests/processes/explainfailuretest.cpp
@@ -1,4 +1,4 @@
-// Three kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
+// Four kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
 // engineer has to. The test causes the failure, and the client's explanation of the call must name that
 // cause.
 
@@ -120,6 +120,24 @@
     BOOST_TEST(table.find("expected_wait_ms=") != std::string::npos);
 }
 
+// The target states a limit of one call in two seconds and has a free slot. Calls beyond the limit are
+// rejected with a Retry-After; the explanation names the limit and its age.
+BOOST_FIXTURE_TEST_CASE(ExplainsARejectionByARateLimit, Fixture)
+{
+    BOOST_REQUIRE(fleet.instructTarget(0, R"({"rate_limit": "0.5"})"));
+    callAll({"limit-0"}, "cola");
+    const auto responses = callAll({"limit-1", "limit-2"}, "cola");
+    const auto &rejected = responses[statusOf(responses[0]) == 503 ? 0 : 1];
+    BOOST_REQUIRE(statusOf(rejected) == 503);
+    BOOST_TEST(rejected->count(http::field::retry_after) == 1U);
+    BOOST_TEST(rejected->body().find("was not run") != std::string::npos);
+    const auto table = explain(statusOf(responses[0]) == 503 ? "limit-1" : "limit-2", "call-refused");
+    BOOST_TEST_MESSAGE(table);
+    BOOST_TEST(table.find("reason=the target's rate limit is used up") != std::string::npos);
+    BOOST_TEST(table.find("rate_limit=0.5") != std::string::npos);
+    BOOST_TEST(table.find("rate_limit_age_ms=") != std::string::npos);
+}
+
 // The target is killed while it runs a call that must not be retried. The caller gets 502; the
 // explanation says which target had the call, and that it neither timed out nor was cancelled.
 BOOST_FIXTURE_TEST_CASE(ExplainsAKilledTarget, Fixture)
