log: Use the common token bucket for the lines of an event

Cause: the rate limit of targets brought a token bucket of its own kind to common/; the logger had the same logic for itself.

Change: the logger uses TokenBucket; its rate and burst are unchanged. StoreBudget and RetryBudget stay: the one reserves ahead, the other fills by calls, not by time.

--- a/src/adapters/log/jsonlogger.cpp
+++ b/src/adapters/log/jsonlogger.cpp
@@ -1,5 +1,7 @@
 #include "adapters/log/jsonlogger.h"
 
+#include "common/tokenbucket.h"
+
 #include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
@@ -14,8 +16,6 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 // Rate limit for the lines of one event: a burst, and a sustained rate. Ten events at their limit
 // amount to 200 lines or 60 KB per second.
 constexpr double BurstLines = 40;
@@ -26,31 +26,15 @@
 
 constexpr const char *LevelNames[] = {"debug", "info", "warning", "error"};
 
-// Token bucket for the lines of one event.
-struct EventRateLimit
-{
-    double tokens = BurstLines;
-    Clock::time_point updatedAt = Clock::now();
-
-    bool tryTake()
-    {
-        const auto now = Clock::now();
-        const auto passed = std::chrono::duration<double>(now - updatedAt).count();
-        updatedAt = now;
-        tokens = std::min(BurstLines, tokens + passed * LinesPerSecond);
-        const bool allowed = tokens >= 1;
-        tokens -= allowed ? 1 : 0;
-        return allowed;
-    }
-};
-
 class LineWriter
 {
 public:
     bool allows(std::string_view event)
     {
         const std::lock_guard lock(m_mutex);
-        const bool allowed = m_rateLimits[std::string(event)].tryTake();
+        const auto now = Clock::now();
+        const TokenBucket full({.tokensPerSecond = LinesPerSecond, .capacity = BurstLines, .initialTokens = BurstLines}, now);
+        const bool allowed = m_rateLimits.try_emplace(std::string(event), full).first->second.tryTake(now);
         m_dropped += allowed ? 0 : 1;
         return allowed;
     }
@@ -71,7 +55,7 @@
 
 private:
     std::mutex m_mutex;
-    std::map<std::string, EventRateLimit> m_rateLimits;
+    std::map<std::string, TokenBucket> m_rateLimits;
     std::uint64_t m_dropped = 0;
 };
 
