daemon: Bound the wait for a rate limit that is reported to other nodes

Seen: by reading. Under a limit of 0.5 a second a target's expected wait is seconds; nodes report the mean wait of a service's targets in a data centre, so that one limited target made the others there look slow too.

Change: the wait for a rate limit is reported as 250 ms at most. What a rejected call is given as Retry-After is not bounded by it.

Evidence: slotqueuetest; without a stated limit nothing changes.

--- a/autotests/unit/slotqueuetest.cpp
+++ b/autotests/unit/slotqueuetest.cpp
@@ -210,6 +210,8 @@
     BOOST_TEST(slots->freeSlots() == 0U);
     BOOST_TEST((slots->costOf(offered) > Milliseconds(1500)));
     BOOST_TEST((slots->costOf(offered) <= Milliseconds(2000)));
+    // Guards against one limited target that makes its whole data centre seem full.
+    BOOST_TEST((slots->expectedWait() == Milliseconds(250)));
     // A large body, once received, would wait here and not go to another target.
     const auto upload = call(Milliseconds(500));
     BOOST_TEST(!slots->canMeetObjective(upload, Clock::now()));
--- a/src/daemon/slotqueue.cpp
+++ b/src/daemon/slotqueue.cpp
@@ -26,6 +26,10 @@
 // Guards against admitting all calls, most of them late, after a restart of all nodes.
 constexpr double AssumedLatencyShare = 1.0 / 3;
 
+// Bounds the wait for a rate limit that is reported to other nodes. It keeps calls away as well as a
+// longer one, which would dominate the mean wait of the targets of a data centre.
+constexpr Microseconds MaxReportedRateWait{250000};
+
 // Share of the time until the latest start of its call that a large body may take to arrive. The
 // rest allows for what the link schedule cannot know: a sender whose own link is busy, packet loss,
 // other traffic.
@@ -223,7 +227,11 @@
 
 std::chrono::microseconds SlotQueue::expectedWait() const
 {
-    return freeSlots() > 0 ? Microseconds(0) : waitAt(m_queue.size() + 1);
+    if (freeSlots() > 0) {
+        return Microseconds(0);
+    }
+    const auto wait = waitAt(m_queue.size() + 1);
+    return isRateLimited() ? std::min(wait, MaxReportedRateWait) : wait;
 }
 
 void SlotQueue::rejectUnschedulable()
