daemon: Keep the age of a rate limit and its check in one place

Cause: found on reading the change: two constants of four seconds, in the wiring and in the service of the target, stood for one decision.

Change: the service of the target asks for the limit's age and decides.

Evidence: targetratelimittest, LimitOfZeroIsHeldAndCanBeLifted, and targetservicetest pass; no behaviour changes.

--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -73,10 +73,6 @@
 constexpr int MissedHeartbeats = 4;
 constexpr Milliseconds HeartbeatMargin{2000};
 
-// Age of the target's stated rate limit from which a health check asks whether it still applies: under
-// a limit near zero no call's response tells.
-constexpr Milliseconds MaxStatementAge{4000};
-
 // Share of the fleet's retry budget that its nodes use, and the minimum slack of one node.
 // The nodes do not coordinate every call, so each of them stays below its part.
 constexpr double RetryBudgetShare = 0.65;
@@ -262,7 +258,7 @@
         .targetIdField = options.headerNames.targetId,
         .log = log,
         .responded = [this](const HttpResponse &response, TimePoint sentAt) { sidecar.targetResponded(response, sentAt); },
-        .needsStatement = [this] { return sidecar.rateLimiter().limit() && sidecar.rateLimiter().age(Clock::now()) >= MaxStatementAge; },
+        .rateLimitAge = [this] { return sidecar.rateLimiter().limit() ? std::optional(sidecar.rateLimiter().age(Clock::now())) : std::nullopt; },
         .changed = [this](const TargetAnnouncement &target, MemberState newState) { targetChanged(target, newState); }};
 }
 
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -9,8 +9,9 @@
 // Time between two health checks of a target whose announcement has not been confirmed yet.
 constexpr Milliseconds CheckInterval{300};
 
-// Time between two health checks of a ready target, which wait for the slots of its calls.
-constexpr Milliseconds StatementInterval{4000};
+// Age of a rate limit from which a health check asks whether it still applies, and time between two such
+// checks: under a limit near zero no call's response tells.
+constexpr Milliseconds MaxRateLimitAge{4000};
 
 const char *registrationResultName(TargetRegistration::RegistrationResult result)
 {
@@ -44,10 +45,11 @@
     std::uint32_t publishedSlots = 0;
     TargetVersion publishedVersion;
     bool checking = false;
-    TimePoint lastStatementCheck;
+    TimePoint lastRateLimitCheck;
 
     TargetRegistration::RegistrationResult processMessage(const TargetMessage &message);
     void publish(const char *cause);
+    void checkOldRateLimit();
     void startCheck();
     asio::awaitable<void> check();
     asio::awaitable<void> checkOnce();
@@ -94,11 +96,16 @@
 void TargetService::tick()
 {
     d->publish("silent");
+    d->checkOldRateLimit();
+}
+
+void TargetService::Private::checkOldRateLimit()
+{
+    const auto age = options.rateLimitAge && published == MemberState::Ready ? options.rateLimitAge() : std::nullopt;
     const auto now = Clock::now();
-    const bool due = d->published == MemberState::Ready && now - d->lastStatementCheck >= StatementInterval;
-    if (due && d->options.needsStatement && d->options.needsStatement()) {
-        d->lastStatementCheck = now;
-        d->startCheck();
+    if (age && *age >= MaxRateLimitAge && now - lastRateLimitCheck >= MaxRateLimitAge) {
+        lastRateLimitCheck = now;
+        startCheck();
     }
 }
 
--- a/src/daemon/targetservice.h
+++ b/src/daemon/targetservice.h
@@ -41,8 +41,9 @@
         Logger log;
         // Called with each response of the target to a health check that was sent at that time. May be null.
         std::function<void(const HttpResponse &response, TimePoint sentAt)> responded;
-        // Whether to check the health of a ready target now, to learn what it states. May be null.
-        std::function<bool()> needsStatement;
+        // Returns the time since the target last stated the rate limit in force; nothing without a
+        // limit. May be null.
+        std::function<std::optional<Milliseconds>()> rateLimitAge;
         // Called when the target's state, id, slots or version changes. Returns only after the sidecar has
         // stopped sending calls to a target that accepts none, so that this precedes the response to the
         // target.
