bench: Read stated limits in the check as nodes do

Change: statementchecks parses a stated limit with parseRate, as the sidecar does, in place of a second definition of what is a number.

Evidence: statementcheckstest passes.

--- a/bench/statementchecks.cpp
+++ b/bench/statementchecks.cpp
@@ -1,5 +1,7 @@
 #include "statementchecks.h"
 
+#include "core/calls/statedratelimit.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
@@ -104,16 +106,15 @@
             }
             continue;
         }
-        char *parsed = nullptr;
-        const double limit = std::strtod(event.value.c_str(), &parsed);
-        // Nodes ignore what is not a number, and so does the check.
-        if (parsed == event.value.c_str() || *parsed != '\0' || !(limit >= 0)) {
+        // A malformed value states nothing.
+        const auto limit = parseRate(event.value);
+        if (!limit) {
             continue;
         }
         if (!open) {
             spans.emplace_back();
         }
-        spans.back().limits.emplace_back(event.time, limit);
+        spans.back().limits.emplace_back(event.time, limit->value());
     }
     return spans;
 }
