--- a/autotests/unit/statedratelimittest.cpp
+++ b/autotests/unit/statedratelimittest.cpp
@@ -37,7 +37,7 @@
 
 }
 
-// Guards against a malformed value that is taken for a limit, or for one of zero.
+// Guards against a malformed value that is parsed as a limit, or as one of zero.
 BOOST_AUTO_TEST_CASE(ParsesDecimalNumbersOnly)
 {
     for (const auto *text :
--- a/autotests/unit/targetservicetest.cpp
+++ b/autotests/unit/targetservicetest.cpp
@@ -49,7 +49,7 @@
 
 }
 
-// Guards against a target that restarts under its id between two heartbeats and is taken for the old
+// Guards against a target that restarts under its id between two heartbeats and counts as the old
 // process, with its connections, rate limit and service times.
 BOOST_FIXTURE_TEST_CASE(ReportsARestartUnderTheSameId, Fixture)
 {
