calls: Log and count responses that end early and attempts that are cancelled

Cause: a response that ended after its first part left no trace. The sidecar logged only responses that were dropped before it, the ingress counted the call as answered, and nothing told an attempt that the ingress had cancelled itself from one whose caller had left.

Change: sendStreamed() returns how the response ended. The sidecar logs response-ended-early with who ended it, the bytes sent, the backlog of the link and the time left; the ingress reports such a call as outcome unknown, with the bytes and the side that ended it; the lines of a call name the attempts that the ingress cancelled, and when. Metrics: responses_interrupted, responses_ended_early, attempts_cancelled, calls_cancelled_in_vain. No decision changes.

--- a/autotests/unit/bodyreceivertest.cpp
+++ b/autotests/unit/bodyreceivertest.cpp
@@ -90,9 +90,9 @@
         return &body;
     }
 
-    asio::awaitable<void> sendStreamed(HttpResponse, BodySource &) override
+    asio::awaitable<StreamResult> sendStreamed(HttpResponse, BodySource &) override
     {
-        co_return;
+        co_return StreamResult();
     }
 
     FakeBody body;
--- a/autotests/unit/slotqueuetest.cpp
+++ b/autotests/unit/slotqueuetest.cpp
@@ -30,9 +30,9 @@
         return nullptr;
     }
 
-    asio::awaitable<void> sendStreamed(HttpResponse, BodySource &) override
+    asio::awaitable<StreamResult> sendStreamed(HttpResponse, BodySource &) override
     {
-        co_return;
+        co_return StreamResult();
     }
 
 private:
--- a/src/adapters/http/serverconnection.h
+++ b/src/adapters/http/serverconnection.h
@@ -3,6 +3,7 @@
 #include "adapters/http/bodysource.h"
 #include "adapters/http/cancellation.h"
 #include "adapters/http/httpmessage.h"
+#include "adapters/http/streamresult.h"
 
 namespace Galenahill {
 
@@ -34,7 +35,7 @@
     // Sends a response whose body continues with `rest` after the part in `response`. The
     // handler's return value is then ignored. If the source fails, the connection is closed,
     // so that the peer can't mistake the truncated body for a complete one.
-    virtual asio::awaitable<void> sendStreamed(HttpResponse response, BodySource &rest) = 0;
+    virtual asio::awaitable<StreamResult> sendStreamed(HttpResponse response, BodySource &rest) = 0;
 };
 
 }
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -232,7 +232,7 @@
     m_failed = m_failed || error;
 }
 
-asio::awaitable<void> ServerExchange::sendStreamed(HttpResponse response, BodySource &rest)
+asio::awaitable<StreamResult> ServerExchange::sendStreamed(HttpResponse response, BodySource &rest)
 {
     m_responded = true;
     bool isTurn = m_connection.isFirst(*this);
@@ -241,7 +241,7 @@
     }
     if (!isTurn) {
         m_failed = true;
-        co_return;
+        co_return StreamResult{.error = asio::error::operation_aborted};
     }
     const auto length = rest.length();
     const bool chunked = !length && m_version >= 11;
@@ -259,21 +259,25 @@
         header.chunked(chunked);
     }
     m_connection.setTimeLimit(m_connection.options().readTimeout);
-    ErrorCode error = co_await m_channel.writeHeader(header);
-    if (!error) {
-        error = co_await sendParts(std::move(part), rest, chunked);
+    StreamResult result;
+    result.error = co_await m_channel.writeHeader(header);
+    if (!result.error) {
+        result = co_await sendParts(std::move(part), rest, chunked);
     }
-    m_failed = m_failed || error;
+    m_failed = m_failed || result.error;
+    co_return result;
 }
 
-asio::awaitable<ErrorCode> ServerExchange::sendParts(std::string part, BodySource &rest, bool chunked)
+asio::awaitable<StreamResult> ServerExchange::sendParts(std::string part, BodySource &rest, bool chunked)
 {
     const auto timeout = m_connection.options().readTimeout;
-    ErrorCode error;
+    StreamResult result;
+    auto &error = result.error;
     while (!error && !(part.empty() && rest.done())) {
         if (part.empty()) {
             m_connection.watchPeer();
             error = co_await rest.read(part, PartBytes);
+            result.sourceFailed = static_cast<bool>(error);
             continue;
         }
         m_connection.setTimeLimit(timeout);
@@ -284,6 +288,7 @@
         } else {
             error = co_await m_channel.write(buffer);
         }
+        result.bytes += error ? 0 : part.size();
         part.clear();
     }
     if (!error && chunked) {
@@ -291,7 +296,7 @@
         m_connection.setTimeLimit(timeout);
         error = co_await m_channel.write(last);
     }
-    co_return error;
+    co_return result;
 }
 
 asio::awaitable<ErrorCode> ServerExchange::reject(RequestError requestError)
--- a/src/adapters/http/serverexchange.h
+++ b/src/adapters/http/serverexchange.h
@@ -51,7 +51,7 @@
     std::string peerAddress() const override;
     Cancellation &cancellation() override;
     BodySource *requestBody() override;
-    asio::awaitable<void> sendStreamed(HttpResponse response, BodySource &rest) override;
+    asio::awaitable<StreamResult> sendStreamed(HttpResponse response, BodySource &rest) override;
 
     // Whether the request has been passed to the handler.
     bool started = false;
@@ -63,7 +63,7 @@
     class RequestBody;
 
     asio::awaitable<ErrorCode> sendContinue();
-    asio::awaitable<ErrorCode> sendParts(std::string part, BodySource &rest, bool chunked);
+    asio::awaitable<StreamResult> sendParts(std::string part, BodySource &rest, bool chunked);
     std::optional<RequestError> requestErrorOf(const ErrorCode &error) const;
     bool keepsAfterResponse() const;
     bool buffersBody() const;
--- a/src/daemon/calls/attemptconnection.cpp
+++ b/src/daemon/calls/attemptconnection.cpp
@@ -39,10 +39,16 @@
     return m_caller.requestBody();
 }
 
-asio::awaitable<void> AttemptConnection::sendStreamed(HttpResponse response, BodySource &rest)
+asio::awaitable<StreamResult> AttemptConnection::sendStreamed(HttpResponse response, BodySource &rest)
 {
     m_responseStarted = true;
-    co_await m_caller.sendStreamed(std::move(response), rest);
+    m_streamResult = co_await m_caller.sendStreamed(std::move(response), rest);
+    co_return *m_streamResult;
+}
+
+const std::optional<StreamResult> &AttemptConnection::streamResult() const
+{
+    return m_streamResult;
 }
 
 bool AttemptConnection::responseStarted() const
--- a/src/daemon/calls/attemptconnection.h
+++ b/src/daemon/calls/attemptconnection.h
@@ -2,6 +2,8 @@
 
 #include "adapters/http/serverconnection.h"
 
+#include <optional>
+
 namespace Galenahill {
 
 // The caller's connection as one attempt sees it. The attempt can be cancelled on its own, and is
@@ -20,16 +22,20 @@
     bool usesLink() const override;
     Cancellation &cancellation() override;
     BodySource *requestBody() override;
-    asio::awaitable<void> sendStreamed(HttpResponse response, BodySource &rest) override;
+    asio::awaitable<StreamResult> sendStreamed(HttpResponse response, BodySource &rest) override;
 
     // Whether a streamed response to the caller has started, so that another attempt is no longer
     // possible.
     bool responseStarted() const;
 
+    // How the streamed response ended; empty if there was none, or it is being sent.
+    const std::optional<StreamResult> &streamResult() const;
+
 private:
     ServerConnection &m_caller;
     Cancellation m_cancellation;
     bool m_responseStarted = false;
+    std::optional<StreamResult> m_streamResult;
 };
 
 }
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -173,6 +173,21 @@
     return d->callsWithoutTime;
 }
 
+std::uint64_t Ingress::cancelledAttempts() const
+{
+    return d->cancelledAttempts;
+}
+
+std::uint64_t Ingress::callsCancelledInVain() const
+{
+    return d->callsCancelledInVain;
+}
+
+std::uint64_t Ingress::responsesEndedEarly() const
+{
+    return d->responsesEndedEarly;
+}
+
 std::uint64_t Ingress::retries() const
 {
     return d->retriesMade;
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -57,6 +57,10 @@
     Milliseconds waitedBefore{0};
     bool waitCounts = false;
     bool cancelled = false;
+    // Number of attempts that were cancelled in favour of a retry, and the time from the call's begin to
+    // the last one.
+    std::uint32_t cancelledAttempts = 0;
+    Milliseconds cancelledAfter{0};
     // Whether this is a nested call of a call that the local target was running.
     bool hasRunningParent = false;
     // IP address of the caller.
@@ -132,6 +136,14 @@
     // Number of attempts after the first attempt of a call.
     std::uint64_t retries() const;
 
+    // Number of attempts that were cancelled in favour of a retry, and of calls whose outcome is unknown
+    // after that.
+    std::uint64_t cancelledAttempts() const;
+    std::uint64_t callsCancelledInVain() const;
+
+    // Number of responses that ended early although their callers had not left.
+    std::uint64_t responsesEndedEarly() const;
+
     // Number of calls shed in favour of calls of higher priority.
     std::uint64_t shedCalls() const;
 
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -49,6 +49,9 @@
     std::atomic<std::uint64_t> shedCalls = 0;
     std::atomic<std::uint64_t> returnedCalls = 0;
     std::atomic<std::uint64_t> callsWithoutTime = 0;
+    std::atomic<std::uint64_t> cancelledAttempts = 0;
+    std::atomic<std::uint64_t> callsCancelledInVain = 0;
+    std::atomic<std::uint64_t> responsesEndedEarly = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
 
@@ -69,11 +72,12 @@
         IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &remainingBody);
     asio::awaitable<Result<HttpResponse>> sendWithTimeout(
         IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &remainingBody);
-    void cancelOnceRetryable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
+    void cancelOnceRetryable(IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
     void setSidecarFields(IngressCall &call, bool mayWait) const;
     bool isShed(IngressCall &call);
     HttpResponse rejection(IngressCall &call);
     HttpResponse finalResponse(IngressCall &call, Attempt last);
+    void recordEarlyEnd(IngressCall &call, const StreamResult &result, HttpResponse &response);
     void report(const IngressCall &call, const HttpResponse &response) const;
     void reportUnrouted(const IngressCall &call, unsigned status, std::string reason) const;
 };
--- a/src/daemon/calls/ingressattempt.cpp
+++ b/src/daemon/calls/ingressattempt.cpp
@@ -90,7 +90,7 @@
 // A slow target may still respond. If the attempt were cancelled while no other target has a free
 // slot, or the retry budget is used up, the target's work would be lost and the caller would get an
 // error instead of a late response.
-void Ingress::Private::cancelOnceRetryable(const IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer)
+void Ingress::Private::cancelOnceRetryable(IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer)
 {
     timer->async_wait([this, &call, &connection, weak = std::weak_ptr(timer)](const ErrorCode &error) {
         // The attempt owns the timer: if the timer is gone, so are the call and the connection.
@@ -99,6 +99,9 @@
             return;
         }
         if (router.canRetryElsewhere(call)) {
+            ++cancelledAttempts;
+            ++call.cancelledAttempts;
+            call.cancelledAt = Clock::now();
             connection.cancellation().cancel();
             return;
         }
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -59,6 +59,9 @@
     std::optional<Milliseconds> backlog;
     std::optional<Milliseconds> retryAfter;
     std::string reason;
+    // Number of attempts that were cancelled in favour of a retry, and the time of the last one.
+    std::uint32_t cancelledAttempts = 0;
+    TimePoint cancelledAt;
     // Whether a node closer to the first caller retries the call if it fails.
     bool retriedAbove = false;
     // Whether the body is long enough to occupy a slow link for a while.
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -1,5 +1,6 @@
 #include "daemon/calls/ingress_p.h"
 
+#include "core/calls/callheaders.h"
 #include "daemon/calls/callmessages.h"
 
 #include <fmt/format.h>
@@ -33,6 +34,8 @@
         .waitedBefore = call.waitedBefore,
         .waitCounts = call.waitCounts,
         .cancelled = call.connection.cancellation().cancelled(),
+        .cancelledAttempts = call.cancelledAttempts,
+        .cancelledAfter = call.cancelledAttempts > 0 ? std::chrono::duration_cast<Milliseconds>(call.cancelledAt - call.begin) : Milliseconds(0),
         .hasRunningParent = call.hasRunningParent,
         .caller = call.connection.peerAddress(),
         .reason = call.reason});
@@ -50,6 +53,19 @@
     }
 }
 
+// The response has been sent, so the change is only for the log and the metrics.
+void Ingress::Private::recordEarlyEnd(IngressCall &call, const StreamResult &result, HttpResponse &response)
+{
+    if (!result.error) {
+        return;
+    }
+    const bool callerLeft = call.connection.cancellation().cancelled() || !result.sourceFailed;
+    responsesEndedEarly += callerLeft ? 0 : 1;
+    call.reason
+        = fmt::format("the response ended after {} bytes, {}: {}", result.bytes, callerLeft ? "by the caller" : "by the sidecar", result.error.message());
+    response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
+}
+
 HttpResponse Ingress::Private::finalResponse(IngressCall &call, Attempt last)
 {
     if (last.result == AttemptResult::Answered || last.result == AttemptResult::Failed || last.result == AttemptResult::Overloaded) {
@@ -58,6 +74,7 @@
     }
     if (call.unknownOutcomes > 0 || mayHaveRun(last.result)) {
         const bool late = Clock::now() >= call.deadline;
+        callsCancelledInVain += call.cancelledAttempts > 0 ? 1 : 0;
         return outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
     }
--- a/src/daemon/calls/ingressrouting.cpp
+++ b/src/daemon/calls/ingressrouting.cpp
@@ -34,11 +34,16 @@
     }
     if (last.remainingBody) {
         stripFields(last.response, options.headerNames);
-        const HttpResponse sent(last.response.result(), last.response.version());
-        co_await call.connection.sendStreamed(std::move(last.response), *last.remainingBody);
+        HttpResponse sent(last.response.result(), last.response.version());
+        const auto result = co_await call.connection.sendStreamed(std::move(last.response), *last.remainingBody);
+        recordEarlyEnd(call, result, sent);
         co_return sent;
     }
-    co_return finalResponse(call, std::move(last));
+    auto response = finalResponse(call, std::move(last));
+    if (call.attemptConnection && call.attemptConnection->streamResult()) {
+        recordEarlyEnd(call, *call.attemptConnection->streamResult(), response);
+    }
+    co_return response;
 }
 
 }
--- a/src/daemon/calls/pacedbody.cpp
+++ b/src/daemon/calls/pacedbody.cpp
@@ -64,15 +64,22 @@
 asio::awaitable<bool> PacedBody::waitForFirstPart()
 {
     m_granted = co_await m_sender->waitForPart(m_ticket, bytesLeft(), m_connection);
+    m_givenUp = m_granted == 0;
     co_return m_granted > 0;
 }
 
+bool PacedBody::givenUp() const
+{
+    return m_givenUp;
+}
+
 asio::awaitable<ErrorCode> PacedBody::read(std::string &part, std::size_t limit)
 {
     if (m_granted == 0) {
         m_granted = co_await m_sender->waitForPart(m_ticket, bytesLeft(), m_connection);
     }
     if (m_granted == 0) {
+        m_givenUp = true;
         co_return asio::error::operation_aborted;
     }
     const auto count = std::min<std::uint64_t>(limit, m_granted);
--- a/src/daemon/calls/pacedbody.h
+++ b/src/daemon/calls/pacedbody.h
@@ -23,6 +23,9 @@
     // Waits until the first part may be sent; false if the response is not to be sent.
     asio::awaitable<bool> waitForFirstPart();
 
+    // Whether the schedule has granted no further part.
+    bool givenUp() const;
+
     asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override;
     bool done() const override;
     bool readStarted() const override;
@@ -43,6 +46,7 @@
     std::size_t m_sentFromBuffer = 0;
     // Bytes that may be sent.
     std::uint64_t m_granted = 0;
+    bool m_givenUp = false;
 };
 
 }
--- a/src/daemon/calls/responsesender.cpp
+++ b/src/daemon/calls/responsesender.cpp
@@ -157,13 +157,17 @@
 {
     const bool granted = co_await body.waitForFirstPart();
     if (!granted) {
-        if (!connection.cancellation().cancelled()) {
-            logDecision("dropped", call, Clock::now() + backlogTime(), Clock::now());
-            ++m_counts.dropped;
-        }
+        const bool readerLeft = connection.cancellation().cancelled();
+        m_counts.dropped += readerLeft ? 0 : 1;
+        logEarlyEnd(call, body, {.error = asio::error::operation_aborted, .sourceFailed = true}, readerLeft);
         co_return outcomeUnknownResponse("the response cannot be complete by the call's deadline");
     }
-    co_await connection.sendStreamed(std::move(response), body);
+    const auto result = co_await connection.sendStreamed(std::move(response), body);
+    if (result.error) {
+        const bool readerLeft = connection.cancellation().cancelled() || !result.sourceFailed;
+        m_counts.interrupted += readerLeft || !body.givenUp() ? 0 : 1;
+        logEarlyEnd(call, body, result, readerLeft);
+    }
     co_return std::nullopt;
 }
 
@@ -237,6 +241,28 @@
     });
 }
 
+// Names who ended the response, and what was known when it ended.
+void ResponseSender::logEarlyEnd(const SlotCall &call, const PacedBody &body, const StreamResult &result, bool readerLeft) const
+{
+    const auto left = call.deadline - Clock::now();
+    const auto bytes = body.length();
+    const auto missing = bytes ? m_schedule.linkTime(*bytes - std::min(result.bytes, *bytes)) : Clock::duration(0);
+    m_options.log(LogLevel::Info,
+        "response-ended-early",
+        {{"id", call.id},
+            {"route", call.route.value()},
+            {"ended_by",
+                readerLeft           ? "ingress"
+                    : body.givenUp() ? "schedule"
+                                     : "target"},
+            {"reason", body.givenUp() ? "the rest cannot arrive by the deadline" : result.error.message()},
+            {"sent_bytes", result.bytes},
+            {"bytes", bytes ? static_cast<std::int64_t>(*bytes) : -1},
+            {"backlog_bytes", m_schedule.backlogBytes()},
+            {"missing_ms", milliseconds(missing).count()},
+            {"left_ms", milliseconds(left).count()}});
+}
+
 void ResponseSender::logDecision(const char *decision, const SlotCall &call, TimePoint expectedCompletion, TimePoint now) const
 {
     const auto size = m_sizes.estimate(call.route, now);
--- a/src/daemon/calls/responsesender.h
+++ b/src/daemon/calls/responsesender.h
@@ -35,6 +35,8 @@
         std::uint64_t rejected = 0;
         // Responses that were produced and could not be complete by the deadline.
         std::uint64_t dropped = 0;
+        // Responses that were given up while they were being sent, for the same reason.
+        std::uint64_t interrupted = 0;
     };
 
     explicit ResponseSender(Options options);
@@ -83,6 +85,7 @@
     static void wake(Pending &pending, std::uint64_t granted);
     void process();
     void armTimer(TimePoint now);
+    void logEarlyEnd(const SlotCall &call, const PacedBody &body, const StreamResult &result, bool readerLeft) const;
     void logDecision(const char *decision, const SlotCall &call, TimePoint expectedCompletion, TimePoint now) const;
 
     Options m_options;
--- a/src/daemon/calls/sidecar_p.h
+++ b/src/daemon/calls/sidecar_p.h
@@ -81,6 +81,7 @@
     asio::awaitable<HttpResponse> sendLarge(
         HttpResponse response, std::unique_ptr<BodySource> rest, const SlotCall &call, AdmissionController::ReleaseReason reason, ServerConnection &connection);
     HttpResponse rejectBody(const SlotCall &call, TimePoint arrival) const;
+    void logEarlyEnd(const SlotCall &call, const StreamResult &result, ServerConnection &connection) const;
     asio::awaitable<HttpResponse> forward(HttpRequest request, SlotCall call, ServerConnection &connection);
 };
 
--- a/src/daemon/calls/sidecarforward.cpp
+++ b/src/daemon/calls/sidecarforward.cpp
@@ -17,6 +17,19 @@
 
 }
 
+void Sidecar::Private::logEarlyEnd(const SlotCall &call, const StreamResult &result, ServerConnection &connection) const
+{
+    const bool readerLeft = connection.cancellation().cancelled() || !result.sourceFailed;
+    options.log(LogLevel::Info,
+        "response-ended-early",
+        {{"id", call.id},
+            {"route", call.route.value()},
+            {"ended_by", readerLeft ? "ingress" : "target"},
+            {"reason", result.error.message()},
+            {"sent_bytes", result.bytes},
+            {"left_ms", std::chrono::duration_cast<Milliseconds>(call.deadline - Clock::now()).count()}});
+}
+
 asio::awaitable<HttpResponse> Sidecar::Private::forward(HttpRequest request, SlotCall call, ServerConnection &connection)
 {
     using Reason = AdmissionController::ReleaseReason;
@@ -79,8 +92,11 @@
         }
         if (streamed) {
             reportLoad(answer);
-            co_await connection.sendStreamed(std::move(answer), *remainingBody);
+            const auto result = co_await connection.sendStreamed(std::move(answer), *remainingBody);
             slots->release(call, reason);
+            if (result.error) {
+                logEarlyEnd(call, result, connection);
+            }
             co_return answer;
         }
         // The reported load leaves this call out: otherwise a target with one slot would never appear to
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -205,6 +205,7 @@
         {"responses_waited", static_cast<double>(responses.counts().waited)},
         {"responses_rejected", static_cast<double>(responses.counts().rejected)},
         {"responses_dropped", static_cast<double>(responses.counts().dropped)},
+        {"responses_interrupted", static_cast<double>(responses.counts().interrupted)},
         {"responses_buffered_bytes", static_cast<double>(responses.schedule().bufferedBytes())},
         {"responses_backlog_bytes", static_cast<double>(responses.schedule().backlogBytes())},
         {"customers_above_share", static_cast<double>(sidecar.customersAboveShare())},
@@ -215,6 +216,9 @@
         {"calls_without_time", static_cast<double>(ingress.callsWithoutTime())},
         {"calls_returned", static_cast<double>(ingress.returnedCalls())},
         {"call_retries", static_cast<double>(ingress.retries())},
+        {"attempts_cancelled", static_cast<double>(ingress.cancelledAttempts())},
+        {"calls_cancelled_in_vain", static_cast<double>(ingress.callsCancelledInVain())},
+        {"responses_ended_early", static_cast<double>(ingress.responsesEndedEarly())},
         {"load_targets_known", static_cast<double>(loads.knownTargets())},
         {"load_oldest_ms", static_cast<double>(loads.oldestTargetAge(Clock::now()).count())},
         {"load_reports_dropped", static_cast<double>(loads.dropped())},
@@ -285,6 +289,8 @@
             {"waited_before_ms", call.waitedBefore.count()},
             {"wait_counts", call.waitCounts},
             {"for_running_call", call.hasRunningParent},
+            {"cancelled_attempts", call.cancelledAttempts},
+            {"cancelled_after_ms", call.cancelledAfter.count()},
             {"caller", call.caller},
             {"reason", call.reason}});
 }
