autotests: Show both forms of the loss in tests that fail

What callers saw: connections that end in the middle of a response although the link and the caller had time left, and 502 for calls that a target was running.

--- /dev/null
+++ b/autotests/unit/producedresponsetest.cpp
@@ -0,0 +1,57 @@
+#include "largeresponsefixture.h"
+
+using namespace Galenahill;
+using namespace Galenahill::Test;
+
+namespace {
+
+constexpr Milliseconds Deadline{1500};
+constexpr std::size_t LongBytes = 900'000;
+constexpr std::size_t ShortBytes = 400'000;
+
+struct Fixture : LargeResponseFixture
+{
+    Fixture()
+        : LargeResponseFixture(testAddress(40), SlowLink, 9)
+    {
+        exportMs = 300;
+    }
+
+    std::unique_ptr<Caller> send(std::size_t bytes, Milliseconds deadline) const
+    {
+        return std::make_unique<Caller>(ingressEndpoint, "/export/" + std::to_string(bytes), static_cast<int>(deadline.count()));
+    }
+};
+
+}
+
+// Guards against ending a transfer before its caller's deadline because its rest is expected to arrive
+// too late (LOST): shorter responses are produced while a long one is being sent.
+BOOST_FIXTURE_TEST_CASE(TransferIsNotEndedBeforeItsDeadline, Fixture)
+{
+    const auto sentAt = Clock::now();
+    const auto longer = send(LongBytes, Deadline);
+    std::this_thread::sleep_for(Milliseconds(50));
+    std::vector<std::unique_ptr<Caller>> shorter;
+    for (int i = 0; i < 3; ++i) {
+        shorter.push_back(send(ShortBytes, 10 * Deadline));
+    }
+    BOOST_REQUIRE(longer->readTo("\r\n\r\n").find("200 OK") != std::string::npos);
+    const bool complete = longer->skip(LongBytes);
+    BOOST_TEST((complete || Clock::now() - sentAt >= Deadline));
+    for (const auto &caller : shorter) {
+        BOOST_TEST(caller->receives(ShortBytes));
+    }
+}
+
+// Guards against answering "outcome unknown" before the deadline in place of a complete response, because
+// that is expected to take too long.
+BOOST_FIXTURE_TEST_CASE(ProducedResponseIsNotReplacedBeforeItsDeadline, Fixture)
+{
+    exportMs = 0;
+    const auto sentAt = Clock::now();
+    const auto caller = send(3 * LongBytes, Deadline);
+    const auto header = caller->readTo("\r\n\r\n");
+    const bool replaced = header.find("200 OK") == std::string::npos;
+    BOOST_TEST((!replaced || Clock::now() - sentAt >= Deadline));
+}
