cli: Name who ended a response early in explain

Cause: a response that ends before it is complete leaves a line among many at the node beside the target; whoever explains the call has to know the event.

Change: explain says below its table which node ended the response, at which byte, why, how much time was left, and what the link had to send.

--- a/src/cli/calltrace.cpp
+++ b/src/cli/calltrace.cpp
@@ -19,16 +19,34 @@
 // that node's clock is corrected.
 constexpr std::int64_t ClockToleranceMs = 20;
 
-std::int64_t wallClockTime(const nlohmann::ordered_json &line)
-{
-    return line.value("time_ms", std::int64_t(0));
-}
+// A line that names who ended a response before it was complete.
+constexpr const char *EarlyEndEvent = "response-ended-early";
 
 std::string formatField(const nlohmann::ordered_json &value)
 {
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+// Says who ended the response, at which byte and why, with the state of the link if the node knows it.
+std::string describeEarlyEnd(const nlohmann::ordered_json &line, const std::string &node)
+{
+    const auto field = [&line](const char *name) { return line.contains(name) ? formatField(line.at(name)) : std::string("?"); };
+    auto text = fmt::format("the response ended early at {}: ended by the {} after {} bytes", node, field("ended_by"), field("sent_bytes"));
+    if (line.value("bytes", std::int64_t(-1)) >= 0) {
+        text += fmt::format(" of {}", field("bytes"));
+    }
+    text += fmt::format(" ({}), {} ms before the deadline", field("reason"), field("left_ms"));
+    if (line.contains("backlog_bytes")) {
+        text += fmt::format("; the link's backlog was {} bytes, the rest would have taken {} ms", field("backlog_bytes"), field("missing_ms"));
+    }
+    return text;
+}
+
+std::int64_t wallClockTime(const nlohmann::ordered_json &line)
+{
+    return line.value("time_ms", std::int64_t(0));
+}
+
 std::string formatDetails(const nlohmann::ordered_json &line)
 {
     std::string text;
@@ -172,6 +190,11 @@
         text += fmt::format(
             "\n{:>8}  {:<24} {:<22} {}", line.time - lines.front().time, line.node, line.fields.value("event", std::string("?")), formatDetails(line.fields));
     }
+    for (const auto &line : lines) {
+        if (line.fields.value("event", std::string()) == EarlyEndEvent) {
+            text += "\n" + describeEarlyEnd(line.fields, line.node);
+        }
+    }
     for (const auto &[node, clock] : m_clocks) {
         if (clock.steps > 0) {
             text += fmt::format("\nthe wall clock of {} stepped {} times in its log; its lines are ordered by its monotonic clock", node, clock.steps);
--- a/src/cli/calltrace.h
+++ b/src/cli/calltrace.h
@@ -27,7 +27,8 @@
     // The lines as they were logged, and the detected clock steps and differences per node.
     nlohmann::json json() const;
 
-    // One row per line: milliseconds since the first line, node, event, and the event's other fields.
+    // One row per line: milliseconds since the first line, node, event, and the event's other fields. Below
+    // them, who ended a response before it was complete, and what is known of the clocks.
     std::string table() const;
 
 private:
