--- a/autotests/unit/producedresponsetest.cpp
+++ b/autotests/unit/producedresponsetest.cpp
@@ -33,6 +33,7 @@
     const auto longer = send(LongBytes, Deadline);
     std::this_thread::sleep_for(Milliseconds(50));
     std::vector<std::unique_ptr<Caller>> shorter;
+    shorter.reserve(3);
     for (int i = 0; i < 3; ++i) {
         shorter.push_back(send(ShortBytes, 10 * Deadline));
     }
