ingress: Replace slow attempts instead of cancelling them

Cause: at the attempt timeout, the ingress cancelled the running attempt because another target seemed to have a free slot according to its last report. If that target rejected the retry, or the retry budget was empty by then, the caller got 502 for work that was under way.

Ruled out: a stricter forecast of the free slot. It can still be wrong by the time that the retry arrives.

Change: at the attempt timeout the call is offered to another target while the first attempt goes on. The first response wins, and only then is the other attempt cancelled. A rejected offer leaves the first attempt as it is, returns its token to the retry budget and is repeated after the check interval at another target. If neither target answers, the more telling result is the call's. A streamed response wins before its first byte is sent.

A streamed request body can be read only once, so such calls keep their attempt to the end. Before, they were cancelled as long as no part of the body had been read. A node that is stopping offers no replacements.

A call is no longer retried once a streamed response to its caller has started; a streamed error of the local target was.

The metrics and fields of cancelled attempts become those of replacements. TargetPicker::hasFreeSlotElsewhere() is no longer needed.

--- a/src/core/calls/targetpicker.cpp
+++ b/src/core/calls/targetpicker.cpp
@@ -195,17 +195,6 @@
     return candidates[index(m_random)];
 }
 
-// A call that still waits for a response would lose its running attempt. So, unlike in `pick`,
-// a target that last reported to be full is not assumed to have a free slot since.
-bool TargetPicker::hasFreeSlotElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now)
-{
-    const auto candidates = usable(targets, tried, now);
-    return std::any_of(candidates.begin(), candidates.end(), [this](const MemberRecord *target) {
-        const auto &state = m_states[target->name];
-        return state.reportedAt == TimePoint() || state.load.calls + state.startedSinceReport < state.load.limit;
-    });
-}
-
 // Empty if neither the target nor its pool is known.
 std::optional<Clock::duration> TargetPicker::knownWait(const MemberRecord &target, TimePoint now) const
 {
--- a/src/core/calls/targetpicker.h
+++ b/src/core/calls/targetpicker.h
@@ -62,9 +62,6 @@
     // weighted by their fraction of free slots. Null if there is none.
     const MemberRecord *pickOverflow(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
 
-    // Whether a target other than those in `tried` had a free slot in its last report, however old.
-    bool hasFreeSlotElsewhere(const std::vector<MemberRecord> &targets, const std::vector<NodeName> &tried, TimePoint now);
-
     // Expected wait for a slot at these targets: the lowest mean of a data centre, with the penalty for a
     // remote one. Empty if no report about any of them is recent.
     std::optional<Milliseconds> backlog(const std::vector<MemberRecord> &targets, TimePoint now) const;
--- a/src/daemon/calls/attemptconnection.cpp
+++ b/src/daemon/calls/attemptconnection.cpp
@@ -5,12 +5,36 @@
 AttemptConnection::AttemptConnection(ServerConnection &caller)
     : m_caller(caller)
 {
-    m_caller.cancellation().setHook([this] { m_cancellation.cancel(); });
+    m_caller.cancellation().setHook([this] {
+        m_cancellation.cancel();
+        if (m_replacement != nullptr) {
+            m_replacement->m_cancellation.cancel();
+        }
+    });
+}
+
+AttemptConnection::AttemptConnection(AttemptConnection &replaced)
+    : m_caller(replaced.m_caller)
+    , m_isReplacement(true)
+    , m_replaced(&replaced)
+{
+    replaced.m_replacement = this;
+    if (m_caller.cancellation().cancelled()) {
+        m_cancellation.cancel();
+    }
 }
 
 AttemptConnection::~AttemptConnection()
 {
-    m_caller.cancellation().setHook(nullptr);
+    if (m_replacement != nullptr) {
+        m_replacement->m_replaced = nullptr;
+    }
+    if (m_replaced != nullptr) {
+        m_replaced->m_replacement = nullptr;
+    }
+    if (!m_isReplacement) {
+        m_caller.cancellation().setHook(nullptr);
+    }
 }
 
 bool AttemptConnection::peerClosed()
@@ -39,13 +63,26 @@
     return m_caller.requestBody();
 }
 
+void AttemptConnection::setResponseHook(std::function<bool()> mayRespond)
+{
+    m_mayRespond = std::move(mayRespond);
+}
+
 asio::awaitable<StreamResult> AttemptConnection::sendStreamed(HttpResponse response, BodySource &rest)
 {
+    if (m_mayRespond && !m_mayRespond()) {
+        co_return StreamResult{.error = asio::error::operation_aborted};
+    }
     m_responseStarted = true;
     m_streamResult = co_await m_caller.sendStreamed(std::move(response), rest);
     co_return *m_streamResult;
 }
 
+bool AttemptConnection::isReplacement() const
+{
+    return m_isReplacement;
+}
+
 const std::optional<StreamResult> &AttemptConnection::streamResult() const
 {
     return m_streamResult;
--- a/src/daemon/calls/callrouter.cpp
+++ b/src/daemon/calls/callrouter.cpp
@@ -281,21 +281,42 @@
     return {target, false};
 }
 
-// A node that is stopping does not cancel running attempts: if the retry failed, there would be no
-// time left for another one.
-bool CallRouter::canRetryElsewhere(const IngressCall &call)
+// A streamed body can be read only once. A node that is stopping starts no attempts beside those that it has
+// to finish.
+const MemberRecord *CallRouter::chooseReplacement(IngressCall &call)
 {
-    const auto *body = call.connection.requestBody();
-    const bool bodyConsumed = body != nullptr && body->readStarted();
-    if (m_stopping || bodyConsumed || call.attemptsSent + 1 >= call.route->maxTargets || call.retryOffers >= MaxRetryOffers) {
-        return false;
-    }
-    if (!hasRetryToken(call, call.service) || !nestedCallsHaveBudget(call)) {
-        return false;
+    const bool allowed = !m_stopping && call.connection.requestBody() == nullptr && call.attemptsSent + 1 < call.route->maxTargets
+        && call.retryOffers < MaxRetryOffers && nestedCallsHaveBudget(call);
+    if (!allowed) {
+        return nullptr;
     }
+    const auto now = Clock::now();
     auto excluded = call.excludedFromRetry;
     excluded.push_back(call.lastTarget);
-    return pickerFor(call).hasFreeSlotElsewhere(call.view->targetsOf(call.service), excluded, Clock::now());
+    const auto *target = pickerFor(call).pick(call.view->targetsOf(call.service), excluded, now, true);
+    if (target == nullptr || !budgetOf(call.service).tryTakeToken(call.hasRunningParent, now)) {
+        return nullptr;
+    }
+    ++call.retryOffers;
+    call.excludedFromRetry.push_back(target->name);
+    return target;
+}
+
+void CallRouter::replacementRejected(const IngressCall &call)
+{
+    budgetOf(call.service).returnToken();
+}
+
+void CallRouter::otherAttemptEnded(IngressCall &call, AttemptResult result, const NodeName &target)
+{
+    if (!isSent(result)) {
+        return;
+    }
+    ++call.attemptsSent;
+    if (mayHaveRun(result)) {
+        ++call.unknownOutcomes;
+        call.excludedFromRetry.push_back(target);
+    }
 }
 
 void CallRouter::recordResult(const IngressCall &call, const NodeName &target, AttemptResult result, const Result<HttpResponse> &response)
--- a/src/daemon/calls/callrouter.h
+++ b/src/daemon/calls/callrouter.h
@@ -35,7 +35,7 @@
     // Changes the retry budget of each service.
     void setRetryBudget(RetryBudget::Options options);
 
-    // Prepares for the node's shutdown: running attempts are no longer cancelled in favour of a retry.
+    // Prepares for the node's shutdown: no further replacements are offered for slow attempts.
     void prepareToStop();
 
     // Records the start of a call. It adds to its service's retry budget, or draws on it if its parent
@@ -73,8 +73,15 @@
     // budget if it counts as one.
     bool mayRetry(IngressCall &call, AttemptResult result);
 
-    // Whether another target has a free slot for a retry of the call now, and a retry is allowed.
-    bool canRetryElsewhere(const IngressCall &call);
+    // Returns the sidecar to offer a replacement for the running attempt to; null if none may have a free
+    // slot, or no retry is allowed. Takes the retry from the budget.
+    const MemberRecord *chooseReplacement(IngressCall &call);
+
+    // Records that the replacement was rejected, which returns the retry to the budget.
+    void replacementRejected(const IngressCall &call);
+
+    // Records the attempt, at the target, whose result is not the one of the call.
+    void otherAttemptEnded(IngressCall &call, AttemptResult result, const NodeName &target);
 
     // Expected wait for a slot at the targets of the call's service; empty if unknown.
     std::optional<Milliseconds> backlog(const IngressCall &call);
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -173,14 +173,19 @@
     return d->callsWithoutTime;
 }
 
-std::uint64_t Ingress::cancelledAttempts() const
+std::uint64_t Ingress::attemptsReplaced() const
 {
-    return d->cancelledAttempts;
+    return d->attemptsReplaced;
 }
 
-std::uint64_t Ingress::callsCancelledInVain() const
+std::uint64_t Ingress::replacementsRejected() const
 {
-    return d->callsCancelledInVain;
+    return d->replacementsRejected;
+}
+
+std::uint64_t Ingress::replacementsUnused() const
+{
+    return d->replacementsUnused;
 }
 
 std::uint64_t Ingress::responsesEndedEarly() const
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -57,10 +57,13 @@
     Milliseconds waitedBefore{0};
     bool waitCounts = false;
     bool cancelled = false;
-    // Number of attempts that were cancelled in favour of a retry, and the time from the call's begin to
-    // the last one.
-    std::uint32_t cancelledAttempts = 0;
-    Milliseconds cancelledAfter{0};
+    // Number of slow attempts whose replacement at another target responded, and the time from the call's
+    // begin to the last such response; number of replacements that were rejected, and of those that
+    // reached a target, but did not respond first.
+    std::uint32_t replacedAttempts = 0;
+    Milliseconds replacedAfter{0};
+    std::uint32_t rejectedReplacements = 0;
+    std::uint32_t unusedReplacements = 0;
     // Whether this is a nested call of a call that the local target was running.
     bool hasRunningParent = false;
     // IP address of the caller.
@@ -130,16 +133,17 @@
     // Whether a pipelined call may start before earlier calls of its connection have been answered.
     bool mayPipeline(const HttpRequest &request) const;
 
-    // Prepares for the node's shutdown: running attempts are no longer cancelled in favour of a retry.
+    // Prepares for the node's shutdown: no further replacements are offered for slow attempts.
     void prepareToStop();
 
     // Number of attempts after the first attempt of a call.
     std::uint64_t retries() const;
 
-    // Number of attempts that were cancelled in favour of a retry, and of calls whose outcome is unknown
-    // after that.
-    std::uint64_t cancelledAttempts() const;
-    std::uint64_t callsCancelledInVain() const;
+    // Number of slow attempts whose replacement at another target responded, of replacements that were
+    // rejected, and of those that reached a target, but did not respond first.
+    std::uint64_t attemptsReplaced() const;
+    std::uint64_t replacementsRejected() const;
+    std::uint64_t replacementsUnused() const;
 
     // Number of responses that ended early although their callers had not left.
     std::uint64_t responsesEndedEarly() const;
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -17,7 +17,8 @@
 
 // The steps of a call in the ingress: ingress.cpp accepts it, ingressidentify.cpp
 // identifies the caller, ingressadmission.cpp admits it,
-// ingressrouting.cpp selects targets, ingressattempt.cpp sends it to one of them, and
+// ingressrouting.cpp selects targets, ingressattempt.cpp sends it to one of them,
+// ingressreplacement.cpp also offers it to another one if that takes long, and
 // ingressresponse.cpp builds and reports the final response.
 class Ingress::Private
 {
@@ -36,6 +37,15 @@
     {
     }
 
+    // What the fields for the sidecar say about one attempt.
+    struct AttemptTerms
+    {
+        bool mayWait = false;
+        bool isRetry = false;
+        // Canary version that the attempt goes to; null if none.
+        const CanaryVersion *canary = nullptr;
+    };
+
     Options options;
     CallRouter router;
     TrafficSplit split;
@@ -49,8 +59,9 @@
     std::atomic<std::uint64_t> shedCalls = 0;
     std::atomic<std::uint64_t> returnedCalls = 0;
     std::atomic<std::uint64_t> callsWithoutTime = 0;
-    std::atomic<std::uint64_t> cancelledAttempts = 0;
-    std::atomic<std::uint64_t> callsCancelledInVain = 0;
+    std::atomic<std::uint64_t> attemptsReplaced = 0;
+    std::atomic<std::uint64_t> replacementsRejected = 0;
+    std::atomic<std::uint64_t> replacementsUnused = 0;
     std::atomic<std::uint64_t> responsesEndedEarly = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
@@ -68,12 +79,17 @@
     HttpResponse overLimit(IngressCall &call, const TokenDecision &denied) const;
     asio::awaitable<HttpResponse> route(IngressCall &call);
     asio::awaitable<Attempt> attempt(IngressCall &call, Offer offer);
+    asio::awaitable<Attempt> attemptWithReplacement(IngressCall &call, const MemberRecord &target);
+    void offerReplacementAt(IngressCall &call, const std::shared_ptr<AttemptReplacement> &replacement, TimePoint time);
+    asio::awaitable<void> offerReplacements(IngressCall &call, std::shared_ptr<AttemptReplacement> replacement);
+    asio::awaitable<void> sendReplacement(IngressCall &call, AttemptReplacement &replacement, const MemberRecord &target);
+    static const AttemptConnection *respondingConnection(const IngressCall &call);
+    Attempt endReplacement(IngressCall &call, AttemptReplacement &replacement, Attempt first);
+    asio::awaitable<Attempt> send(IngressCall &call, HttpRequest &request, const MemberRecord &target, AttemptConnection &connection);
     asio::awaitable<Result<HttpResponse>> sendToSidecar(
-        IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &remainingBody);
-    asio::awaitable<Result<HttpResponse>> sendWithTimeout(
-        IngressCall &call, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &remainingBody);
-    void cancelOnceRetryable(IngressCall &call, AttemptConnection &connection, const std::shared_ptr<asio::steady_timer> &timer);
-    void setSidecarFields(IngressCall &call, bool mayWait) const;
+        const IngressCall &call, HttpRequest &request, const MemberRecord &target, AttemptConnection &connection, std::unique_ptr<BodySource> &remainingBody);
+    void recordResponse(IngressCall &call, const MemberRecord &target, AttemptResult result, const HttpResponse &response);
+    void setSidecarFields(const IngressCall &call, HttpRequest &request, const AttemptTerms &attemptTerms) const;
     bool isShed(IngressCall &call);
     HttpResponse rejection(IngressCall &call);
     HttpResponse finalResponse(IngressCall &call, Attempt last);
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -17,6 +17,8 @@
 
 namespace Galenahill {
 
+struct AttemptReplacement;
+
 // State of one call in the ingress.
 struct IngressCall
 {
@@ -38,6 +40,8 @@
     ServerConnection &connection;
     // The connection as the last attempt sees it. Kept until the rest of a streamed response is sent.
     std::optional<AttemptConnection> attemptConnection;
+    // The replacement of the last attempt, which may be the one that responds; null if there is none.
+    std::shared_ptr<AttemptReplacement> replacement;
     OfferHistory offers;
     // Canary version that the call is offered to; null if none.
     const CanaryVersion *canary = nullptr;
@@ -59,9 +63,12 @@
     std::optional<Milliseconds> backlog;
     std::optional<Milliseconds> retryAfter;
     std::string reason;
-    // Number of attempts that were cancelled in favour of a retry, and the time of the last one.
-    std::uint32_t cancelledAttempts = 0;
-    TimePoint cancelledAt;
+    // Number of slow attempts whose replacement at another target responded, and when the last one did;
+    // of replacements that were rejected; and of those that reached a target, but did not respond first.
+    std::uint32_t replacedAttempts = 0;
+    TimePoint replacedAt;
+    std::uint32_t rejectedReplacements = 0;
+    std::uint32_t unusedReplacements = 0;
     // Whether a node closer to the first caller retries the call if it fails.
     bool retriedAbove = false;
     // Whether the body is long enough to occupy a slow link for a while.
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -34,8 +34,10 @@
         .waitedBefore = call.waitedBefore,
         .waitCounts = call.waitCounts,
         .cancelled = call.connection.cancellation().cancelled(),
-        .cancelledAttempts = call.cancelledAttempts,
-        .cancelledAfter = call.cancelledAttempts > 0 ? std::chrono::duration_cast<Milliseconds>(call.cancelledAt - call.begin) : Milliseconds(0),
+        .replacedAttempts = call.replacedAttempts,
+        .replacedAfter = call.replacedAttempts > 0 ? std::chrono::duration_cast<Milliseconds>(call.replacedAt - call.begin) : Milliseconds(0),
+        .rejectedReplacements = call.rejectedReplacements,
+        .unusedReplacements = call.unusedReplacements,
         .hasRunningParent = call.hasRunningParent,
         .caller = call.connection.peerAddress(),
         .reason = call.reason});
@@ -74,7 +76,6 @@
     }
     if (call.unknownOutcomes > 0 || mayHaveRun(last.result)) {
         const bool late = Clock::now() >= call.deadline;
-        callsCancelledInVain += call.cancelledAttempts > 0 ? 1 : 0;
         return outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
     }
--- a/src/daemon/calls/ingressrouting.cpp
+++ b/src/daemon/calls/ingressrouting.cpp
@@ -15,7 +15,9 @@
         last = co_await attempt(call, offer);
         const auto result = last.result;
         router.attemptEnded(call, result);
-        if (result == AttemptResult::Answered || !router.mayRetry(call, result)) {
+        const auto *connection = respondingConnection(call);
+        const bool responseStarted = connection != nullptr && connection->responseStarted();
+        if (responseStarted || result == AttemptResult::Answered || !router.mayRetry(call, result)) {
             break;
         }
         if (result == AttemptResult::Failed) {
@@ -40,8 +42,8 @@
         co_return sent;
     }
     auto response = finalResponse(call, std::move(last));
-    if (call.attemptConnection && call.attemptConnection->streamResult()) {
-        recordEarlyEnd(call, *call.attemptConnection->streamResult(), response);
+    if (const auto *connection = respondingConnection(call); connection != nullptr && connection->streamResult()) {
+        recordEarlyEnd(call, *connection->streamResult(), response);
     }
     co_return response;
 }
