http: Keep a pipelined header from timing out while an earlier request is handled

The connection's deadline doubles as the timer of the check for the peer's close. While a further request's header was being read, that check returned without setting the deadline again, so it stayed passed, and the next read ended as timed out. A pipelined request whose header came in three pieces or more, more than 100 ms apart, got 408 and its connection was closed.

Ruled out: the header timeout (10 s), which is not set while an earlier request is handled.

The check now clears the deadline.

--- a/autotests/unit/pipeliningtest.cpp
+++ b/autotests/unit/pipeliningtest.cpp
@@ -176,6 +176,23 @@
     BOOST_TEST(begun == 2);
 }
 
+// Guards against 408 for a pipelined request whose header arrives in pieces while an earlier one is handled.
+BOOST_FIXTURE_TEST_CASE(ReadsAHeaderThatArrivesInPiecesBehindASlowRequest, Fixture)
+{
+    RunningServer server(options);
+    RawClient caller(ServerEndpoint);
+    caller.send(get("/held/1") + "GET /2 HT");
+    BOOST_TEST(waitForBegun(1));
+    for (const auto *piece : {"TP/1.1\r\nHo", "st: h", "\r\n\r\n"}) {
+        std::this_thread::sleep_for(ObservationTime);
+        caller.send(piece);
+    }
+    BOOST_TEST(waitForBegun(2));
+    release = true;
+    BOOST_TEST(!caller.readTo("<GET /held/1 >").empty());
+    BOOST_TEST(!caller.readTo("<GET /2 >").empty());
+}
+
 // The caller disconnects while three requests run. All of them are cancelled, so that their targets stop.
 BOOST_FIXTURE_TEST_CASE(CancelsAllRequestsWhenTheCallerDisconnects, Fixture)
 {
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -387,6 +387,8 @@
     auto &buffer = m_channel.buffer;
     const auto space = buffer.max_size() - buffer.size();
     if (m_reading != Reading::Nothing || m_pipeline.empty() || !m_pipeline.back()->noBytesPending() || space == 0) {
+        // A passed deadline would end the next read.
+        m_channel.deadline.clear();
         return;
     }
     ErrorCode error;
