http: Answer all requests that were read before a connection is closed for a stop

While a server drained, a connection was closed after the response to the last request that ran. A pipelined request that waited for its turn, such as one that must not run twice, had been read by then, and its connection ended without a response to it: as late as the earlier request takes.

Weighed: closing as before, since a client may send a request again that is behind a response with Connection: close.

A draining connection is now kept until everything that was read is answered: after closeAfterResponses() by running it, and after drain(), when the stop may not leave the time for another run, with 503 not-run.

RespondsToWaitingRequestsBeforeItCloses failed before and passes now. RespondsToRunningRequestsWhileDraining asserted that the connection is closed after the second response. That was wrong for the reason above; it now demands the 503 for the third request, and still that it does not run and that only the last response says Connection: close. pipeliningtest, httpservertest and expectcontinuetest pass.

--- a/autotests/unit/pipeliningtest.cpp
+++ b/autotests/unit/pipeliningtest.cpp
@@ -154,8 +154,8 @@
     BOOST_TEST(begun == 1);
 }
 
-// The server drains while two requests run on a connection and a third waits. Both get responses, the
-// second with Connection: close, and the third never runs.
+// The server drains while two requests run on a connection and a third waits. All get responses; the third
+// never runs, and its response says so and Connection: close.
 BOOST_FIXTURE_TEST_CASE(RespondsToRunningRequestsWhileDraining, Fixture)
 {
     RunningServer server(options);
@@ -171,8 +171,12 @@
     BOOST_REQUIRE(responses.has_value());
     const auto second = responses->find("<GET /held/2 >");
     BOOST_TEST(responses->find("<GET /held/1 >") < second);
-    BOOST_TEST(second != std::string::npos);
-    BOOST_TEST(responses->rfind("Connection: close", second) > responses->find("<GET /held/1 >"));
+    BOOST_REQUIRE(second != std::string::npos);
+    const auto third = responses->substr(second);
+    BOOST_TEST(third.find("HTTP/1.1 503 ") != std::string::npos);
+    BOOST_TEST(third.find("Connection: close") != std::string::npos);
+    BOOST_TEST(third.find("Galenahill-Outcome: not-run") != std::string::npos);
+    BOOST_TEST(responses->find("Connection: close") > second);
     BOOST_TEST(begun == 2);
 }
 
@@ -193,6 +197,28 @@
     BOOST_TEST(!caller.readTo("<GET /2 >").empty());
 }
 
+// Guards against connections that end without a response to a request that was read before the stop.
+BOOST_FIXTURE_TEST_CASE(RespondsToWaitingRequestsBeforeItCloses, Fixture)
+{
+    RunningServer server(options);
+    RawClient caller(ServerEndpoint);
+    caller.send(get("/held/1") + post("/order", "one") + get("/3"));
+    BOOST_TEST(waitForBegun(1));
+    std::this_thread::sleep_for(ObservationTime);
+    server.invoke([](HttpServer &it) {
+        it.closeAfterResponses();
+        return 0;
+    });
+    release = true;
+    const auto responses = caller.readToEnd();
+    BOOST_REQUIRE(responses.has_value());
+    BOOST_TEST(responses->find("<POST /order one>") != std::string::npos);
+    const auto last = responses->find("<GET /3 >");
+    BOOST_REQUIRE(last != std::string::npos);
+    BOOST_TEST(responses->rfind("Connection: close", last) > responses->find("<POST /order one>"));
+    BOOST_TEST(begun == 3);
+}
+
 // The caller disconnects while three requests run. All of them are cancelled, so that their targets stop.
 BOOST_FIXTURE_TEST_CASE(CancelsAllRequestsWhenTheCallerDisconnects, Fixture)
 {
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -137,6 +137,7 @@
 void HttpServer::drain()
 {
     d->state->draining = true;
+    d->state->stopped = true;
     ErrorCode ignored;
     d->acceptor.close(ignored);
 }
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -55,12 +55,13 @@
     // Replaces the limits; they apply from each connection's next request on.
     void setLimits(const CallerLimits &limits);
 
-    // Closes each connection after its next response, which says Connection: close. New connections
-    // are still accepted.
+    // Closes each connection once all requests that were read from it are answered; the last response
+    // says Connection: close. New connections are still accepted.
     void closeAfterResponses();
 
-    // Stops accepting connections and closes each one after its next response. Connections without
-    // a request stay open until closeIdle() is called.
+    // Like closeAfterResponses(), and stops accepting connections. Pipelined requests that still wait
+    // for an earlier response are rejected with 503. Connections without a request stay open until
+    // closeIdle() is called.
     void drain();
 
     // Closes the connections without a request in flight.
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http/httpserverconnection.h"
 
+#include "core/calls/callheaders.h"
+
 #include <algorithm>
 
 namespace Galenahill {
@@ -247,6 +249,7 @@
         co_return false;
     }
     co_await exchange.respond(std::move(response));
+    m_rejectsRequests = m_state->stopped;
     const bool leftUnread = !exchange.noBytesPending() || (!exchange.keepsConnection() && m_channel.buffer.size() > 0);
     if (leftUnread && !exchange.failed()) {
         co_await linger();
@@ -268,6 +271,11 @@
 // as in flight for ever, so that a drain never completes, and its caller would get no response.
 asio::awaitable<HttpResponse> HttpServerConnection::handle(ServerExchange &exchange, HttpRequest request)
 {
+    if (m_rejectsRequests) {
+        auto rejection = makeErrorResponse(http::status::service_unavailable, "stopping", "this server is stopping; send the request to another one");
+        rejection.set(CallHeaders::Outcome, CallHeaders::NotRun);
+        co_return rejection;
+    }
     std::string reason;
     try {
         co_return co_await m_state->options.handler(std::move(request), exchange);
@@ -323,10 +331,9 @@
     m_closesAfterResponse = true;
 }
 
-bool HttpServerConnection::hasStartedAfter(const ServerExchange &exchange) const
+bool HttpServerConnection::hasReadAfter(const ServerExchange &exchange) const
 {
-    const auto entry = std::find(m_pipeline.begin(), m_pipeline.end(), &exchange);
-    return std::any_of(entry + 1, m_pipeline.end(), [](const auto *later) { return later->started; });
+    return m_pipeline.back() != &exchange || m_reading == Reading::Request || m_channel.buffer.size() > 0;
 }
 
 void HttpServerConnection::removeFromPipeline(ServerExchange &exchange)
@@ -350,7 +357,7 @@
 }
 
 // Starts another reading coroutine if the peer has sent more while the handler has the last
-// request. Not while the server drains: the peer sends unread requests again to another node.
+// request. Not while the server drains, so that later requests don't run ahead of a stop.
 void HttpServerConnection::readAhead()
 {
     const bool wanted = m_state->options.mayPipeline && m_channel.buffer.size() > 0 && !m_state->draining && !m_closesAfterResponse;
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -17,7 +17,10 @@
     std::uint64_t bufferedBytes = 0;
     // Requests being handled while an earlier one of their connection is not yet answered.
     std::size_t runningAhead = 0;
+    // Whether connections are closed once all requests that were read are answered.
     bool draining = false;
+    // Whether pipelined requests that have to wait for their turn are rejected.
+    bool stopped = false;
 };
 
 // One connection of a server: reads requests, passes them to the handler and sends the
@@ -69,8 +72,8 @@
     // Makes the response that is about to be sent the last one; later requests are ignored.
     void closeAfterResponse();
 
-    // Whether a later request than that of the exchange is being handled.
-    bool hasStartedAfter(const ServerExchange &exchange) const;
+    // Whether anything of a later request than that of the exchange has been read.
+    bool hasReadAfter(const ServerExchange &exchange) const;
 
 private:
     // What the reading coroutine is doing.
@@ -112,6 +115,8 @@
     bool m_watching = false;
     bool m_peerDisconnected = false;
     bool m_closesAfterResponse = false;
+    // Whether requests that are read from now on are answered without being handled.
+    bool m_rejectsRequests = false;
     bool m_closed = false;
     // Wakes serve() when another coroutine closes the connection.
     std::optional<asio::steady_timer> m_closedSignal;
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -190,11 +190,10 @@
 }
 
 // Closing the connection discards the requests that were read after this one. While the server
-// drains, the connection is kept until the last running request is answered; requests that don't
-// run yet count as not read.
+// drains, the connection is kept until the last of them is answered.
 bool ServerExchange::keepsAfterResponse() const
 {
-    const bool continues = !m_connection.draining() || m_connection.hasStartedAfter(*this);
+    const bool continues = !m_connection.draining() || m_connection.hasReadAfter(*this);
     return m_keepAlive && !m_failed && noBytesPending() && continues;
 }
 
