bench: Let fleets state the speed of their links

PlatformFleet's nodes had no link-mbps, so that no test with real processes paced large responses. Zero, the default, leaves the settings as they were.

--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -106,7 +106,7 @@
 std::string PlatformFleet::Private::settings(std::size_t node, const Endpoint &storeAt, const Endpoint &targetAt) const
 {
     const auto ip = address(node);
-    return fmt::format("[node]\nname = node-{0}\ndata-centre = rosario-a\nservice = {1}\nfirst-start = {2}\nlog-level = info\nstop-timeout-s = 6\n"
+    return fmt::format("[node]\nname = node-{0}\ndata-centre = rosario-a\nservice = {1}\nfirst-start = {2}\nlog-level = info\nstop-timeout-s = 6\n{12}"
                        "[listen]\ningress = {3}:{4}\nsidecar = {3}:{5}\nregistration = {3}:{6}\nreadiness = {3}:{7}\npeers = {3}:{8}\nmetrics = {3}:{9}\n"
                        "[target]\naddress = {10}\nheartbeat-interval-s = 0.2\n[store]\naddress = {11}\n"
                        "[fleet]\nrepeat-share = 0.2\nrepeat-slack = 60\n",
@@ -121,7 +121,8 @@
         PeerPort,
         MetricsPort,
         toString(targetAt),
-        toString(storeAt));
+        toString(storeAt),
+        options.linkMbps > 0 ? fmt::format("link-mbps = {}\n", options.linkMbps) : std::string());
 }
 
 PlatformFleet::PlatformFleet(Options options)
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -65,6 +65,8 @@
         // Nodes reach the store and their targets through separate addresses, on which the harness
         // runs proxies.
         bool proxied = false;
+        // Speed of each node's link as its settings state it; zero: not stated.
+        std::uint32_t linkMbps = 0;
         // Text that each key of a customer contains; empty: targets do not search for keys.
         std::string keyMarker;
     };
