daemon: Wait for request bodies that still arrive before a node stops

A stopping node counted only requests that the handler had. One whose body was still being received, or that waited behind another on its connection, did not count: 2.3 s after the signal the process ended, and its connection with it.

Ruled out: the read timeout (10 s) and the stop timeout (6 s); the process had logged that it stopped with nothing in flight.

The node now counts requests from their header to their response, within the same stop timeout. StopWaitsForAnUploadThatArrives (100 KB in 3.6 s, signal after 0.3 s) got no answer before and 200 now.

--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -156,6 +156,11 @@
     return d->state->inFlight;
 }
 
+std::size_t HttpServer::unansweredRequests() const
+{
+    return d->state->unanswered;
+}
+
 std::size_t HttpServer::connections() const
 {
     return d->connections.size();
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -70,6 +70,10 @@
     // Requests being handled.
     std::size_t requestsInFlight() const;
 
+    // Requests being handled, and those whose body is still being received or that wait for an earlier
+    // response.
+    std::size_t unansweredRequests() const;
+
     std::size_t connections() const;
 
     // Bytes received and sent.
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -35,6 +35,7 @@
         , m_exchange(exchange)
     {
         connection.m_pipeline.push_back(&exchange);
+        ++connection.m_state->unanswered;
     }
 
     ~PipelineEntry()
@@ -44,6 +45,7 @@
             --m_connection.m_state->inFlight;
             m_connection.m_state->runningAhead -= m_isAhead ? 1 : 0;
         }
+        --m_connection.m_state->unanswered;
         m_connection.removeFromPipeline(m_exchange);
     }
 
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -13,6 +13,8 @@
     HttpServer::Options options;
     std::atomic<std::uint64_t> bytes = 0;
     std::size_t inFlight = 0;
+    // Requests whose header was read, until they are answered.
+    std::size_t unanswered = 0;
     // Total length of the request bodies buffered in memory.
     std::uint64_t bufferedBytes = 0;
     // Requests being handled while an earlier one of their connection is not yet answered.
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -304,7 +304,7 @@
 
 std::size_t PlatformNode::Private::inFlight() const
 {
-    return ingressServer.requestsInFlight() + sidecarServer.requestsInFlight();
+    return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests();
 }
 
 void PlatformNode::stop()
