standins: Draw service times and log how runs end

Cause: targets took the same time for each call and logged only the start of a run, so that no record said whether a target was at work when its call ended, and no call was ever late.

The fleet of processes spreads its nodes over several data centres and states the speed of links where asked. Options and service times moved to files of their own.

--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -5,6 +5,7 @@
 #include "platform/configuration.h"
 #include "platform/objectstore.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -63,6 +64,8 @@
     auto &history = histories.back();
     const std::map<std::string, std::vector<TargetHistory::Event> *> lists = {{"got", &history.arrivals},
         {"ran", &history.executions},
+        {"answered", &history.responses},
+        {"cut", &history.cuts},
         {"leaked", &history.leaks},
         {"stated rate-limit", &history.rateLimits},
         {"stated leaving", &history.departures}};
@@ -95,6 +98,11 @@
         return fmt::format("127.{}.1.{}", options.network, node + 1);
     }
 
+    std::string dataCentre(std::size_t node) const
+    {
+        return fmt::format("rosario-{}", static_cast<char>('a' + node % options.dataCentres));
+    }
+
     std::string path(const std::string &name) const
     {
         return options.folder + "/" + name;
@@ -106,7 +114,7 @@
 std::string PlatformFleet::Private::settings(std::size_t node, const Endpoint &storeAt, const Endpoint &targetAt) const
 {
     const auto ip = address(node);
-    return fmt::format("[node]\nname = node-{0}\ndata-centre = rosario-a\nservice = {1}\nfirst-start = {2}\nlog-level = info\nstop-timeout-s = 6\n"
+    return fmt::format("[node]\nname = node-{0}\ndata-centre = {12}\nservice = {1}\nfirst-start = {2}\nlog-level = info\nstop-timeout-s = 6\n{13}"
                        "[listen]\ningress = {3}:{4}\nsidecar = {3}:{5}\nregistration = {3}:{6}\nreadiness = {3}:{7}\npeers = {3}:{8}\nmetrics = {3}:{9}\n"
                        "[target]\naddress = {10}\nheartbeat-interval-s = 0.2\n[store]\naddress = {11}\n"
                        "[fleet]\nrepeat-share = 0.2\nrepeat-slack = 60\n",
@@ -121,7 +129,9 @@
         PeerPort,
         MetricsPort,
         toString(targetAt),
-        toString(storeAt));
+        toString(storeAt),
+        dataCentre(node),
+        options.linkMbps > 0 ? fmt::format("link-mbps = {}\n", options.linkMbps) : "");
 }
 
 PlatformFleet::PlatformFleet(Options options)
@@ -250,7 +260,10 @@
         "--heartbeat=" + d->options.sources + "/platform/heartbeat.sample",
         fmt::format("--id=t-{}-{}", node, ++entry.targetStarts),
         "--service=" + d->options.services[node % d->options.services.size()],
-        "--data-centre=rosario-a",
+        "--data-centre=" + d->dataCentre(node),
+        fmt::format("--late-share={}", d->options.lateShare),
+        fmt::format("--late-factor={}", d->options.lateFactor),
+        fmt::format("--seed={}", d->options.seed * 1000 + node),
         "--key-marker=" + d->options.keyMarker,
         "--log-runs"};
     entry.target = std::make_unique<ChildProcess>(command, d->path(fmt::format("target-{}.log", node)));
@@ -291,9 +304,11 @@
     for (std::size_t node = 0; node < size(); ++node) {
         std::ifstream log(d->path(fmt::format("target-{}.log", node)));
         std::string line;
+        const auto first = histories.size();
         while (std::getline(log, line)) {
             readEvent(line, histories);
         }
+        std::for_each(histories.begin() + static_cast<std::ptrdiff_t>(first), histories.end(), [node](auto &history) { history.node = node; });
     }
     return histories;
 }
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -27,12 +27,17 @@
         std::string customer;
     };
 
-    // Id of the target.
+    // Id of the target, and the index of the node beside it.
     std::string target;
+    std::size_t node = 0;
     // Ids of the calls that arrived, also of those that the target rejected.
     std::vector<Event> arrivals;
     // Ids of the calls that ran; an id occurs once for each execution.
     std::vector<Event> executions;
+    // Ids of the calls whose run ended with a response, and of those whose connection the node had
+    // closed by then.
+    std::vector<Event> responses;
+    std::vector<Event> cuts;
     // Rate limits that it stated, as text; "none" if it lifted its limit.
     std::vector<Event> rateLimits;
     // When it stated that it is leaving.
@@ -62,6 +67,15 @@
         std::vector<std::string> services;
         std::uint32_t slots = 4;
         std::chrono::microseconds serviceTime{20000};
+        // Share of the calls that take longer by the factor. Above zero, service times are random with
+        // the mean of the other calls as given.
+        double lateShare = 0;
+        double lateFactor = 10;
+        std::uint64_t seed = 1;
+        // Node i is in data centre i % dataCentres.
+        std::size_t dataCentres = 1;
+        // Speed of each VM's link that the nodes' settings state; zero: none.
+        std::uint32_t linkMbps = 0;
         // Nodes reach the store and their targets through separate addresses, on which the harness
         // runs proxies.
         bool proxied = false;
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -4,17 +4,20 @@
 //   GET  /load     slots in use, as JSON
 //   GET  /ledger   ids of the calls that ran, one per line, in order
 //   POST /admin    {"drain": B, "service_us": N, "slots": N, "cold_ms": N, "freeze": B, "misreport": B,
-//                   "rate_limit": TEXT, "leaving": B}
+//                   "rate_limit": TEXT, "leaving": B, "slow_factor": F, "slow_ms": N}
 // A request for any other path is a call. It takes the service time, and the response contains the
 // request id. With the query bytes=N, the response is padded to that length.
 // With --log-runs, each ledger entry is also written to standard error as "ran ID MICROSECONDS",
 // with the time of the monotonic clock, so that the ledger outlives the process. Likewise logged are
-// "started ID MICROSECONDS", "got ID MICROSECONDS" for each call that arrives, and "stated FIELD VALUE MICROSECONDS" for each
+// "started ID MICROSECONDS", "answered ID MICROSECONDS" for each run that ended, or "cut ID MICROSECONDS" if
+// the connection of its call had been closed by then, "got ID MICROSECONDS" for each call that arrives, and "stated FIELD VALUE MICROSECONDS" for each
 // change of what the target states about itself. With --announce, "customer ID NAME MICROSECONDS" says
 // which customer the target is told for a call, or "-", and "leaked ID MICROSECONDS" that a header
 // field contains the text of --key-marker, which is part of every key.
 // A call that finds no free slot counts as an overrun. It waits in the backlog and then runs, even
 // if its caller has disconnected; if the backlog is full, the target rejects the call with 503.
+// The run of a call goes on when its connection is closed. "slow_ms" makes the calls that start in
+// that time take longer by "slow_factor".
 // "cold_ms" makes the target reject all calls for that time, as during a cold start. "freeze" holds
 // back all responses until it is reset. "misreport" makes /health and /load report ready and idle.
 // With --announce, the target announces itself to the node on its VM and uses the header fields of
@@ -27,44 +30,18 @@
 #include "platform/callheadernames.h"
 #include "responsebody.h"
 #include "serveuntilstopped.h"
+#include "servicetimedraw.h"
+#include "targetoptions.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <popt.h>
 
 namespace Galenahill {
 
 namespace {
 
-struct TargetOptions
-{
-    std::string address = "127.0.0.1";
-    std::uint16_t port = 9000;
-    std::uint32_t slots = 6;
-    std::chrono::microseconds serviceTime{2000};
-    Milliseconds coldStart{0};
-    // Maximum number of calls that wait for a slot.
-    std::uint32_t backlog = 0;
-    std::uint32_t connections = 4096;
-    bool logRuns = false;
-    // Registration endpoint of the node; port zero if the target does not announce itself.
-    Endpoint registration;
-    // Address that the target announces.
-    Endpoint announcedAs;
-    std::string heartbeatSample;
-    std::string id;
-    std::string service;
-    std::string dataCentre;
-    std::string keyMarker;
-
-    bool announces() const
-    {
-        return registration.port != 0;
-    }
-};
-
 // Calls that start later than this after the start of a drain are counted as late.
 constexpr Milliseconds DrainGracePeriod{1000};
 
@@ -77,6 +54,7 @@
     Target(asio::io_context &context, TargetOptions options)
         : m_context(context)
         , m_options(std::move(options))
+        , m_serviceTimes({.mean = m_options.serviceTime, .lateShare = m_options.lateShare, .lateFactor = m_options.lateFactor, .seed = m_options.seed})
         , m_readyAt(Clock::now() + m_options.coldStart)
     {
         logEvent("started " + m_options.id);
@@ -95,10 +73,10 @@
         return m_draining;
     }
 
-    asio::awaitable<HttpResponse> handle(HttpRequest request);
+    asio::awaitable<HttpResponse> handle(HttpRequest request, ServerConnection &connection);
 
 private:
-    asio::awaitable<HttpResponse> runCall(HttpRequest request);
+    asio::awaitable<HttpResponse> runCall(HttpRequest request, ServerConnection &connection);
     HttpResponse health() const;
     HttpResponse load() const;
     HttpResponse admin(const HttpRequest &request);
@@ -112,6 +90,7 @@
 
     asio::io_context &m_context;
     TargetOptions m_options;
+    ServiceTimeDraw m_serviceTimes;
     // Left at the defaults with galenahilld nodes, whose request id field is Request-Id.
     CallHeaderNames m_headerNames;
     TimePoint m_readyAt;
@@ -164,7 +143,10 @@
     }
     m_responsesHeld = json.value("freeze", m_responsesHeld);
     m_misreports = json.value("misreport", m_misreports);
-    m_options.serviceTime = std::chrono::microseconds(json.value("service_us", m_options.serviceTime.count()));
+    m_serviceTimes.setMean(std::chrono::microseconds(json.value("service_us", m_serviceTimes.mean().count())));
+    if (json.contains("slow_ms")) {
+        m_serviceTimes.slowDown(json.value("slow_factor", 1.0), Clock::now() + Milliseconds(json.value("slow_ms", 0)));
+    }
     setStatements(json.value("rate_limit", m_rateLimit), json.value("leaving", m_leaving));
     return makeResponse(http::status::ok, "text/plain", "");
 }
@@ -214,7 +196,7 @@
     return response;
 }
 
-asio::awaitable<HttpResponse> Target::handle(HttpRequest request)
+asio::awaitable<HttpResponse> Target::handle(HttpRequest request, ServerConnection &connection)
 {
     const auto target = request.target();
     if (target == "/health") {
@@ -235,7 +217,7 @@
     }
     logEvent("got " + requestIdOf(request));
     logCustomer(request);
-    co_return withStatements(co_await runCall(std::move(request)));
+    co_return withStatements(co_await runCall(std::move(request), connection));
 }
 
 asio::awaitable<bool> Target::acquireSlot()
@@ -272,7 +254,7 @@
     return response;
 }
 
-asio::awaitable<HttpResponse> Target::runCall(HttpRequest request)
+asio::awaitable<HttpResponse> Target::runCall(HttpRequest request, ServerConnection &connection)
 {
     const auto expected = m_headerNames.expectedTarget.empty() ? boost::beast::string_view() : request[m_headerNames.expectedTarget];
     if (!expected.empty() && expected != m_options.id) {
@@ -292,13 +274,14 @@
     logEvent("ran " + id);
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
-    timer.expires_after(m_options.serviceTime);
+    timer.expires_after(m_serviceTimes.next(Clock::now()));
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     while (m_responsesHeld) {
         timer.expires_after(Milliseconds(20));
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     --m_running;
+    logEvent((connection.peerClosed() ? "cut " : "answered ") + id);
     auto response = makeResponse(http::status::ok, "text/plain", responseBody("done " + id, std::string(request.target())));
     response.set(m_headerNames.requestId.empty() ? "Request-Id" : m_headerNames.requestId, id);
     if (!m_headerNames.originMarker.empty()) {
@@ -326,7 +309,7 @@
     }
     return serveUntilStopped(context,
         {.endpoint = {options.address, options.port},
-            .handler = [&](HttpRequest request, ServerConnection &) { return target.handle(std::move(request)); },
+            .handler = [&](HttpRequest request, ServerConnection &connection) { return target.handle(std::move(request), connection); },
             .maxConnections = options.connections});
 }
 
@@ -336,60 +319,6 @@
 
 int main(int argc, const char **argv)
 {
-    char *address = nullptr;
-    int port = 9000;
-    int slots = 6;
-    int serviceMicroseconds = 2000;
-    int coldStart = 0;
-    int backlog = 0;
-    int connections = 4096;
-    int logRuns = 0;
-    char *announce = nullptr;
-    char *announceAs = nullptr;
-    char *sample = nullptr;
-    char *id = nullptr;
-    char *service = nullptr;
-    char *dataCentre = nullptr;
-    char *keyMarker = nullptr;
-    const poptOption table[] = {
-        {"address", 'a', POPT_ARG_STRING, &address, 0, "IP address to listen on", "IP"},
-        {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
-        {"slots", 's', POPT_ARG_INT, &slots, 0, "Number of calls that run at once", "N"},
-        {"service-us", 't', POPT_ARG_INT, &serviceMicroseconds, 0, "Service time of a call", "MICROSECONDS"},
-        {"cold-start-ms", 'c', POPT_ARG_INT, &coldStart, 0, "Time from the start until the target is ready", "MILLISECONDS"},
-        {"backlog", 0, POPT_ARG_INT, &backlog, 0, "Maximum number of calls that wait for a slot", "N"},
-        {"connections", 0, POPT_ARG_INT, &connections, 0, "Maximum number of open connections", "N"},
-        {"announce", 0, POPT_ARG_STRING, &announce, 0, "Registration endpoint of the node to which the target announces itself", "IP:PORT"},
-        {"announce-as", 0, POPT_ARG_STRING, &announceAs, 0, "Address to announce; by default the one that it listens on", "IP:PORT"},
-        {"heartbeat", 0, POPT_ARG_STRING, &sample, 0, "Sample file of an announcement", "FILE"},
-        {"id", 0, POPT_ARG_STRING, &id, 0, "Target id to announce", "ID"},
-        {"service", 0, POPT_ARG_STRING, &service, 0, "Service to announce", "NAME"},
-        {"data-centre", 0, POPT_ARG_STRING, &dataCentre, 0, "Data centre to announce", "NAME"},
-        {"key-marker", 0, POPT_ARG_STRING, &keyMarker, 0, "Text that each customer's key contains", "TEXT"},
-        {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each call that runs to standard error", nullptr},
-        POPT_AUTOHELP POPT_TABLEEND,
-    };
-    poptContext context = poptGetContext("targetstandin", argc, argv, table, 0);
-    if (poptGetNextOpt(context) < -1) {
-        fmt::print(stderr, "targetstandin: invalid option; see --help\n");
-        return 2;
-    }
-    Galenahill::TargetOptions options;
-    options.address = address == nullptr ? "127.0.0.1" : address;
-    options.port = static_cast<std::uint16_t>(port);
-    options.slots = static_cast<std::uint32_t>(slots);
-    options.serviceTime = std::chrono::microseconds(serviceMicroseconds);
-    options.coldStart = Galenahill::Milliseconds(coldStart);
-    options.backlog = static_cast<std::uint32_t>(backlog);
-    options.connections = static_cast<std::uint32_t>(connections);
-    options.logRuns = logRuns != 0;
-    const auto text = [](const char *value) { return std::string(value == nullptr ? "" : value); };
-    options.registration = Galenahill::endpointOf(text(announce)).value_or(Galenahill::Endpoint());
-    options.announcedAs = Galenahill::endpointOf(text(announceAs)).value_or(Galenahill::Endpoint{options.address, options.port});
-    options.heartbeatSample = text(sample);
-    options.id = text(id);
-    options.service = text(service);
-    options.dataCentre = text(dataCentre);
-    options.keyMarker = text(keyMarker);
-    return Galenahill::run(options);
+    const auto options = Galenahill::parseTargetOptions(argc, argv);
+    return options ? Galenahill::run(*options) : 2;
 }
