--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -49,9 +49,8 @@
     record.statedLeaving = value(names.leaving) == "1";
 }
 
-asio::awaitable<void> sendCall(HttpClient &client, const LoadGenerator::Options &options, PlannedCall call, TimePoint deadline, CallRecord &record)
+HttpRequest requestOf(const LoadGenerator::Options &options, const PlannedCall &call, const std::string &idField, const CallRecord &record)
 {
-    const auto idField = options.headerNames.requestId.empty() ? std::string("Request-Id") : options.headerNames.requestId;
     const auto verb = http::string_to_verb(call.kind->method);
     HttpRequest request(verb, call.kind->path, 11);
     request.set(http::field::host, options.host.empty() ? toString(call.ingress) : options.host);
@@ -65,9 +64,63 @@
     if (verb == http::verb::post) {
         request.body() = "order " + record.id;
     }
+    return request;
+}
+
+// Appends the rest of a streamed response to its body. Returns whether the response is complete.
+asio::awaitable<bool> readRest(HttpResponse &response, BodySource &rest)
+{
+    constexpr std::size_t PartBytes = 64 * 1024;
+    while (!rest.done()) {
+        if (co_await rest.read(response.body(), PartBytes)) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+CallEnd endOf(const Result<HttpResponse> &response, bool complete, TimePoint endedAt, TimePoint deadline)
+{
+    if (complete) {
+        return CallEnd::Response;
+    }
+    if (!response && response.error().kind == ErrorKind::Unavailable) {
+        return CallEnd::NotSent;
+    }
+    if (endedAt >= deadline) {
+        return CallEnd::TimedOut;
+    }
+    return response ? CallEnd::ClosedInResponse : CallEnd::ClosedBeforeResponse;
+}
+
+asio::awaitable<void> sendCall(HttpClient &client, const LoadGenerator::Options &options, PlannedCall call, TimePoint deadline, CallRecord &record)
+{
+    const auto idField = options.headerNames.requestId.empty() ? std::string("Request-Id") : options.headerNames.requestId;
+    auto request = requestOf(options, call, idField, record);
+    std::unique_ptr<BodySource> rest;
+    const auto cancellation = std::make_shared<Cancellation>();
+    HttpClient::ExchangeOptions exchangeOptions{.cancellation = cancellation.get()};
+    if (call.kind->responseBytes > 0) {
+        exchangeOptions.responseBody = &rest;
+    }
     record.sentAt = Clock::now();
-    const auto response = co_await client.exchange(call.ingress, std::move(request), deadline);
+    auto response = co_await client.exchange(call.ingress, request, deadline, exchangeOptions);
+    bool complete = response.has_value();
+    if (response && rest) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, deadline);
+        timer.async_wait([cancellation](ErrorCode error) {
+            if (!error) {
+                cancellation->cancel();
+            }
+        });
+        complete = co_await readRest(*response, *rest);
+    }
     record.endedAt = Clock::now();
+    record.end = endOf(response, complete, record.endedAt, deadline);
+    record.receivedBytes = response ? response->body().size() : 0;
+    if (!complete && response) {
+        response = failure(ErrorKind::OutcomeUnknown, "the response is truncated");
+    }
     if (response) {
         recordStatements(*response, options.headerNames, record);
     }
@@ -99,6 +152,8 @@
         record.id = fmt::format("{}-{}", options.idPrefix, i);
         record.path = kind.path;
         record.key = kind.key;
+        record.timeout = options.timeout;
+        record.responseBytes = kind.responseBytes;
         record.ingress = chooseIngress(random);
         record.idempotent = kind.idempotent;
         record.scheduled = offset;
@@ -117,7 +172,8 @@
 std::vector<CallRecord> LoadGenerator::run()
 {
     asio::io_context context(1);
-    HttpClient client(context, {.maxIdlePerEndpoint = 256});
+    // Responses to calls that state a length are streamed from the first byte, so that truncation is seen.
+    HttpClient client(context, {.maxIdlePerEndpoint = 256, .bufferedBodyBytes = 1});
     std::vector<CallRecord> records(m_options.calls);
     asio::co_spawn(context, sendAll(context, client, m_options, records), asio::detached);
     context.run();
--- a/bench/loadgenerator.h
+++ b/bench/loadgenerator.h
@@ -21,6 +21,19 @@
     Mismatched,
 };
 
+// What ended a call, as its caller saw it.
+enum class CallEnd {
+    // A complete response arrived.
+    Response,
+    // The connection ended before the response, or in the middle of it.
+    ClosedBeforeResponse,
+    ClosedInResponse,
+    // The caller's own deadline passed.
+    TimedOut,
+    // No byte of the call was sent.
+    NotSent,
+};
+
 // The result of one call as seen by its caller.
 struct CallRecord
 {
@@ -30,6 +43,7 @@
     std::size_t ingress = 0;
     bool idempotent = false;
     CallOutcome outcome = CallOutcome::Unknown;
+    CallEnd end = CallEnd::NotSent;
     int status = 0;
     // Time from the scheduled send time to the complete response, so that a stall counts for every
     // call that it delays (no coordinated omission).
@@ -45,6 +59,11 @@
     bool statedLeaving = false;
     // Key that the caller sent; empty if none.
     std::string key;
+    // Time that the caller waits from sending the call.
+    Milliseconds timeout{0};
+    // Length of a complete response body, zero if it is short, and what arrived of the body.
+    std::size_t responseBytes = 0;
+    std::size_t receivedBytes = 0;
 };
 
 // Open-loop load generator: sends calls at a fixed rate, whether or not earlier ones have ended.
