autotests: Test replacements that fail, win, lose or are cancelled

Cause: only the rejected replacement was tested.

The simulated slow target of SlowTargetFixture can take another time and give another response; the assertions of attempttimeouttest are unchanged.

--- a/autotests/support/slowtargetfixture.h
+++ b/autotests/support/slowtargetfixture.h
@@ -27,7 +27,10 @@
     Endpoint ingressEndpoint;
     Endpoint slowEndpoint;
     Endpoint otherEndpoint;
+    // Endpoint of the sidecar in the ingress's process; no server listens there.
+    Endpoint localEndpoint;
     static constexpr Milliseconds SlowTime{800};
+    using Handler = std::function<asio::awaitable<HttpResponse>(ServerConnection &connection)>;
     // Of two idle targets, each gets about every other call.
     static constexpr int MaxCalls = 50;
 
@@ -41,22 +44,33 @@
     std::atomic<int> cancelledAttempts = 0;
     std::atomic<int> slowCalls = 0;
     std::atomic<int> otherCalls = 0;
+    // How long the slow target takes, and what it responds then; null: a short text.
+    std::atomic<Milliseconds::rep> slowTime = SlowTime.count();
+    Handler slowResponse;
+    // What the other target does once the slow one has a call, and what the local sidecar does. Null: as
+    // ever.
+    Handler otherHandler;
+    Handler localHandler;
     Ingress ingress{{.client = client,
         .node = NodeName("n"),
         .dataCentre = DataCentre("rosario-a"),
+        .localSidecar = localEndpoint,
+        .callLocalSidecar = [this](HttpRequest, ServerConnection &connection) { return localHandler(connection); },
         .callEnded = [](const RouteDefinition &, CallResult, std::chrono::microseconds) {}}};
     HttpServer ingressServer{context, {.endpoint = ingressEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) {
                                            return ingress.handle(std::move(request), connection);
                                        }}};
     HttpServer slowServer{
         context, {.endpoint = slowEndpoint, .handler = [this](HttpRequest, ServerConnection &connection) { return serveSlowly(connection); }}};
-    HttpServer otherServer{context, {.endpoint = otherEndpoint, .handler = [this](HttpRequest, ServerConnection &) { return serveOther(); }}};
+    HttpServer otherServer{
+        context, {.endpoint = otherEndpoint, .handler = [this](HttpRequest, ServerConnection &connection) { return serveOther(connection); }}};
     std::thread thread;
 
     explicit SlowTargetFixture(const std::string &address)
         : ingressEndpoint{address, 8080}
         , slowEndpoint{address, 8081}
         , otherEndpoint{address, 8082}
+        , localEndpoint{address, 8083}
     {
         setMembers({member("slow", slowEndpoint)});
         for (auto *server : {&ingressServer, &slowServer, &otherServer}) {
@@ -108,19 +122,31 @@
         if (slow && otherFillsUp) {
             otherHasFreeSlot = false;
         }
+        co_await work(connection, slow ? Milliseconds(slowTime) : Milliseconds(0));
+        cancelledAttempts += connection.cancellation().cancelled() ? 1 : 0;
+        if (slowResponse) {
+            co_return co_await slowResponse(connection);
+        }
+        co_return makeResponse(http::status::ok, "text/plain", "slow;");
+    }
+
+    // Takes that time, or until the attempt is cancelled.
+    asio::awaitable<void> work(ServerConnection &connection, Milliseconds time)
+    {
         asio::steady_timer timer(context);
-        const auto end = Clock::now() + (slow ? SlowTime : Milliseconds(0));
+        const auto end = Clock::now() + time;
         while (Clock::now() < end && !connection.cancellation().cancelled()) {
             timer.expires_after(Milliseconds(5));
             co_await timer.async_wait(asio::use_awaitable);
         }
-        cancelledAttempts += connection.cancellation().cancelled() ? 1 : 0;
-        co_return makeResponse(http::status::ok, "text/plain", "slow;");
     }
 
-    asio::awaitable<HttpResponse> serveOther()
+    asio::awaitable<HttpResponse> serveOther(ServerConnection &connection)
     {
         ++otherCalls;
+        if (otherHandler && slowCalls > 0) {
+            co_return co_await otherHandler(connection);
+        }
         if (!otherHasFreeSlot) {
             auto rejected = notRunResponse(http::status::service_unavailable, "refused", "full");
             rejected.set(CallHeaders::Load, formatLoad({9, 9}));
