autotests: Test that both attempts are destroyed with the context

Cause: the replacement runs in a coroutine of its own, so it may be destroyed after the call that it refers to.

Change: a test stops the context while both attempts run.

--- a/autotests/unit/attemptreplacementtest.cpp
+++ b/autotests/unit/attemptreplacementtest.cpp
@@ -230,6 +230,25 @@
     BOOST_TEST((Clock::now() - left < Milliseconds(400)));
 }
 
+// Guards against use of the call's state by an attempt that is destroyed later than the call.
+BOOST_AUTO_TEST_CASE(BothAreDestroyedWithTheContext)
+{
+    slowTime = TestTimeout.count();
+    std::promise<void> offered;
+    setOther(Milliseconds(0), [&](ServerConnection &connection) -> asio::awaitable<HttpResponse> {
+        offered.set_value();
+        co_await work(connection, TestTimeout);
+        co_return makeResponse(http::status::ok, "text/plain", "other;");
+    });
+    RawClient caller(ingressEndpoint);
+    for (int i = 0; i < MaxCalls && slowCalls == 0; ++i) {
+        caller.send("GET /cola/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+    BOOST_REQUIRE((offered.get_future().wait_for(TestTimeout) == std::future_status::ready));
+    context.stop();
+}
+
 // Guards against attempts that go on after the call's deadline.
 BOOST_DATA_TEST_CASE(TheDeadlineEndsBoth, boost::unit_test::data::make(Stops), stops)
 {
--- a/autotests/unit/attempttimeouttest.cpp
+++ b/autotests/unit/attempttimeouttest.cpp
@@ -18,7 +18,7 @@
 BOOST_FIXTURE_TEST_SUITE(attempttimeout, Fixture)
 
 // Guards against an ingress that cancels an attempt at a slow target after half of the timeout though
-// no other target has a free slot. The caller then gets an error instead of a late response, and the
+// no other target accepts the call. The caller then gets an error instead of a late response, and the
 // target's work is lost.
 BOOST_AUTO_TEST_CASE(KeepsWaitingIfNoOtherTargetHasAFreeSlot)
 {
@@ -29,8 +29,8 @@
     BOOST_TEST(cancelledAttempts == 0);
 }
 
-// A target is slow and another one has a free slot: the attempt is cancelled, and its retry at the
-// other target is answered in less time than the slow target needs.
+// A target is slow and another one has a free slot: the replacement at the other target is answered in
+// less time than the slow target needs, and the attempt is cancelled then.
 BOOST_AUTO_TEST_CASE(RetriesAtAnotherTargetWithAFreeSlot)
 {
     setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
@@ -41,8 +41,7 @@
     BOOST_TEST(becomesCancelled());
 }
 
-// The node is stopping while a target is slow. A failed retry would leave the caller with an error of
-// the node instead of the response that was on its way, so running attempts are not cancelled even if
+// The node is stopping while a target is slow. The response that is on its way is waited for, even if
 // another target has a free slot.
 BOOST_AUTO_TEST_CASE(AStoppingNodeCancelsNoAttempt)
 {
