bench: Stop fleets in short steps in the soak and judge lost calls

Cause: the soak found neither of the two recorded losses. It stopped one node at a time and waited for its end, its targets were never slow, its links never full, and unplanned faults, which excuse a loss, were never far away.

Change: planned work runs in series of its own, which overlap: nodes of one or all data centres are stopped in steps of 0.25 s, with reloads, changed route timeouts, a route that comes and goes, and some targets that turn slow just then.

--- a/bench/lostchecks.cpp
+++ b/bench/lostchecks.cpp
@@ -244,7 +244,8 @@
     }
     std::string work;
     for (const auto &planned : m_records.planned) {
-        if (planned.begin <= call.endedAt && planned.begin + StopTimeout + AfterStop >= call.endedAt) {
+        const auto window = planned.kind == PlannedWork::Kind::Configuration ? AfterConfiguration : StopTimeout + AfterStop;
+        if (planned.begin <= call.endedAt && planned.begin + window >= call.endedAt) {
             static constexpr const char *Names[] = {"SIGTERM of node", "SIGHUP of node", "configuration"};
             const auto *name = Names[static_cast<std::size_t>(planned.kind)];
             const bool near = planned.kind == PlannedWork::Kind::Configuration || planned.node == call.ingress
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -1,4 +1,4 @@
-// Soak test of a fleet of platform nodes under random faults from a seed: signals to processes,
+// Soak test of a fleet of platform nodes under random faults and planned work from a seed: signals to processes,
 // faults of the store, proxies in front of the store and of each target that delay, reset or hold
 // back data, and targets that state rate limits or that they are leaving. Callers are customers with keys,
 // and others whose keys must be rejected. Violations are found in the
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -23,16 +22,37 @@
 
 constexpr std::size_t Nodes = 6;
 
+// More nodes keep serving while others are in their stop.
+constexpr std::size_t PlannedOnlyNodes = 12;
+
 // Each tenth seed runs a fleet as large as the limits on processes allow: two for each node.
 constexpr std::size_t LargeFleetNodes = 60;
 constexpr std::uint64_t LargeFleetEvery = 10;
 
 constexpr double CallsPerSecond = 150;
+constexpr double PlannedOnlyCallsPerSecond = 300;
 constexpr double LargeFleetCallsPerSecond = 600;
+// Less than slow links carry.
+constexpr double RecoveryCallsPerSecond = 20;
+
+// A third of the seeds has no unplanned disruptions, which excuse lost calls.
+constexpr std::uint64_t PlannedOnlyEvery = 3;
+constexpr std::uint64_t PlannedOnlyRemainder = 2;
+
+// Each second seed has links that carry less than the large responses need.
+constexpr std::uint64_t SlowLinksEvery = 2;
+constexpr std::uint32_t SlowLinkMbps = 11;
+
+constexpr std::chrono::microseconds MeanServiceTime{60000};
+constexpr double LateShare = 0.03;
+
+// Series of planned work at a time in a run that has nothing else.
+constexpr std::uint64_t PlannedOnlySeries = 2;
 
 // Each seed uses its own addresses, so that several runs can go on at once.
 constexpr std::uint8_t FirstNetwork = 20;
 constexpr std::uint64_t Networks = 50;
+constexpr Milliseconds CallerTimeout{2500};
 constexpr Milliseconds Length{16000};
 constexpr Milliseconds QuickLength{10000};
 // Users expect a configuration to be in force within two seconds. The test waits longer, since the
@@ -47,13 +67,22 @@
     : m_options(options)
     , m_random(options.seed)
     , m_largeFleet(options.seed % LargeFleetEvery == 0)
-    , m_nodes(m_largeFleet ? LargeFleetNodes : Nodes)
+    , m_plannedOnly(options.seed % PlannedOnlyEvery == PlannedOnlyRemainder)
+    , m_slowLinks(options.seed % SlowLinksEvery == 0)
+    , m_nodes(m_largeFleet    ? LargeFleetNodes
+              : m_plannedOnly ? PlannedOnlyNodes
+                              : Nodes)
     , m_fleet({.programs = options.programs,
           .sources = options.sources,
           .folder = options.folder,
           .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + FirstNetwork + options.seed % Networks),
           .nodes = m_nodes,
           .services = {"tablero", "ventas"},
+          .serviceTime = MeanServiceTime,
+          .lateShare = LateShare,
+          .seed = options.seed,
+          .dataCentres = DataCentres,
+          .linkMbps = m_slowLinks ? SlowLinkMbps : 0,
           .proxied = true,
           .keyMarker = SoakCustomers::KeyMarker})
     , m_length(options.quick ? QuickLength : Length)
@@ -66,15 +95,7 @@
 
 std::string Soak::document(int revision) const
 {
-    return sampleDocument(m_options.sources,
-        revision,
-        Host,
-        {{.name = "cola", .service = "tablero"},
-            {.name = "orden", .service = "ventas", .idempotent = false},
-            {.name = "descarga", .service = "ventas", .largeResponses = true},
-            {.name = "abierto", .service = "tablero", .anonymous = true},
-            {.name = fmt::format("r{}", revision), .service = "tablero"}},
-        SoakCustomers::customers(revision));
+    return sampleDocument(m_options.sources, revision, Host, SoakCustomers::routes(revision), SoakCustomers::customers(revision));
 }
 
 void Soak::addViolation(std::string guarantee, std::string description)
@@ -84,19 +105,22 @@
 
 double Soak::callsPerSecond() const
 {
-    return m_largeFleet ? LargeFleetCallsPerSecond : CallsPerSecond;
+    if (m_largeFleet) {
+        return LargeFleetCallsPerSecond;
+    }
+    return m_plannedOnly ? PlannedOnlyCallsPerSecond : CallsPerSecond;
 }
 
-std::vector<CallRecord> Soak::call(std::size_t calls, const std::string &prefix) const
+std::vector<CallRecord> Soak::call(std::size_t calls, const std::string &prefix, double rate) const
 {
     LoadGenerator::Options load;
     for (std::size_t node = 0; node < m_nodes; ++node) {
         load.ingresses.push_back(m_fleet.ingress(node));
     }
     load.kinds = SoakCustomers::callKinds();
-    load.rate = callsPerSecond();
+    load.rate = rate;
     load.calls = calls;
-    load.timeout = Milliseconds(2500);
+    load.timeout = CallerTimeout;
     load.seed = m_options.seed;
     load.idPrefix = prefix;
     load.headerNames = Platform::callHeaderNames();
@@ -104,55 +128,6 @@
     return LoadGenerator(load).run();
 }
 
-void Soak::checkCalls(const std::vector<CallRecord> &records)
-{
-    std::map<std::string, int> runs;
-    for (const auto &id : m_fleet.executedCalls()) {
-        ++runs[id];
-    }
-    for (const auto &record : records) {
-        const auto count = runs.contains(record.id) ? runs.at(record.id) : 0;
-        if (!record.idempotent && count > 1) {
-            addViolation("at-most-once", fmt::format("non-idempotent call {} ran {} times", record.id, count));
-        }
-        if (record.outcome == CallOutcome::NotRun && record.status != 0 && count > 0) {
-            addViolation("not-run", fmt::format("call {} was rejected with status {}, but ran", record.id, record.status));
-        }
-        if (record.outcome == CallOutcome::Mismatched) {
-            addViolation("own-answer", record.id + " got the response to another call");
-        }
-        if (record.status == 404) {
-            addViolation("known-route", record.id + " got status 404 for a route that every revision has");
-        }
-    }
-}
-
-void Soak::checkStatements(const std::vector<CallRecord> &records)
-{
-    const StatementRecords all{.targets = m_fleet.targetHistories(), .calls = records, .disruptions = m_disruptions};
-    for (auto &violation : rateLimitViolations(all)) {
-        addViolation("rate-limit", std::move(violation));
-    }
-    for (auto &violation : leavingViolations(all)) {
-        addViolation("leaving", std::move(violation));
-    }
-}
-
-// Limits of customers are not checked yet; their counts per customer belong here.
-void Soak::checkCustomers(const std::vector<CallRecord> &records, const std::set<std::string> &rejectedKeys)
-{
-    const CustomerRecords all{
-        .targets = m_fleet.targetHistories(), .calls = records, .customerOfKey = SoakCustomers::customerOfKey(), .rejectedKeys = rejectedKeys};
-    for (auto &violation : customerViolations(all)) {
-        addViolation("customers", std::move(violation));
-    }
-    for (const auto &record : records) {
-        if (rejectedKeys.contains(record.key) && record.outcome == CallOutcome::Answered) {
-            addViolation("customers", fmt::format("call {} with a rejected key was answered", record.id));
-        }
-    }
-}
-
 int Soak::statusOf(std::size_t node, const std::string &path) const
 {
     HttpRequest request(http::verb::get, path, 11);
@@ -168,7 +143,9 @@
 void Soak::checkRecovery()
 {
     const auto until = Clock::now() + RecoveryLimit;
-    ++m_revision;
+    do {
+        ++m_revision;
+    } while (!SoakCustomers::hasTemporaryRoute(m_revision));
     while (!m_fleet.configure(document(m_revision)) && Clock::now() < until) {
         std::this_thread::sleep_for(Milliseconds(100));
     }
@@ -188,7 +165,7 @@
     }
     bool served = false;
     for (int round = 0; !served && Clock::now() < until + 2 * RecoveryLimit; ++round) {
-        const auto records = call(100, fmt::format("after-{}", round));
+        const auto records = call(100, fmt::format("after-{}", round), m_slowLinks ? RecoveryCallsPerSecond : callsPerSecond());
         served = std::all_of(
             records.begin(), records.end(), [](const auto &record) { return record.outcome == CallOutcome::Answered || !SoakCustomers::isAccepted(record); });
         // Every node serves a revision that has revoked the key.
@@ -206,29 +183,49 @@
         return false;
     }
     std::vector<CallRecord> records;
-    std::thread callers([&] { records = call(static_cast<std::size_t>(callsPerSecond() * static_cast<double>(m_length.count()) / 1000), "soak"); });
-    injectFaults();
+    const auto calls = static_cast<std::size_t>(callsPerSecond() * std::chrono::duration<double>(m_length).count());
+    m_begin = Clock::now();
+    std::thread callers([&] { records = call(calls, "soak", callsPerSecond()); });
+    std::vector<std::thread> series;
+    for (std::uint64_t i = 0; i < (m_plannedOnly ? PlannedOnlySeries : 1U); ++i) {
+        series.emplace_back([this, i] { runSeries(m_options.seed * PlannedOnlySeries + i); });
+    }
+    if (!m_plannedOnly) {
+        injectFaults();
+    }
+    std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
     callers.join();
     checkRecovery();
     checkCalls(records);
     checkStatements(records);
     checkCustomers(records, {SoakCustomers::UnknownKey});
+    checkLost(records);
+    printResult(records);
+    return m_violations.empty();
+}
+
+void Soak::printResult(const std::vector<CallRecord> &records) const
+{
     const auto answered = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.outcome == CallOutcome::Answered; });
     const auto unauthorized = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.status == 401; });
     nlohmann::json result = {{"bench", "soak"},
         {"commit", m_options.commit},
         {"seed", m_options.seed},
         {"nodes", m_nodes},
+        {"planned_only", m_plannedOnly},
+        {"slow_links", m_slowLinks},
         {"faults", m_injectedFaults},
         {"calls", records.size()},
         {"answered", answered},
         {"unauthorized", unauthorized},
+        {"lost", m_lost.aroundPlannedWork.size()},
+        {"lost_large_responses", m_lost.largeResponses.size()},
+        {"own_answers_after_run", m_lost.ownAnswers},
         {"violations", nlohmann::json::array()}};
     for (const auto &violation : m_violations) {
         result["violations"].push_back({{"promise", violation.guarantee}, {"record", violation.description}});
     }
     fmt::print("{}\n", result.dump());
-    return m_violations.empty();
 }
 
 bool runSoak(const ExperimentOptions &options)
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -4,10 +4,12 @@
 #include "experiments.h"
 #include "faultproxy.h"
 #include "loadgenerator.h"
+#include "lostchecks.h"
 #include "platformfleet.h"
 #include "statementchecks.h"
 
 #include <functional>
+#include <mutex>
 #include <random>
 #include <set>
 
@@ -20,8 +22,8 @@
     std::string description;
 };
 
-// One run: soak.cpp starts the fleet, sends the calls and checks the records, soakfaults.cpp injects
-// the faults.
+// One run: soak.cpp starts the fleet and sends the calls, soakchecks.cpp checks the records,
+// soakfaults.cpp injects the faults, soakplans.cpp performs planned work in series of their own.
 class Soak
 {
 public:
@@ -39,6 +41,15 @@
         std::function<void()> begin;
         std::function<void()> end;
         Milliseconds minLength{100};
+        // Whether calls may be lost by it.
+        bool unplanned = true;
+    };
+
+    // A node that has got a SIGTERM in a series.
+    struct Stopping
+    {
+        std::size_t node = 0;
+        TimePoint until;
     };
 
     // Each revision has a route that no other revision has.
@@ -56,28 +67,59 @@
     void injectFaults();
     void waitUntilResponding(std::size_t node) const;
     void stopNode(std::size_t node);
+    void endStop(std::size_t node);
+    void recordPlannedWork(PlannedWork::Kind kind, std::size_t node);
+    void recordUnplanned(TimePoint begin, TimePoint end);
+    // Adds an entry to the list of what was injected, with the time since the first one.
+    void recordFault(const std::string &text);
+    // Reserves the subject; false if it has a fault.
+    bool claim(const std::string &subject);
+    void release(const std::string &subject);
+    void changeConfiguration();
+    void runSeries(std::uint64_t seed);
+    void stopInSeries(std::mt19937_64 &random);
+    bool beginStop(std::size_t node, std::vector<Stopping> &stopping);
+    void restartStopped(std::vector<Stopping> &stopping);
+    void slowTargetsDown(const std::vector<std::size_t> &nodes, std::mt19937_64 &random);
+    void reload(std::size_t node);
+    std::vector<std::size_t> chooseNodes(std::mt19937_64 &random) const;
     void checkCalls(const std::vector<CallRecord> &records);
     void checkStatements(const std::vector<CallRecord> &records);
+    void checkLost(const std::vector<CallRecord> &records);
+    void printResult(const std::vector<CallRecord> &records) const;
     void checkCustomers(const std::vector<CallRecord> &records, const std::set<std::string> &rejectedKeys);
     void checkRecovery();
     int statusOf(std::size_t node, const std::string &path) const;
     void addViolation(std::string guarantee, std::string description);
     double callsPerSecond() const;
-    std::vector<CallRecord> call(std::size_t calls, const std::string &prefix) const;
+    std::vector<CallRecord> call(std::size_t calls, const std::string &prefix, double rate) const;
+
+    static constexpr std::size_t DataCentres = 3;
 
     ExperimentOptions m_options;
     std::mt19937_64 m_random;
     bool m_largeFleet;
+    // Whether the run has planned work only, and whether the VMs' links are too slow for the load.
+    bool m_plannedOnly;
+    bool m_slowLinks;
     std::size_t m_nodes;
     PlatformFleet m_fleet;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::vector<std::unique_ptr<FaultProxy>> m_targetProxies;
+    // Guards what the series and the faults share: the members below.
+    mutable std::mutex m_mutex;
+    // Held while a configuration is written, so that revisions are written in order.
+    std::mutex m_configurationMutex;
     // Subjects that have a fault at present.
     std::set<std::string> m_faultySubjects;
     int m_revision = 1;
     Milliseconds m_length;
+    TimePoint m_begin;
     std::vector<std::string> m_injectedFaults;
     std::vector<NodeDisruption> m_disruptions;
+    std::vector<PlannedWork> m_plannedWork;
+    std::vector<TimeSpan> m_unplanned;
+    LostCalls m_lost;
     std::vector<SoakViolation> m_violations;
 };
 
--- a/bench/soakcustomers.h
+++ b/bench/soakcustomers.h
@@ -22,6 +22,17 @@
 // A key that every revision has.
 inline constexpr const char *ValidKey = "soak-key-uno-a";
 
+// Path of a route that some revisions do not have.
+inline constexpr const char *TemporaryPath = "/vaiven/1";
+
+bool hasTemporaryRoute(int revision);
+
+// Routes of the revision: each has one that no other has, and the timeout of one route changes.
+std::vector<SampleRoute> routes(int revision);
+
+// Least timeout of any revision, by the path of a call.
+std::map<std::string, Milliseconds> routeTimeouts();
+
 // Customers in the configuration of that revision. They have no limits.
 std::vector<SampleCustomer> customers(int revision);
 
--- a/bench/soakfaults.cpp
+++ b/bench/soakfaults.cpp
@@ -36,11 +36,13 @@
 
 void Soak::recordDisruption(std::size_t node)
 {
+    const std::lock_guard lock(m_mutex);
     m_disruptions.push_back({.node = node, .begin = Clock::now(), .end = TimePoint::max()});
 }
 
 void Soak::endDisruption(std::size_t node)
 {
+    const std::lock_guard lock(m_mutex);
     for (auto &disruption : m_disruptions) {
         if (disruption.node == node && disruption.end == TimePoint::max()) {
             disruption.end = Clock::now();
@@ -64,11 +66,19 @@
     waitUntilResponding(node);
     auto &process = m_fleet.nodeProcess(node);
     recordDisruption(node);
+    recordPlannedWork(PlannedWork::Kind::Stop, node);
     process.signal(SIGTERM);
     const auto until = Clock::now() + StopLimit;
     while (process.running() && Clock::now() < until) {
         std::this_thread::sleep_for(Milliseconds(20));
     }
+    endStop(node);
+}
+
+// Starts a node again that has ended, or hasn't by the end of its time.
+void Soak::endStop(std::size_t node)
+{
+    auto &process = m_fleet.nodeProcess(node);
     if (process.running()) {
         addViolation("graceful-stop", fmt::format("node {} still runs {} ms after SIGTERM; killing it", node, StopLimit.count()));
         process.signal(SIGKILL);
@@ -108,7 +118,7 @@
                 endDisruption(node);
             }};
     default:
-        return {"stop", name, [] {}, [=, this] { stopNode(node); }};
+        return {"stop", name, [] {}, [=, this] { stopNode(node); }, Milliseconds(100), false};
     }
 }
 
@@ -134,7 +144,8 @@
         subject,
         [=, this] { m_fleet.instructTarget(node, instruction); },
         [=, this] { m_fleet.instructTarget(node, R"({"rate_limit": ""})"); },
-        StatementLength};
+        StatementLength,
+        false};
 }
 
 Soak::Fault Soak::targetFault(std::size_t node)
@@ -192,9 +203,7 @@
     case 3:
         return targetStatement(node);
     default:
-        // The store may reject what the operator writes during a store fault; checkRecovery writes
-        // the last document again.
-        return {"write", "configuration", [this] { (void)m_fleet.configure(document(++m_revision)); }, [] {}};
+        return {"write", "configuration", [this] { changeConfiguration(); }, [] {}, Milliseconds(100), false};
     }
 }
 
@@ -202,12 +211,13 @@
 {
     struct Running
     {
+        TimePoint began;
         TimePoint ends;
+        bool unplanned = true;
         std::string subject;
         std::function<void()> end;
     };
     std::vector<Running> running;
-    const auto begin = Clock::now();
     const auto endDue = [&](TimePoint now) {
         for (auto fault = running.begin(); fault != running.end();) {
             if (fault->ends > now) {
@@ -215,20 +225,24 @@
                 continue;
             }
             fault->end();
-            m_faultySubjects.erase(fault->subject);
+            release(fault->subject);
+            if (fault->unplanned) {
+                recordUnplanned(fault->began, Clock::now());
+            }
             fault = running.erase(fault);
         }
     };
-    while (Clock::now() - begin < m_length) {
+    while (Clock::now() - m_begin < m_length) {
         std::this_thread::sleep_for(Milliseconds(m_random() % (2000 / FaultsPerSecond)));
         endDue(Clock::now());
         auto fault = drawFault();
-        if (!m_faultySubjects.insert(fault.subject).second) {
+        if (!claim(fault.subject)) {
             continue;
         }
-        m_injectedFaults.push_back(fmt::format("{} {}@{}", fault.kind, fault.subject, std::chrono::duration_cast<Milliseconds>(Clock::now() - begin).count()));
+        recordFault(fault.kind + " " + fault.subject);
+        const auto began = Clock::now();
         fault.begin();
-        running.push_back({Clock::now() + fault.minLength + Milliseconds(m_random() % MaxRandomFaultMs), fault.subject, fault.end});
+        running.push_back({began, Clock::now() + fault.minLength + Milliseconds(m_random() % MaxRandomFaultMs), fault.unplanned, fault.subject, fault.end});
     }
     endDue(TimePoint::max());
 }
