calls: Send produced responses until their deadlines

Cause: ResponseSchedule::unsendable() took a produced response off the link as soon as its rest was forecast to miss the caller's deadline, also one that was being sent. Its caller got "outcome unknown" or a broken connection although the target had responded and the deadline had not passed (LOST).

Change: a produced response is ended only after its deadline, with an allowance for deadlines in whole milliseconds and for the last part. A forecast changes the order only (TransferOrder): a response that would miss its deadline if it waited goes first, then as many as possible meet their objectives, and those that cannot be complete go last without taking a place. Admission uses cautious sizes and service times (nine in ten calls) and counts the backlog, so that a call that could not be delivered does not run. Late responses hold back the admission of others more than before, since they will be sent.

Test changed: ResponseThatCannotBeCompleteIsDropped asserted the fault. Its place take ProducedResponseIsKeptUntilItsDeadline (kept and sent up to the deadline, ended after it) and ResponseThatCannotBeCompleteGivesWay. The first test of producedresponsetest now requires the complete transfer. The bound for served calls in OverloadedLinksServeMostCalls rises from 0.85 to what the former design served, 0.880 and 0.868, and a bound for calls run in vain is new.

Conclusion: nothing that exists is given up.

--- a/autotests/support/exportsimulation.h
+++ b/autotests/support/exportsimulation.h
@@ -2,6 +2,7 @@
 
 #include "core/calls/responseschedule.h"
 #include "core/calls/responsesizes.h"
+#include "core/calls/servicetimes.h"
 
 #include <algorithm>
 #include <array>
@@ -117,7 +118,7 @@
     {
         ResponseSchedule schedule{{.bytesPerSecond = LinkBytesPerSecond}};
         ResponseSizes sizes{{}};
-        std::chrono::microseconds serviceTime{333000};
+        ServiceTimes times;
         // Admitted calls that wait for a slot, the calls as the schedule knows them, and the bytes left
         // to send.
         std::deque<std::size_t> queue;
@@ -190,8 +191,7 @@
         for (int offer = 0; offer < 4; ++offer) {
             const auto index = std::next(order.begin(), offer % 2)->second;
             auto &target = m_targets[index];
-            const auto bytes = target.sizes.estimate(RouteName("export"), m_now).mean;
-            const ResponseSchedule::Call known{call.at + Objective, call.at + Deadline, bytes, target.serviceTime};
+            const auto known = describe(target, call);
             if (target.schedule.add(ResponseTicket(id), known, offer >= 2, m_now)) {
                 target.known.emplace(id, known);
                 return process(target);
@@ -201,6 +201,19 @@
         ++m_result.rejected;
     }
 
+    ResponseSchedule::Call describe(Target &target, const Arrival &call) const
+    {
+        const RouteName route("export");
+        target.times.assume(route, Objective / 3);
+        const auto size = target.sizes.estimate(route, m_now);
+        return {.objective = call.at + Objective,
+            .deadline = call.at + Deadline,
+            .bytes = size.mean,
+            .serviceTime = target.times.average(route),
+            .highBytes = size.high,
+            .highServiceTime = target.times.high(route)};
+    }
+
     void process(Target &target)
     {
         auto &schedule = target.schedule;
@@ -220,7 +233,7 @@
             const auto service = serviceTime(m_arrivals[id], static_cast<std::size_t>(&target - m_targets.data()));
             at(m_now + service, [this, &target, id, service] { produce(target, id, service); });
         }
-        while (const auto ticket = schedule.unsendable(m_now)) {
+        while (const auto ticket = schedule.expired(m_now)) {
             schedule.remove(*ticket);
             ++m_result.lost;
         }
@@ -245,7 +258,7 @@
     {
         const ResponseTicket ticket(id);
         const auto bytes = m_arrivals[id].bytes;
-        target.serviceTime += (std::chrono::duration_cast<std::chrono::microseconds>(service) - target.serviceTime) / 8;
+        target.times.record(RouteName("export"), std::chrono::duration_cast<std::chrono::microseconds>(service));
         target.sizes.record(RouteName("export"), bytes, m_now);
         target.schedule.produced(ticket, bytes);
         target.schedule.takeMemory(ticket, bytes);
--- a/autotests/unit/producedresponsetest.cpp
+++ b/autotests/unit/producedresponsetest.cpp
@@ -29,7 +29,6 @@
 // too late (LOST): shorter responses are produced while a long one is being sent.
 BOOST_FIXTURE_TEST_CASE(TransferIsNotEndedBeforeItsDeadline, Fixture)
 {
-    const auto sentAt = Clock::now();
     const auto longer = send(LongBytes, Deadline);
     std::this_thread::sleep_for(Milliseconds(50));
     std::vector<std::unique_ptr<Caller>> shorter;
@@ -37,8 +36,7 @@
         shorter.push_back(send(ShortBytes, 10 * Deadline));
     }
     BOOST_REQUIRE(longer->readTo("\r\n\r\n").find("200 OK") != std::string::npos);
-    const bool complete = longer->skip(LongBytes);
-    BOOST_TEST((complete || Clock::now() - sentAt >= Deadline));
+    BOOST_TEST(longer->skip(LongBytes));
     for (const auto &caller : shorter) {
         BOOST_TEST(caller->receives(ShortBytes));
     }
--- a/autotests/unit/responsescheduletest.cpp
+++ b/autotests/unit/responsescheduletest.cpp
@@ -34,11 +34,12 @@
 }
 
 // Guards against serving nobody under Deployment B's load: eight links carry 1.37 MB/s each, and the
-// responses amount to 1.12 times that. Sent in order of arrival, nearly all of them are late, and more
+// responses amount to 1.12 times that. Also guards against running calls in vain. Sent in order of arrival, nearly all of them are late, and more
 // than half complete after their callers have left.
 BOOST_AUTO_TEST_CASE(OverloadedLinksServeMostCalls)
 {
-    for (const std::uint64_t seed : {1, 2}) {
+    const std::map<std::uint64_t, double> leastServed{{1, 0.880}, {2, 0.868}};
+    for (const auto &[seed, served] : leastServed) {
         const auto ordered = ExportSimulation(seed, 136).runInOrder();
         const auto scheduled = ExportSimulation(seed, 136).run();
         BOOST_TEST_MESSAGE("in order of arrival: on time " << ordered.share(ordered.onTime) << ", late " << ordered.share(ordered.late));
@@ -46,7 +47,8 @@
                                                  << scheduled.share(scheduled.rejected) << ", lost " << scheduled.share(scheduled.lost) << ", idle "
                                                  << scheduled.idleShare << ", buffered " << scheduled.maxBuffered);
         BOOST_TEST(scheduled.share(scheduled.onTime) >= 0.7);
-        BOOST_TEST(scheduled.share(scheduled.onTime + scheduled.late) >= 0.85);
+        BOOST_TEST(scheduled.share(scheduled.onTime + scheduled.late) >= served);
+        BOOST_TEST(scheduled.share(scheduled.lost) < 0.005);
         BOOST_TEST(ordered.share(ordered.onTime + ordered.late) <= 0.5);
         BOOST_TEST(scheduled.rejectedIdle == 0);
         BOOST_TEST(scheduled.admittedTooLate == 0);
@@ -122,13 +124,71 @@
     BOOST_TEST(schedule.bufferedBytes() == 100'000);
 }
 
-// Guards against using the link for a response that its caller will not wait for.
-BOOST_AUTO_TEST_CASE(ResponseThatCannotBeCompleteIsDropped)
+// Guards against giving up a produced response because it is expected to be late (LOST), and against
+// sending it after its caller has left.
+BOOST_AUTO_TEST_CASE(ProducedResponseIsKeptUntilItsDeadline)
 {
     ResponseSchedule schedule(link());
     produce(schedule, 1, call(400'000));
-    BOOST_TEST(!schedule.unsendable(Now + Milliseconds(3599)));
-    BOOST_TEST((schedule.unsendable(Now + Milliseconds(3601)) == ResponseTicket(1)));
+    BOOST_TEST(!schedule.expired(Now + Milliseconds(3601)));
+    for (int part = 0; part < 10; ++part) {
+        const auto now = std::max<TimePoint>(Now + Milliseconds(3601), schedule.linkFreeAt());
+        BOOST_TEST((schedule.nextPart(now)->ticket == ResponseTicket(1)));
+        schedule.requestPart(ResponseTicket(1), 400'000, now);
+    }
+    BOOST_TEST(!schedule.expired(Now + Milliseconds(4000)));
+    BOOST_TEST(!schedule.expired(Now + Milliseconds(4020)));
+    BOOST_TEST((schedule.expired(Now + Milliseconds(4021)) == ResponseTicket(1)));
+}
+
+// Guards against a response that cannot be complete in time and delays others or takes their places, and
+// against one that gets nothing although the link is free.
+BOOST_AUTO_TEST_CASE(ResponseThatCannotBeCompleteGivesWay)
+{
+    ResponseSchedule schedule(link());
+    for (const std::uint64_t ticket : {1, 2, 3}) {
+        produce(schedule, ticket, call(90'000));
+        schedule.produced(ResponseTicket(ticket), 5'000'000);
+    }
+    BOOST_TEST(schedule.nextPart(Now)->ticket == ResponseTicket(1));
+    BOOST_TEST(schedule.nextPart(schedule.linkFreeAt())->ticket == ResponseTicket(2));
+    produce(schedule, 4, call(90'000, Milliseconds(0)));
+    produce(schedule, 5, call(80'000, Milliseconds(0)));
+    BOOST_TEST(schedule.nextPart(schedule.linkFreeAt())->ticket == ResponseTicket(5));
+    BOOST_TEST(schedule.nextPart(schedule.linkFreeAt())->ticket == ResponseTicket(4));
+    // The first two still have their places, the third has to wait for one.
+    BOOST_TEST(!schedule.nextPart(schedule.linkFreeAt()));
+    schedule.requestPart(ResponseTicket(2), 4'900'000, schedule.linkFreeAt());
+    BOOST_TEST(schedule.nextPart(schedule.linkFreeAt())->ticket == ResponseTicket(2));
+}
+
+// Guards against running a call whose response would be too late whenever it is larger, or produced
+// later, than the average.
+BOOST_AUTO_TEST_CASE(CallIsNotRunIfItCouldMissItsDeadline)
+{
+    ResponseSchedule schedule(link());
+    auto large = call(90'000, Milliseconds(0), Milliseconds(1000));
+    BOOST_TEST(schedule.add(ResponseTicket(1), large, true, Now));
+    large.highBytes = 671'000;
+    BOOST_TEST(!schedule.add(ResponseTicket(2), large, true, Now));
+    auto slow = call(90'000, Milliseconds(0), Milliseconds(1000));
+    slow.highServiceTime = Milliseconds(911);
+    BOOST_TEST(!schedule.add(ResponseTicket(2), slow, true, Now));
+    slow.highServiceTime = Milliseconds(819);
+    BOOST_TEST(schedule.add(ResponseTicket(2), slow, true, Now));
+    BOOST_TEST(schedule.nextDecision(Now)->admitted);
+    const auto decision = schedule.nextDecision(Now + Milliseconds(92));
+    BOOST_TEST((decision && !decision->admitted && decision->ticket == ResponseTicket(2)));
+}
+
+// Guards against admitting a call whose response would wait for the link until its caller has left.
+BOOST_AUTO_TEST_CASE(BacklogCountsWhenACallIsAdmitted)
+{
+    ResponseSchedule schedule(link());
+    BOOST_TEST(schedule.add(ResponseTicket(1), call(90'000, Milliseconds(0), Milliseconds(1000)), true, Now));
+    produce(schedule, 2, call(600'000, Milliseconds(2000)));
+    const auto decision = schedule.nextDecision(Now + Milliseconds(400));
+    BOOST_TEST((decision && !decision->admitted && decision->ticket == ResponseTicket(1)));
 }
 
 // Guards against a node that, after its restart, admits calls as if their responses were small, and
--- a/autotests/unit/servicetimestest.cpp
+++ b/autotests/unit/servicetimestest.cpp
@@ -45,3 +45,20 @@
         BOOST_TEST(times.average(Lookup) > latency * 4);
     }
 }
+
+// Guards against estimates for the slowest calls from the average of all.
+BOOST_AUTO_TEST_CASE(HighLatencyCoversNineInTenCalls)
+{
+    ServiceTimes times;
+    times.assume(Lookup, Microseconds(250000));
+    BOOST_TEST(times.high(Lookup).count() == 250000);
+    for (int i = 1; i <= 100; ++i) {
+        times.record(Lookup, Microseconds(i % 8 == 0 ? 90000 : 10000));
+    }
+    BOOST_TEST(times.high(Lookup).count() == 90000);
+    for (int i = 1; i <= 32; ++i) {
+        times.record(Lookup, Microseconds(i % 16 == 0 ? 90000 : 10000));
+    }
+    BOOST_TEST(times.high(Lookup).count() >= times.average(Lookup).count());
+    BOOST_TEST(times.high(Lookup).count() < 90000);
+}
--- a/src/core/calls/responseschedule.cpp
+++ b/src/core/calls/responseschedule.cpp
@@ -22,8 +22,6 @@
     return {late, (late ? call.deadline : call.objective) - needed};
 }
 
-// Of the produced responses, whose sizes are known, the shortest goes first: more of them are served,
-// and on time, than in the order of their latest starts.
 ResponseSchedule::Urgency ResponseSchedule::urgencyOf(const Entry &entry, TimePoint now) const
 {
     if (entry.stage == Stage::Produced) {
@@ -40,6 +38,13 @@
     return entry.started && !entry.wantsPart && now - entry.grantedAt > m_options.stallTime;
 }
 
+// A produced response that cannot be complete in time goes after all others.
+bool ResponseSchedule::needsLink(const Entry &entry, TimePoint now) const
+{
+    const bool isHopeless = entry.stage == Stage::Produced && now + linkTime(entry.call.bytes) > entry.call.deadline;
+    return !isHopeless && !isStalled(entry, now);
+}
+
 // Bytes that the link has to send before a call of that urgency. A produced response is assumed to be
 // sent before a call that does not run yet and is no more urgent in being late or not.
 std::uint64_t ResponseSchedule::bytesAhead(const Urgency &urgency, TimePoint now) const
@@ -48,7 +53,7 @@
     for (const auto &[ticket, entry] : m_entries) {
         const auto other = urgencyOf(entry, now);
         const bool isAhead = entry.stage == Stage::Produced ? other.first <= urgency.first : other <= urgency;
-        bytes += isAhead && !isStalled(entry, now) ? entry.call.bytes : 0;
+        bytes += isAhead && needsLink(entry, now) ? entry.call.bytes : 0;
     }
     return bytes;
 }
@@ -57,7 +62,7 @@
 {
     std::uint64_t bytes = 0;
     for (const auto &[ticket, entry] : m_entries) {
-        if (entry.stage != Stage::Waiting && !isStalled(entry, now) && !(onTimeOnly && urgencyOf(entry, now).first)) {
+        if (entry.stage != Stage::Waiting && needsLink(entry, now) && !(onTimeOnly && urgencyOf(entry, now).first)) {
             bytes += entry.call.bytes;
         }
     }
@@ -71,10 +76,18 @@
     return std::max<TimePoint>(now + call.serviceTime, linkFree) + linkTime(call.bytes);
 }
 
+// Whether the response could be complete too late even if the call ran now.
+bool ResponseSchedule::couldMissDeadline(const Call &call, std::uint64_t bytesAhead, TimePoint now) const
+{
+    const Clock::duration service = std::max(call.serviceTime, call.highServiceTime);
+    return now + std::max(service, linkTime(bytesAhead)) + linkTime(std::max(call.bytes, call.highBytes)) > call.deadline;
+}
+
 bool ResponseSchedule::add(ResponseTicket ticket, const Call &call, bool untilDeadline, TimePoint now)
 {
     const auto limit = untilDeadline ? call.deadline : std::min(call.objective, call.deadline);
-    if (m_waiting >= m_options.maxWaiting || expectedCompletion(call, now) > limit) {
+    const auto ahead = bytesAhead(urgencyOf(call, call.serviceTime, now), now);
+    if (m_waiting >= m_options.maxWaiting || expectedCompletion(call, now) > limit || couldMissDeadline(call, ahead, now)) {
         return false;
     }
     m_entries.emplace(ticket, Entry{.call = call, .since = now});
@@ -82,14 +95,19 @@
     return true;
 }
 
-// Late responses do not delay the admission of a call that can be on time, since it will be sent before
-// them. But they hold memory, so their number stays bounded.
-bool ResponseSchedule::mayRun(const Entry &entry, const Urgency &urgency, TimePoint now) const
+// Late responses delay the admission of a call that can be on time less than those that are on time. They
+// are sent after it if they can wait.
+bool ResponseSchedule::mayRun(const Entry &entry, bool late, TimePoint now) const
 {
     const auto served = std::chrono::duration_cast<Clock::duration>(entry.call.serviceTime * m_options.leadFactor);
     const auto lead = std::max<Clock::duration>(served, m_options.minLead);
-    const bool late = urgency.first;
-    return linkTime(admittedBytes(!late, now)) < lead && linkTime(admittedBytes(false, now)) < 2 * lead;
+    return linkTime(admittedBytes(!late, now)) < lead && linkTime(admittedBytes(false, now)) < lead * m_options.lateFactor;
+}
+
+ResponseSchedule::Decision ResponseSchedule::reject(ResponseTicket ticket)
+{
+    remove(ticket);
+    return {ticket, false};
 }
 
 std::optional<ResponseSchedule::Decision> ResponseSchedule::nextDecision(TimePoint now)
@@ -101,19 +119,20 @@
             continue;
         }
         const auto candidate = urgencyOf(item.second, now);
-        if (candidate.second < now) {
-            const Decision rejected{item.first, false};
-            remove(rejected.ticket);
-            return rejected;
+        if (couldMissDeadline(item.second.call, 0, now)) {
+            return reject(item.first);
         }
         if (first == nullptr || candidate < urgency) {
             first = &item;
             urgency = candidate;
         }
     }
-    if (first == nullptr || !mayRun(first->second, urgency, now)) {
+    if (first == nullptr || !mayRun(first->second, urgency.first, now)) {
         return std::nullopt;
     }
+    if (couldMissDeadline(first->second.call, admittedBytes(false, now), now)) {
+        return reject(first->first);
+    }
     first->second.stage = Stage::Running;
     first->second.since = now;
     --m_waiting;
@@ -145,12 +164,22 @@
     entry.grantedAt = now;
 }
 
-// A response that can be on time starts even if late ones have taken all places.
-bool ResponseSchedule::mayStart(bool late, TimePoint now) const
+TransferOrder ResponseSchedule::transferOrder(TimePoint now) const
+{
+    std::vector<TransferOrder::Transfer> transfers;
+    for (const auto &[ticket, entry] : m_entries) {
+        if (entry.stage == Stage::Produced && !isStalled(entry, now)) {
+            transfers.push_back({ticket, entry.call.objective, entry.call.deadline, linkTime(entry.call.bytes)});
+        }
+    }
+    return TransferOrder(std::move(transfers), now, linkTime(m_options.partBytes));
+}
+
+// A response starts even if those that go after it have taken all places.
+bool ResponseSchedule::mayStart(TransferOrder::Rank rank, const TransferOrder &order, TimePoint now) const
 {
     const auto active = std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        const auto &entry = item.second;
-        return entry.started && !isStalled(entry, now) && (late || !urgencyOf(entry, now).first);
+        return item.second.started && !isStalled(item.second, now) && order.rankOf(item.first) <= rank;
     });
     return active < m_options.maxTransfers;
 }
@@ -160,27 +189,23 @@
     if (now < m_linkFreeAt) {
         return std::nullopt;
     }
-    std::pair<const ResponseTicket, Entry> *first = nullptr;
-    Urgency urgency;
-    for (auto &item : m_entries) {
-        const auto candidate = urgencyOf(item.second, now);
-        const bool isNext = item.second.wantsPart && (first == nullptr || candidate < urgency);
-        if (isNext && (item.second.started || mayStart(candidate.first, now))) {
-            first = &item;
-            urgency = candidate;
-        }
-    }
-    if (first == nullptr) {
+    const auto order = transferOrder(now);
+    const auto &tickets = order.tickets();
+    const auto next = std::find_if(tickets.begin(), tickets.end(), [&](ResponseTicket ticket) {
+        const auto &entry = m_entries.at(ticket);
+        return entry.wantsPart && (entry.started || mayStart(order.rankOf(ticket), order, now));
+    });
+    if (next == tickets.end()) {
         return std::nullopt;
     }
-    auto &entry = first->second;
+    auto &entry = m_entries.at(*next);
     const auto bytes = std::min(entry.call.bytes, m_options.partBytes);
     entry.call.bytes -= bytes;
     entry.started = true;
     entry.wantsPart = false;
     entry.grantedAt = now;
     m_linkFreeAt = std::max<TimePoint>(m_linkFreeAt, now - m_options.maxCatchUp) + linkTime(bytes);
-    return Part{first->first, bytes};
+    return Part{*next, bytes};
 }
 
 TimePoint ResponseSchedule::linkFreeAt() const
@@ -188,16 +213,11 @@
     return m_linkFreeAt;
 }
 
-// Measured by the whole link, since the small responses that share it are few.
-std::optional<ResponseTicket> ResponseSchedule::unsendable(TimePoint now) const
+std::optional<ResponseTicket> ResponseSchedule::expired(TimePoint now) const
 {
-    for (const auto &[ticket, entry] : m_entries) {
-        const auto needed = std::chrono::duration_cast<Clock::duration>(linkTime(entry.call.bytes) * m_options.responseFraction);
-        if (entry.wantsPart && now + needed > entry.call.deadline) {
-            return ticket;
-        }
-    }
-    return std::nullopt;
+    const auto isExpired = [&](const auto &item) { return item.second.wantsPart && now > item.second.call.deadline + m_options.deadlineAllowance; };
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(), isExpired);
+    return found == m_entries.end() ? std::nullopt : std::optional(found->first);
 }
 
 void ResponseSchedule::remove(ResponseTicket ticket)
--- a/src/core/calls/responseschedule.h
+++ b/src/core/calls/responseschedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/identifiers.h"
+#include "core/calls/transferorder.h"
 
 #include <cstdint>
 #include <map>
@@ -9,9 +10,6 @@
 
 namespace Galenahill {
 
-// Identifies a call in a ResponseSchedule. Zero: none.
-using ResponseTicket = StrongType<std::uint64_t, struct ResponseTicketTag>;
-
 // Schedules the large responses of one target on its VM's outbound link. Calls that can still meet
 // their objective go before those that cannot, and the one with the earliest latest start runs first;
 // late calls use what is left of the link. A call is admitted to run when its response would find the link
@@ -36,6 +34,9 @@
         // since service times and sizes vary: with 1.2, links are idle for 1.7% of the time while calls
         // wait, with 2 for less than 0.1%.
         double leadFactor = 2;
+        // Admitted responses with late ones, as a multiple of that. Late ones have to be sent too, and with
+        // many of them, those that can be on time would not be.
+        double lateFactor = 1.25;
         // Least time that the admitted responses occupy the link, since a VM with a tenth of a core is
         // stopped for up to 90 ms at a time.
         Milliseconds minLead{100};
@@ -45,6 +46,9 @@
         std::uint64_t maxBufferedBytes = 5 * 1024 * 1024;
         // Calls that wait to be admitted.
         std::size_t maxWaiting = 256;
+        // Time after its deadline for which a response is still sent. Deadlines are passed on in whole
+        // milliseconds, and the last part may be on the link already.
+        Milliseconds deadlineAllowance{20};
         // Parts that may be sent at once after this process was delayed, as the time that the link
         // takes for them. Otherwise the link would lose that time.
         Milliseconds maxCatchUp{40};
@@ -58,6 +62,10 @@
         // Size of the response, expected until it has been produced.
         std::uint64_t bytes = 0;
         std::chrono::microseconds serviceTime{0};
+        // Cautious estimates that few calls exceed. A call is not run if it could miss its deadline by
+        // them; they are ignored where they are below the expected ones.
+        std::uint64_t highBytes = 0;
+        std::chrono::microseconds highServiceTime{0};
     };
 
     struct Decision
@@ -104,9 +112,8 @@
     std::optional<Part> nextPart(TimePoint now);
     TimePoint linkFreeAt() const;
 
-    // A response that wants to send but cannot be complete by its caller's deadline even if it had the
-    // whole link.
-    std::optional<ResponseTicket> unsendable(TimePoint now) const;
+    // A response that wants to send although its caller's deadline has passed.
+    std::optional<ResponseTicket> expired(TimePoint now) const;
 
     // Removes a call that ended in whatever way.
     void remove(ResponseTicket ticket);
@@ -146,10 +153,14 @@
     Urgency urgencyOf(const Call &call, Clock::duration serviceLeft, TimePoint now) const;
     Urgency urgencyOf(const Entry &entry, TimePoint now) const;
     bool isStalled(const Entry &entry, TimePoint now) const;
+    bool needsLink(const Entry &entry, TimePoint now) const;
     std::uint64_t bytesAhead(const Urgency &urgency, TimePoint now) const;
     std::uint64_t admittedBytes(bool onTimeOnly, TimePoint now) const;
-    bool mayRun(const Entry &entry, const Urgency &urgency, TimePoint now) const;
-    bool mayStart(bool late, TimePoint now) const;
+    bool mayRun(const Entry &entry, bool late, TimePoint now) const;
+    bool couldMissDeadline(const Call &call, std::uint64_t bytesAhead, TimePoint now) const;
+    Decision reject(ResponseTicket ticket);
+    TransferOrder transferOrder(TimePoint now) const;
+    bool mayStart(TransferOrder::Rank rank, const TransferOrder &order, TimePoint now) const;
 
     Options m_options;
     // In the order of their tickets, which decides between calls of the same urgency.
--- a/src/core/calls/servicetimes.cpp
+++ b/src/core/calls/servicetimes.cpp
@@ -1,5 +1,7 @@
 #include "core/calls/servicetimes.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Galenahill {
@@ -15,6 +17,9 @@
 // Maximum number of routes whose latency is kept; a configuration may have many more.
 constexpr std::size_t MaxRoutes = 256;
 
+// Share of the calls that the high latency covers.
+constexpr double HighQuantile = 0.9;
+
 void updateAverage(Microseconds &average, Microseconds time)
 {
     average += (time - average) / Weight;
@@ -38,6 +43,9 @@
         } else {
             times->average = time;
         }
+        times->samples[times->next] = static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+        times->next = (times->next + 1) % MaxSamples;
+        times->count = std::min(times->count + 1, MaxSamples);
     }
 }
 
@@ -59,6 +67,20 @@
     return found == m_routes.end() || found->second.average.count() == 0 ? m_all.average : found->second.average;
 }
 
+Microseconds ServiceTimes::high(const RouteName &route) const
+{
+    const auto found = m_routes.find(route);
+    const auto known = average(route);
+    if (found == m_routes.end() || found->second.count == 0) {
+        return known;
+    }
+    auto sorted = found->second.samples;
+    const auto count = found->second.count;
+    const auto rank = std::min(static_cast<std::size_t>(HighQuantile * static_cast<double>(count)), count - 1);
+    std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.begin() + count);
+    return std::max(known, Microseconds(sorted[rank]));
+}
+
 Microseconds ServiceTimes::average() const
 {
     return m_all.average;
--- a/src/daemon/calls/responsesender.cpp
+++ b/src/daemon/calls/responsesender.cpp
@@ -16,7 +16,7 @@
 constexpr Microseconds UnknownServiceTime{300000};
 
 // Longest time between two checks of the schedule while calls or responses wait. Finds stalled
-// transfers, and calls that cannot be complete any more.
+// transfers, calls that cannot be complete any more, and responses whose deadline has passed.
 constexpr Milliseconds CheckInterval{50};
 
 Milliseconds milliseconds(Clock::duration duration)
@@ -56,20 +56,26 @@
 }
 
 // A call without an objective is on time until its deadline.
-ResponseSchedule::Call ResponseSender::describe(const SlotCall &call, std::uint64_t bytes, TimePoint now)
+ResponseSchedule::Call ResponseSender::describe(const SlotCall &call, TimePoint now)
 {
     const auto objective = std::min(call.objective, call.deadline);
     if (call.objective != TimePoint::max() && call.objective > now) {
         m_times.assume(call.route, std::chrono::duration_cast<Microseconds>((call.objective - now) * AssumedServiceShare));
     }
+    const auto size = m_sizes.estimate(call.route, now);
     const auto serviceTime = m_times.average(call.route);
-    return {.objective = objective, .deadline = call.deadline, .bytes = bytes, .serviceTime = serviceTime.count() > 0 ? serviceTime : UnknownServiceTime};
+    return {.objective = objective,
+        .deadline = call.deadline,
+        .bytes = size.mean,
+        .serviceTime = serviceTime.count() > 0 ? serviceTime : UnknownServiceTime,
+        .highBytes = size.high,
+        .highServiceTime = m_times.high(call.route)};
 }
 
 asio::awaitable<bool> ResponseSender::admit(SlotCall &call, ServerConnection &connection)
 {
     const auto now = Clock::now();
-    const auto described = describe(call, m_sizes.estimate(call.route, now).mean, now);
+    const auto described = describe(call, now);
     const auto expectedCompletion = m_schedule.expectedCompletion(described, now);
     const ResponseTicket ticket(m_nextTicket++);
     if (!m_schedule.add(ticket, described, call.terms.mayWait, now)) {
@@ -160,7 +166,7 @@
         const bool readerLeft = connection.cancellation().cancelled();
         m_counts.dropped += readerLeft ? 0 : 1;
         logEarlyEnd(call, body, {.error = asio::error::operation_aborted, .sourceFailed = true}, readerLeft);
-        co_return outcomeUnknownResponse("the response cannot be complete by the call's deadline");
+        co_return outcomeUnknownResponse("the call's deadline passed while the response waited for the link");
     }
     const auto result = co_await connection.sendStreamed(std::move(response), body);
     if (result.error) {
@@ -215,7 +221,7 @@
     while (const auto decision = m_schedule.nextDecision(now)) {
         wake(*m_pending.at(decision->ticket), decision->admitted ? 1 : 0);
     }
-    while (const auto ticket = m_schedule.unsendable(now)) {
+    while (const auto ticket = m_schedule.expired(now)) {
         m_schedule.remove(*ticket);
         wake(*m_pending.at(*ticket), 0);
     }
@@ -253,9 +259,9 @@
             {"route", call.route.value()},
             {"ended_by",
                 readerLeft           ? "ingress"
-                    : body.givenUp() ? "schedule"
+                    : body.givenUp() ? "deadline"
                                      : "target"},
-            {"reason", body.givenUp() ? "the rest cannot arrive by the deadline" : result.error.message()},
+            {"reason", body.givenUp() ? "the call's deadline has passed" : result.error.message()},
             {"sent_bytes", result.bytes},
             {"bytes", bytes ? static_cast<std::int64_t>(*bytes) : -1},
             {"backlog_bytes", m_schedule.backlogBytes()},
@@ -273,6 +279,8 @@
             {"route", call.route.value()},
             {"expected_bytes", size.mean},
             {"high_bytes", size.high},
+            {"service_ms", std::chrono::duration_cast<Milliseconds>(m_times.average(call.route)).count()},
+            {"high_service_ms", std::chrono::duration_cast<Milliseconds>(m_times.high(call.route)).count()},
             {"estimate_age_ms", size.age ? size.age->count() : -1},
             {"backlog_bytes", m_schedule.backlogBytes()},
             {"buffered_bytes", m_schedule.bufferedBytes()},
--- a/src/daemon/calls/responsesender.h
+++ b/src/daemon/calls/responsesender.h
@@ -33,9 +33,9 @@
         std::uint64_t admitted = 0;
         std::uint64_t waited = 0;
         std::uint64_t rejected = 0;
-        // Responses that were produced and could not be complete by the deadline.
+        // Produced responses whose deadline passed before they got the link.
         std::uint64_t dropped = 0;
-        // Responses that were given up while they were being sent, for the same reason.
+        // Responses whose deadline passed while they were being sent.
         std::uint64_t interrupted = 0;
     };
 
@@ -55,8 +55,8 @@
     // Records the size of a response that is sent without the schedule, since it does not use the link.
     void recordSize(const RouteName &route, std::uint64_t bytes);
 
-    // Sends the response. Returns the response to send instead if it could not be complete by the
-    // deadline.
+    // Sends the response. Returns the response to send instead if the deadline passes before the
+    // first part.
     asio::awaitable<std::optional<HttpResponse>> send(const SlotCall &call, HttpResponse response, PacedBody &body, ServerConnection &connection);
 
     // Ends the call, and returns the memory of its response. A call without a ticket is ignored.
@@ -79,7 +79,7 @@
 private:
     struct Pending;
 
-    ResponseSchedule::Call describe(const SlotCall &call, std::uint64_t bytes, TimePoint now);
+    ResponseSchedule::Call describe(const SlotCall &call, TimePoint now);
     void setAdmitted(SlotCall &call, const ResponseSchedule::Call &described, Pending &pending);
     asio::awaitable<void> wait(const std::shared_ptr<Pending> &pending, ServerConnection &connection);
     static void wake(Pending &pending, std::uint64_t granted);
