calls: Measure the share of the link for large responses

Cause: large responses got a fixed 0.88 of the link, whatever else the node sent. Since produced responses are not dropped any more, that is what limits the calls that are served under overload.

Change: the HTTP client, the servers and the datagram socket count the bytes that they send to other addresses.

--- a/autotests/support/exportsimulation.h
+++ b/autotests/support/exportsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/calls/linkshare.h"
 #include "core/calls/responseschedule.h"
 #include "core/calls/responsesizes.h"
 #include "core/calls/servicetimes.h"
@@ -117,6 +118,8 @@
     struct Target
     {
         ResponseSchedule schedule{{.bytesPerSecond = LinkBytesPerSecond}};
+        LinkShare share{{.bytesPerSecond = LinkBytesPerSecond}};
+        std::uint64_t sentBytes = 0;
         ResponseSizes sizes{{}};
         ServiceTimes times;
         // Admitted calls that wait for a slot, the calls as the schedule knows them, and the bytes left
@@ -217,6 +220,8 @@
     void process(Target &target)
     {
         auto &schedule = target.schedule;
+        target.share.update(target.sentBytes, target.sentBytes, m_now);
+        schedule.setResponseFraction(target.share.value());
         while (const auto decision = schedule.nextDecision(m_now)) {
             const auto id = decision->ticket.value();
             const auto &known = target.known.at(id);
@@ -241,6 +246,7 @@
             const auto id = part->ticket.value();
             target.linkBusyUntil = std::max(m_now, target.linkBusyUntil) + linkTime(part->bytes);
             target.left[id] -= part->bytes;
+            target.sentBytes += part->bytes;
             if (target.left[id] > 0) {
                 schedule.requestPart(part->ticket, target.left[id], m_now);
             } else {
--- a/autotests/unit/producedresponsetest.cpp
+++ b/autotests/unit/producedresponsetest.cpp
@@ -53,3 +53,20 @@
     const bool replaced = header.find("200 OK") == std::string::npos;
     BOOST_TEST((!replaced || Clock::now() - sentAt >= Deadline));
 }
+
+// Guards against giving the link to nobody while a response cannot be complete any more, and against one
+// that keeps memory and link after its deadline.
+BOOST_FIXTURE_TEST_CASE(ResponseIsSentUntilItsDeadlineAndNotLonger, Fixture)
+{
+    exportMs = 0;
+    const auto caller = send(3 * LongBytes, Deadline);
+    BOOST_REQUIRE(caller->readTo("\r\n\r\n").find("200 OK") != std::string::npos);
+    // Half of what the link carries within the time.
+    BOOST_TEST(caller->skip(LongBytes));
+    BOOST_TEST(!caller->skip(2 * LongBytes));
+    BOOST_TEST(waitUntil([this] {
+        const auto &schedule = sidecar.responseSender().schedule();
+        return schedule.bufferedBytes() == 0 && schedule.backlogBytes() == 0;
+    }));
+    BOOST_TEST(send(ShortBytes, 10 * Deadline)->receives(ShortBytes));
+}
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -23,7 +23,7 @@
 
 }
 
-ClientConnection::ClientConnection(Tcp::socket socket, std::atomic<std::uint64_t> &bytes, std::shared_ptr<EndpointConnections> connections)
+ClientConnection::ClientConnection(Tcp::socket socket, ByteCounts &bytes, std::shared_ptr<EndpointConnections> connections)
     : channel(std::move(socket), bytes)
     , owner(std::move(connections))
 {
@@ -156,7 +156,7 @@
     }
 }
 
-std::uint64_t ConnectionPool::bytes() const
+const ByteCounts &ConnectionPool::bytes() const
 {
     return m_bytes;
 }
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -25,7 +25,7 @@
 class ClientConnection
 {
 public:
-    ClientConnection(Tcp::socket socket, std::atomic<std::uint64_t> &bytes, std::shared_ptr<EndpointConnections> owner);
+    ClientConnection(Tcp::socket socket, ByteCounts &bytes, std::shared_ptr<EndpointConnections> owner);
     ~ClientConnection();
 
     TcpChannel channel;
@@ -73,7 +73,7 @@
     // while. Cheap; to be called about once a second.
     void trimIdle();
 
-    std::uint64_t bytes() const;
+    const ByteCounts &bytes() const;
 
 private:
     struct EndpointHash
@@ -84,7 +84,7 @@
     asio::io_context &m_context;
     Options m_options;
     DeadlineSweeper m_sweeper;
-    std::atomic<std::uint64_t> m_bytes = 0;
+    ByteCounts m_bytes;
     std::unordered_map<Endpoint, std::shared_ptr<EndpointConnections>, EndpointHash> m_endpoints;
 };
 
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -107,7 +107,12 @@
 
 std::uint64_t HttpClient::bytes() const
 {
-    return d->pool->bytes();
+    return d->pool->bytes().all;
+}
+
+std::uint64_t HttpClient::bytesSentOnLink() const
+{
+    return d->pool->bytes().sentOnLink;
 }
 
 }
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -162,7 +162,12 @@
 
 std::uint64_t HttpServer::bytes() const
 {
-    return d->state->bytes;
+    return d->state->bytes.all;
+}
+
+std::uint64_t HttpServer::bytesSentOnLink() const
+{
+    return d->state->bytes.sentOnLink;
 }
 
 }
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -74,6 +74,9 @@
     // Bytes received and sent.
     std::uint64_t bytes() const;
 
+    // Of these, the bytes sent to other addresses than the own one.
+    std::uint64_t bytesSentOnLink() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -11,7 +11,7 @@
 struct HttpServerState
 {
     HttpServer::Options options;
-    std::atomic<std::uint64_t> bytes = 0;
+    ByteCounts bytes;
     std::size_t inFlight = 0;
     // Total length of the request bodies buffered in memory.
     std::uint64_t bufferedBytes = 0;
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -4,7 +4,7 @@
 
 namespace Galenahill {
 
-TcpChannel::TcpChannel(Tcp::socket connected, std::atomic<std::uint64_t> &bytes)
+TcpChannel::TcpChannel(Tcp::socket connected, ByteCounts &bytes)
     : socket(std::move(connected))
     , m_bytes(bytes)
 {
@@ -16,6 +16,13 @@
     ErrorCode ignored;
     socket.non_blocking(true, ignored);
     socket.set_option(Tcp::no_delay(true), ignored);
+    m_usesLink = socket.remote_endpoint(ignored).address() != socket.local_endpoint(ignored).address();
+}
+
+void TcpChannel::countSent(std::size_t count)
+{
+    m_bytes.all += count;
+    m_bytes.sentOnLink += m_usesLink ? count : 0;
 }
 
 void TcpChannel::setUnackedTimeout(Milliseconds time)
@@ -92,7 +99,7 @@
     const auto space = buffer.prepare(std::min<std::size_t>(freeBytes, 4096));
     const auto count = co_await socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
-    m_bytes += count;
+    m_bytes.all += count;
     co_return errorOrTimeout(error);
 }
 
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -14,12 +14,21 @@
 // Capacity of a connection's read buffer.
 inline constexpr std::size_t ReadAheadBytes = 16 * 1024;
 
+// Bytes of payload that connections carried.
+struct ByteCounts
+{
+    // In both directions.
+    std::atomic<std::uint64_t> all = 0;
+    // Sent to other addresses than the own one.
+    std::atomic<std::uint64_t> sentOnLink = 0;
+};
+
 // One TCP connection with its read buffer and deadline. Writes are tried immediately and wait only
 // if the socket would block.
 class TcpChannel
 {
 public:
-    TcpChannel(Tcp::socket socket, std::atomic<std::uint64_t> &bytes);
+    TcpChannel(Tcp::socket socket, ByteCounts &bytes);
 
     TcpChannel(const TcpChannel &) = delete;
     TcpChannel &operator=(const TcpChannel &) = delete;
@@ -77,7 +86,10 @@
     asio::awaitable<ErrorCode> waitWritable();
     ErrorCode errorOrTimeout(const ErrorCode &error) const;
 
-    std::atomic<std::uint64_t> &m_bytes;
+    void countSent(std::size_t count);
+
+    ByteCounts &m_bytes;
+    bool m_usesLink = false;
 };
 
 template <typename Buffers>
@@ -87,7 +99,7 @@
     while (boost::asio::buffer_size(remaining) > 0) {
         ErrorCode error;
         const auto count = socket.write_some(remaining, error);
-        m_bytes += count;
+        countSent(count);
         remaining.consume(count);
         if (error == asio::error::would_block) {
             error = co_await waitWritable();
@@ -138,7 +150,7 @@
     if (failed) {
         return failed;
     }
-    m_bytes += count;
+    countSent(count);
     serializer.consume(count);
     return error;
 }
--- a/src/adapters/udp/datagramsocket.cpp
+++ b/src/adapters/udp/datagramsocket.cpp
@@ -24,6 +24,7 @@
     std::vector<char> buffer;
     Options options;
     std::atomic<std::uint64_t> bytes = 0;
+    std::atomic<std::uint64_t> sentBytes = 0;
     std::atomic<std::uint64_t> datagrams = 0;
     std::minstd_rand random{std::random_device()()};
 
@@ -88,7 +89,9 @@
             return;
         }
         ++d->datagrams;
-        d->bytes += d->socket.send_to(asio::buffer(bytes), Udp::endpoint(address, to.port), 0, error);
+        const auto count = d->socket.send_to(asio::buffer(bytes), Udp::endpoint(address, to.port), 0, error);
+        d->bytes += count;
+        d->sentBytes += count;
     });
 }
 
@@ -103,6 +106,11 @@
     return d->bytes;
 }
 
+std::uint64_t DatagramSocket::sentBytes() const
+{
+    return d->sentBytes;
+}
+
 std::uint64_t DatagramSocket::datagrams() const
 {
     return d->datagrams;
--- a/src/adapters/udp/datagramsocket.h
+++ b/src/adapters/udp/datagramsocket.h
@@ -38,6 +38,9 @@
     // Bytes received and sent, without IP and UDP headers.
     std::uint64_t bytes() const;
 
+    // Of these, the bytes sent.
+    std::uint64_t sentBytes() const;
+
     // Datagrams received and sent.
     std::uint64_t datagrams() const;
 
--- a/src/core/calls/responseschedule.cpp
+++ b/src/core/calls/responseschedule.cpp
@@ -9,6 +9,11 @@
 {
 }
 
+void ResponseSchedule::setResponseFraction(double fraction)
+{
+    m_options.responseFraction = fraction;
+}
+
 Clock::duration ResponseSchedule::linkTime(std::uint64_t bytes) const
 {
     const auto rate = static_cast<double>(m_options.bytesPerSecond) * m_options.responseFraction;
--- a/src/core/calls/responseschedule.h
+++ b/src/core/calls/responseschedule.h
@@ -22,8 +22,8 @@
     {
         // Speed of the link; zero if unknown, then nothing is scheduled.
         std::uint64_t bytesPerSecond = 0;
-        // Fraction of the link that large responses get. The rest is for small responses, gossip and
-        // configuration, and keeps the link's own queue short.
+        // Fraction of the link that large responses get at first. The rest is for small responses, gossip
+        // and configuration, and keeps the link's own queue short.
         double responseFraction = 0.88;
         // Large responses that are sent at a time. A single one leaves the link idle whenever its
         // reader is slow.
@@ -31,8 +31,7 @@
         // Part of a response that is sent at once; a small response waits for at most one per transfer.
         std::uint64_t partBytes = 16 * 1024;
         // Admitted responses, as a multiple of what the link carries during one service time. Above one,
-        // since service times and sizes vary: with 1.2, links are idle for 1.7% of the time while calls
-        // wait, with 2 for less than 0.1%.
+        // since service times and sizes vary, and a link would be idle while calls wait.
         double leadFactor = 2;
         // Admitted responses with late ones, as a multiple of that. Late ones have to be sent too, and with
         // many of them, those that can be on time would not be.
@@ -83,6 +82,9 @@
 
     explicit ResponseSchedule(Options options);
 
+    // Sets the fraction of the link that large responses get from now on.
+    void setResponseFraction(double fraction);
+
     // Time that the link takes for that many bytes of large responses.
     Clock::duration linkTime(std::uint64_t bytes) const;
 
--- a/src/daemon/calls/responsesender.cpp
+++ b/src/daemon/calls/responsesender.cpp
@@ -45,6 +45,7 @@
 ResponseSender::ResponseSender(Options options)
     : m_options(std::move(options))
     , m_schedule(m_options.schedule)
+    , m_share({.bytesPerSecond = m_options.schedule.bytesPerSecond, .least = m_options.schedule.responseFraction})
     , m_sizes({})
     , m_timer(m_options.context)
 {
@@ -218,6 +219,7 @@
 void ResponseSender::process()
 {
     const auto now = Clock::now();
+    updateShare(now);
     while (const auto decision = m_schedule.nextDecision(now)) {
         wake(*m_pending.at(decision->ticket), decision->admitted ? 1 : 0);
     }
@@ -226,11 +228,20 @@
         wake(*m_pending.at(*ticket), 0);
     }
     while (const auto part = m_schedule.nextPart(now)) {
+        m_grantedBytes += part->bytes;
         wake(*m_pending.at(part->ticket), part->bytes);
     }
     armTimer(now);
 }
 
+void ResponseSender::updateShare(TimePoint now)
+{
+    if (m_options.sentBytes) {
+        m_share.update(m_options.sentBytes(), m_grantedBytes, now);
+        m_schedule.setResponseFraction(m_share.value());
+    }
+}
+
 void ResponseSender::armTimer(TimePoint now)
 {
     const bool anyWaits = std::any_of(m_pending.begin(), m_pending.end(), [](const auto &item) { return item.second->waits; });
--- a/src/daemon/calls/responsesender.h
+++ b/src/daemon/calls/responsesender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/serverconnection.h"
+#include "core/calls/linkshare.h"
 #include "core/calls/responseschedule.h"
 #include "core/calls/responsesizes.h"
 #include "core/calls/servicetimes.h"
@@ -25,6 +26,9 @@
         asio::io_context &context;
         ResponseSchedule::Options schedule;
         Logger log;
+        // Bytes that the node has sent on its link, large responses included. If empty, their share of the
+        // link stays that of `schedule`.
+        std::function<std::uint64_t()> sentBytes;
     };
 
     // Number of calls by decision, for metrics.
@@ -85,11 +89,14 @@
     static void wake(Pending &pending, std::uint64_t granted);
     void process();
     void armTimer(TimePoint now);
+    void updateShare(TimePoint now);
     void logEarlyEnd(const SlotCall &call, const PacedBody &body, const StreamResult &result, bool readerLeft) const;
     void logDecision(const char *decision, const SlotCall &call, TimePoint expectedCompletion, TimePoint now) const;
 
     Options m_options;
     ResponseSchedule m_schedule;
+    LinkShare m_share;
+    std::uint64_t m_grantedBytes = 0;
     ResponseSizes m_sizes;
     // Times from the admission of a call to its response.
     ServiceTimes m_times;
--- a/src/daemon/calls/sidecar.h
+++ b/src/daemon/calls/sidecar.h
@@ -57,6 +57,8 @@
         LinkSchedule::Options link;
         // Called when the target starts or stops accepting calls.
         std::function<void(MemberState)> stateChanged;
+        // Bytes that the node has sent on its link. If empty, large responses get a fixed share of it.
+        std::function<std::uint64_t()> sentBytes;
         // Called when the target cannot be reached, so that it may have exited. May be null.
         std::function<void()> targetUnreachable;
         // Called when the target with that id and start time states in a response that it is leaving. May be null.
--- a/src/daemon/calls/sidecar_p.h
+++ b/src/daemon/calls/sidecar_p.h
@@ -30,8 +30,8 @@
         : options(std::move(given))
         , slots(std::make_shared<SlotQueue>(options.context, options.policy))
         , bodyReceiver(options.context, options.link, *slots)
-        , responseSender(std::make_shared<ResponseSender>(
-              ResponseSender::Options{.context = options.context, .schedule = {.bytesPerSecond = options.link.bytesPerSecond}, .log = options.log}))
+        , responseSender(std::make_shared<ResponseSender>(ResponseSender::Options{
+              .context = options.context, .schedule = {.bytesPerSecond = options.link.bytesPerSecond}, .log = options.log, .sentBytes = options.sentBytes}))
         , statements({.headerNames = options.headerNames,
               .log = options.log,
               .rateLimitRead = [this](std::optional<CallsPerSecond> limit, TimePoint sentAt) { updateRateLimit(limit, sentAt); },
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -73,6 +73,7 @@
     HttpServer::Options sidecarServerOptions();
     RevisionExchange::Options exchangeOptions();
     DatagramSocket::Options datagramOptions();
+    std::uint64_t bytesSentOnLink() const;
     CustomerLimits::Options limitOptions();
     Ingress::Options ingressOptions();
     Sidecar::Options sidecarOptions();
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -243,6 +243,15 @@
         .callReported = [this](const CallReport &call) { logCall(call); }};
 }
 
+std::uint64_t PlatformNode::Private::bytesSentOnLink() const
+{
+    std::uint64_t bytes = client.bytesSentOnLink() + datagrams.sentBytes();
+    for (const auto *server : {&ingressServer, &sidecarServer, &registrationServer, &readinessServer, &peerServer, &metricsServer}) {
+        bytes += server->bytesSentOnLink();
+    }
+    return bytes;
+}
+
 Sidecar::Options PlatformNode::Private::sidecarOptions()
 {
     return {.context = context,
@@ -255,6 +264,7 @@
         .headerNames = options.headerNames,
         .link = {.bytesPerSecond = std::uint64_t(settings.linkMbps) * BytesPerMegabit},
         .stateChanged = [](MemberState) {},
+        .sentBytes = [this] { return bytesSentOnLink(); },
         .targetUnreachable = [this] { targetService.targetUnreachable(); },
         .targetLeaving = [this](const std::string &id, std::int64_t startedAt) { targetService.targetLeaving(id, startedAt); },
         .callEnded = [this](const RouteName &route, TargetResult end, std::chrono::microseconds time) { rollouts.callEnded(route, end, time); },
