http: Await a pause within a response until the deadline

The rest of a streamed response had ten seconds for each part, whatever the time left until the call's deadline; a server that was silent for longer ended the response. The time limit of a part now applies only after the deadline.

ServerThatPausesInAResponseIsAwaitedUntilTheDeadline (limit 0.3 s, pause 1.5 s, deadline 30 s) failed before and passes now.

--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -60,7 +60,7 @@
     {
         m_readStarted = true;
         auto &exchange = *m_exchange;
-        exchange.m_connection->channel.deadline.set(Clock::now() + exchange.m_partTimeout);
+        exchange.m_connection->channel.deadline.set(std::max<TimePoint>(Clock::now() + exchange.m_partTimeout, exchange.m_deadline));
         const auto error = co_await exchange.m_reader->readBody(part, limit);
         exchange.m_connection->channel.deadline.clear();
         if (!error && done()) {
@@ -122,6 +122,7 @@
 {
     auto &channel = m_connection->channel;
     channel.deadline.set(deadline);
+    m_deadline = deadline;
     m_isHead = request.method() == http::verb::head;
     const auto sendError = co_await send(request, exchangeOptions);
     // A connection that broke while 100 Continue was awaited carries no response. If reading
--- a/src/adapters/http/clientexchange.h
+++ b/src/adapters/http/clientexchange.h
@@ -40,6 +40,7 @@
     std::uint64_t m_maxBodyBytes;
     std::size_t m_bufferedBodyBytes;
     Milliseconds m_partTimeout;
+    TimePoint m_deadline;
     std::optional<MessageReader<false>> m_reader;
     bool m_isHead = false;
     bool m_sent = false;
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -41,7 +41,8 @@
         std::function<bool(const Endpoint &)> reachable;
         // Responses up to this length are read completely even if the caller accepts a stream.
         std::size_t bufferedBodyBytes = 64 * 1024;
-        // Time limit for receiving each part of a streamed body.
+        // Time limit for receiving each part of a streamed body after the exchange's deadline; before it,
+        // the server may pause for any time.
         Milliseconds partTimeout{10000};
     };
 
