--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -120,6 +120,7 @@
                 std::this_thread::sleep_for(pause);
             }
             std::vector<Answer> answers;
+            answers.reserve(ids.size());
             for (const auto &id : ids) {
                 answers.push_back(readAnswer(caller, id));
             }
