http: End a connection attempt when its request is cancelled

Cause: a cancelled exchange that was still connecting went on until the connect timeout of 300 ms. The first response of a call whose replacement connected to a silent node was held back for that long (found in review).

Change: the cancellation ends the connection attempt; the request counts as not sent, as before.

Result: httpclienttest, idleconnectiontest and attemptreplacementtest pass. No test connects to an address that does not answer; loopback has none.

--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -93,7 +93,8 @@
     return nullptr;
 }
 
-asio::awaitable<Result<std::unique_ptr<ClientConnection>>> ConnectionPool::connect(std::shared_ptr<EndpointConnections> connections, TimePoint deadline)
+asio::awaitable<Result<std::unique_ptr<ClientConnection>>> ConnectionPool::connect(
+    std::shared_ptr<EndpointConnections> connections, TimePoint deadline, Cancellation *cancellation)
 {
     const auto address = toString(connections->endpoint);
     if (!connections->valid) {
@@ -107,8 +108,14 @@
     auto &channel = connection->channel;
     channel.deadline.set(std::min<TimePoint>(deadline, Clock::now() + m_options.connectTimeout));
     m_sweeper.watch(channel.deadline);
+    if (cancellation != nullptr) {
+        cancellation->setHook([&channel] { channel.abort(); });
+    }
     ErrorCode error;
     co_await channel.socket.async_connect(connections->address, asio::redirect_error(asio::use_awaitable, error));
+    if (cancellation != nullptr) {
+        cancellation->setHook(nullptr);
+    }
     if (error) {
         const auto reason = channel.deadline.passed() ? "timed out" : error.message();
         co_return failure(ErrorKind::Unavailable, fmt::format("{}: can't connect: {}", address, reason));
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/cancellation.h"
 #include "adapters/http/tcpchannel.h"
 #include "common/endpoint.h"
 #include "common/error.h"
@@ -61,7 +62,8 @@
     std::unique_ptr<ClientConnection> takeIdle(EndpointConnections &connections, Milliseconds maxIdle = std::chrono::hours(24));
 
     // Opens a connection; Unavailable if it isn't established by the deadline.
-    asio::awaitable<Result<std::unique_ptr<ClientConnection>>> connect(std::shared_ptr<EndpointConnections> connections, TimePoint deadline);
+    asio::awaitable<Result<std::unique_ptr<ClientConnection>>> connect(
+        std::shared_ptr<EndpointConnections> connections, TimePoint deadline, Cancellation *cancellation = nullptr);
 
     // Returns a connection for reuse, limited by the server's keep-alive time. Closes it if there
     // are enough idle ones.
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -50,7 +50,7 @@
     }
     auto connection = pool.takeIdle(*connections, exchangeOptions.maxIdle);
     if (!connection) {
-        auto connected = co_await pool.connect(connections, deadline);
+        auto connected = co_await pool.connect(connections, deadline, cancellation);
         if (!connected) {
             co_return tl::unexpected(connected.error());
         }
