ingress: Count offers of replacements apart from those of retries

Cause: rejected replacements used up the two offers of a call's retries and excluded their targets, so that a call whose slow attempt then failed got 502 although other targets had free slots. If sending the first attempt threw, the replacement could outlive the call. Both were found in review.

An exception of either attempt waits for the other one; it no longer discards a response.

Result: attemptreplacementtest, ingressretrybudgettest and attempttimeouttest pass. The retry after rejected replacements has no test of its own yet.

--- a/src/daemon/calls/callrouter.cpp
+++ b/src/daemon/calls/callrouter.cpp
@@ -18,6 +18,9 @@
 // Largest number of sidecars that the retries of a call are offered to.
 constexpr std::uint32_t MaxRetryOffers = 2;
 
+// Largest number of offers to replace the slow attempts of a call. They leave those of its retries.
+constexpr std::uint32_t MaxReplacementOffers = 4;
+
 }
 
 CallRouter::CallRouter(Options options)
@@ -286,7 +289,7 @@
 const MemberRecord *CallRouter::chooseReplacement(IngressCall &call)
 {
     const bool allowed = !m_stopping && call.connection.requestBody() == nullptr && call.attemptsSent + 1 < call.route->maxTargets
-        && call.retryOffers < MaxRetryOffers && nestedCallsHaveBudget(call);
+        && call.replacementOffers < MaxReplacementOffers && nestedCallsHaveBudget(call);
     if (!allowed) {
         return nullptr;
     }
@@ -297,8 +300,7 @@
     if (target == nullptr || !budgetOf(call.service).tryTakeToken(call.hasRunningParent, now)) {
         return nullptr;
     }
-    ++call.retryOffers;
-    call.excludedFromRetry.push_back(target->name);
+    ++call.replacementOffers;
     return target;
 }
 
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -51,6 +51,8 @@
     // retries skip them.
     std::vector<NodeName> excludedFromRetry;
     std::uint32_t retryOffers = 0;
+    // Offers to replace a slow attempt.
+    std::uint32_t replacementOffers = 0;
     // Whether a retry has been taken from the budget for the next attempt.
     bool retryReserved = false;
     NodeName lastTarget;
--- a/src/daemon/calls/ingressreplacement.cpp
+++ b/src/daemon/calls/ingressreplacement.cpp
@@ -27,10 +27,17 @@
         return won;
     });
     offerReplacementAt(call, replacement, attemptTimeouts.attemptDeadline(call.route->name, Clock::now(), call.deadline));
-    auto first = co_await send(call, call.request, target, *call.attemptConnection);
+    Attempt first;
+    std::exception_ptr failure;
+    try {
+        first = co_await send(call, call.request, target, *call.attemptConnection);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    // Whatever happened, the replacement refers to the call and has to end before it.
     replacement->race.firstEnded(first.result);
     replacement->timer.cancel();
-    if (replacement->race.winner() == Side::First && replacement->connection) {
+    if ((failure || replacement->race.winner() == Side::First) && replacement->connection) {
         replacement->connection->cancellation().cancel();
     }
     while (replacement->running) {
@@ -38,7 +45,10 @@
         ErrorCode ignored;
         co_await replacement->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    if (replacement->failure) {
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+    if (replacement->failure && replacement->race.winner() != Side::First) {
         std::rethrow_exception(replacement->failure);
     }
     co_return endReplacement(call, *replacement, std::move(first));
