ingress: Report 504 for a call whose time is up by less than a millisecond

Cause: sidecars get deadlines in whole milliseconds and end a call up to one before the ingress's deadline; the ingress then answered 502 in place of 504.

Change: less than a millisecond left counts as late, as it does before an attempt.

--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -75,7 +75,8 @@
         return std::move(last.response);
     }
     if (call.unknownOutcomes > 0 || mayHaveRun(last.result)) {
-        const bool late = Clock::now() >= call.deadline;
+        // The sidecar's deadline is stated in whole milliseconds, and passes up to one before this one.
+        const bool late = call.deadline - Clock::now() < Milliseconds(1);
         return outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
     }
