--- a/src/core/calls/responseschedule.cpp
+++ b/src/core/calls/responseschedule.cpp
@@ -92,7 +92,7 @@
 {
     const auto limit = untilDeadline ? call.deadline : std::min(call.objective, call.deadline);
     const auto ahead = bytesAhead(urgencyOf(call, call.serviceTime, now), now);
-    // Only responses correct the estimates, so a call of its own is not rejected for them.
+    // Only responses correct the estimates, so a call at an idle link is not rejected for them.
     const bool isProbe = m_entries.empty() && now + linkTime(call.bytes) <= limit;
     const bool isLate = expectedCompletion(call, now) > limit || couldMissDeadline(call, ahead, now);
     if (m_waiting >= m_options.maxWaiting || (isLate && !isProbe)) {
--- a/src/daemon/calls/ingressreplacement.cpp
+++ b/src/daemon/calls/ingressreplacement.cpp
@@ -34,7 +34,7 @@
     } catch (...) {
         failure = std::current_exception();
     }
-    // Whatever happened, the replacement refers to the call and has to end before it.
+    // The replacement refers to the call and has to end before it, also after an exception.
     replacement->race.firstEnded(first.result);
     replacement->timer.cancel();
     if ((failure || replacement->race.winner() == Side::First) && replacement->connection) {
