autotests: Record buffered bytes on the data thread

The test thread sampled bufferedBytes() by posting to the data thread, and began only once it had opened 14 callers one after the other. The responses are buffered for at most the 0.7 s that the link takes for them, so a test thread that was not scheduled in that time saw none of them.

Ruled out: that the sender buffers too little.

Change: the target answers the exports once all 14 have reached it, and the highest value is recorded on the data thread after each handler that it runs. Both bounds stay, and all responses have to arrive.

Conclusion: the check no longer depends on when the test thread runs.

--- a/autotests/support/largeresponsefixture.h
+++ b/autotests/support/largeresponsefixture.h
@@ -24,6 +24,10 @@
     Endpoint targetEndpoint;
     // Service time of exports.
     std::atomic<int> exportMs = 0;
+    // Exports are answered once that many calls have reached the target.
+    std::atomic<int> exportsTogether = 0;
+    // Called on the data thread after each handler that it has run.
+    std::function<void()> handlerRun;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
     HttpClient client{context, {}};
@@ -78,7 +82,7 @@
         for (auto *server : {&ingressServer, &sidecarServer, &target}) {
             BOOST_REQUIRE(server->listen().has_value());
         }
-        thread = std::thread([this] { context.run(); });
+        thread = std::thread([this] { run(); });
         warmUp(slots);
         targetCalls = 0;
     }
@@ -92,12 +96,24 @@
     // A target that has just become ready gets one call at a time, and more with each response.
     void warmUp(std::uint32_t calls) const;
 
+    void run()
+    {
+        while (context.run_one() > 0) {
+            if (handlerRun) {
+                handlerRun();
+            }
+        }
+    }
+
     asio::awaitable<HttpResponse> serve(HttpRequest request)
     {
         ++targetCalls;
         const std::string path(request.target());
         if (path.starts_with("/export")) {
             co_await sleepFor(context, Milliseconds(exportMs));
+            while (targetCalls < exportsTogether) {
+                co_await sleepFor(context, Milliseconds(1));
+            }
         }
         co_return makeResponse(http::status::ok, "text/plain", std::string(std::stoul(path.substr(path.rfind('/') + 1)), 'x'));
     }
--- a/autotests/unit/responsesendertest.cpp
+++ b/autotests/unit/responsesendertest.cpp
@@ -62,20 +62,21 @@
 // bound stay at the target, keep their slots, and arrive all the same.
 BOOST_AUTO_TEST_CASE(BufferedResponsesAreBounded)
 {
+    constexpr int Calls = 14;
+    std::uint64_t highest = 0;
     Fixture fixture(Test::FastLink / 10, 18);
+    const auto &schedule = fixture.sidecar.responseSender().schedule();
+    fixture.onThread([&] { fixture.handlerRun = [&] { highest = std::max(highest, schedule.bufferedBytes()); }; });
+    fixture.exportsTogether = Calls;
     std::vector<std::unique_ptr<Caller>> callers;
-    callers.reserve(14);
-    for (int i = 0; i < 14; ++i) {
+    callers.reserve(Calls);
+    for (int i = 0; i < Calls; ++i) {
         callers.push_back(std::make_unique<Caller>("/export/540000"));
     }
-    const auto &schedule = fixture.sidecar.responseSender().schedule();
-    std::uint64_t highest = 0;
-    BOOST_TEST(fixture.waitUntil([&] {
-        highest = std::max(highest, schedule.bufferedBytes());
-        return fixture.targetCalls == 14 && schedule.bufferedBytes() == 0;
-    }));
-    BOOST_TEST(highest <= 5 * 1024 * 1024);
-    BOOST_TEST(highest >= 4 * 1024 * 1024);
+    BOOST_TEST(fixture.waitUntil([&] { return fixture.targetCalls == Calls && highest > 0 && schedule.bufferedBytes() == 0; }));
+    const auto highestSeen = fixture.onThread([&] { return highest; });
+    BOOST_TEST(highestSeen <= 5 * 1024 * 1024);
+    BOOST_TEST(highestSeen >= 4 * 1024 * 1024);
     for (const auto &caller : callers) {
         BOOST_TEST(caller->receives(540000));
     }
