daemon: State in /status whether the node accepts calls

Cause: `state` in /status is that of the node's target. A starting node states "ready" as soon as its target is, but its ingress rejects every call as "no-configuration" until the store's head has been read, which nodes spread over 2 s and more after the start. halfTheFleetKilled waits for "ready" and all members and then sends calls to a node that was started 2 s before; if the head is read later than that, the first of them are rejected.

Ruled out: a membership view without the node or of a killed instance (the status had all four). Polled after a restart: state=ready, revision=2, members=4 and 503 "no-configuration" at 518 ms, 200 from 751 ms on in one run, 558 and 958 ms in another.

Change: /status has `accepts_calls`, true once the ingress has a configuration to route calls by, until the node leaves. callfaultstest waits for it as well. restartedNode checks that a restarted node answers all calls from the moment on at which it states so.

Conclusion: a node no longer states that it can be used before it can. The time from the start to the first accepted call is unchanged.

--- a/autotests/processes/callfaultstest.cpp
+++ b/autotests/processes/callfaultstest.cpp
@@ -86,8 +86,9 @@
 
     void waitReady()
     {
-        const auto ready
-            = [](const nlohmann::json &status) { return status.value("state", "") == "ready" && status.value("members", std::size_t(0)) == Nodes; };
+        const auto ready = [](const nlohmann::json &status) {
+            return status.value("state", "") == "ready" && status.value("accepts_calls", false) && status.value("members", std::size_t(0)) == Nodes;
+        };
         BOOST_REQUIRE(fleet.waitForAll(ready, ReadyLimit, Milliseconds(50)).has_value());
     }
 
@@ -213,6 +214,14 @@
     BOOST_TEST(targetWorks(1));
 }
 
+// Guards against a starting node that states that it accepts calls while its ingress still rejects them.
+BOOST_AUTO_TEST_CASE(restartedNode)
+{
+    kill(1);
+    fleet.startNode(1);
+    BOOST_TEST(targetWorks(1));
+}
+
 // A node is stopped gracefully and restarted under load. No call in flight to its target is interrupted,
 // so no call through the other nodes fails.
 BOOST_AUTO_TEST_CASE(plannedStops)
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -48,6 +48,8 @@
         json["data_centre"] = self.dataCentre.value();
         json["service"] = self.service.value();
         json["state"] = toString(self.state);
+        // `state` is that of the target; the ingress may not be able to route calls yet.
+        json["accepts_calls"] = options.state->routesCalls && self.state != MemberState::Left;
     }
     const auto current = options.state->revisions.current();
     json["revision"] = current ? current->revision().value() : 0;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -312,6 +312,7 @@
             limits.setConfig(view->config);
             ingress.setView(view);
             sidecar.setView(view);
+            state->routesCalls = view->config != nullptr;
         });
     };
     options.revisionAdopted = [this](const auto &revision) { asio::post(controlContext, [this, revision] { exchange.addBase(*revision); }); };
--- a/src/daemon/nodestate.h
+++ b/src/daemon/nodestate.h
@@ -10,7 +10,8 @@
 
 namespace Galenahill {
 
-// State that the node's threads share. Only the control actor writes to it, apart from `revisions`.
+// State that the node's threads share. Only the control actor writes to it, apart from `revisions` and
+// `routesCalls`.
 class NodeState
 {
 public:
@@ -25,6 +26,9 @@
     // Whether this node maintains the contact list of its data centre.
     std::atomic<bool> maintainsContacts = false;
 
+    // Whether the ingress has a configuration to route calls by; it rejects all calls until then.
+    std::atomic<bool> routesCalls = false;
+
     std::atomic<bool> stopping = false;
 
     // All known members; the first is this node.
