autotests: Destroy kept connections before their context

Cause: DoesNotReuseABrokenIdleConnection kept a socket of the scripted server in a vector that outlived the server's io_context; the address sanitizer reports a use after free in the socket's destructor. A fault of the test only.

Change: the scripted server keeps such connections itself, and destroys them before its context. No assertion changes.

Measured: with the sanitizers httpclienttest aborted before.

--- a/autotests/unit/httpclienttest.cpp
+++ b/autotests/unit/httpclienttest.cpp
@@ -32,6 +32,8 @@
 
     // Number of requests whose header has arrived.
     std::atomic<int> requests = 0;
+    // Connections that stay open until the server is destroyed.
+    std::vector<Tcp::socket> kept;
 
     // Reads a request without a body; false if the client closed.
     bool readRequest(Tcp::socket &socket)
@@ -151,13 +153,12 @@
 {
     std::promise<void> broken[2];
     ScriptedServer *self = nullptr;
-    std::vector<Tcp::socket> open;
     ScriptedServer server([&](Tcp::socket &socket, int connection) {
         self->readRequest(socket);
         ScriptedServer::send(socket, CompleteResponse);
         if (connection == 1) {
             ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad");
-            open.push_back(std::move(socket));
+            self->kept.push_back(std::move(socket));
         } else {
             socket.close();
         }
