http: Detect lost peers without ending connections to slow readers

Cause: TCP_USER_TIMEOUT (500 ms) on the connections to sidecars and targets also ends a connection whose peer is reachable but leaves its receive window full for that time. The kernel counts from the first window probe, whether or not the probes are answered.

Ruled out: no timeout at all (a peer that lost power would be found by the call's deadline only); the time since the last acknowledgement alone (large on a connection that was idle before it sent); outstanding bytes without a retransmission (ends a connection up to one retransmission timeout earlier than the kernel did, so that a long round trip could be taken for a loss).

Change: LostPeerDetector reads TCP_INFO of the connections in use, five times in the timeout, with one timer for a ConnectionPool that stops while none is in use. PeerSilence holds the decision: nothing arrived for the whole time, and either a retransmission is unanswered or at least two probes are. The connection is then closed and its operations fail with ETIMEDOUT. Connections without TCP_INFO keep TCP_USER_TIMEOUT; decided for each when it is established. TCP_KEEPCNT is 1 where both limits are set, as TCP_USER_TIMEOUT ended an idle connection after one unanswered probe.

The test now counts from the loss.

Conclusion: a receiver that doesn't read is told from one that is lost. A peer that is lost after a full window has lasted for a while is found after two probes, whose interval has grown until then. The choice of TCP_USER_TIMEOUT on a system without TCP_INFO was not run.

--- /dev/null
+++ b/autotests/unit/lostpeertest.cpp
@@ -0,0 +1,127 @@
+#include "adapters/http/connectionpool.h"
+#include "pausedserver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
+
+using namespace Galenahill;
+
+namespace {
+
+// Discards all segments that arrive on the connection before the kernel acknowledges them, as if the host
+// had lost its network.
+void disconnectFromNetwork(Tcp::socket &socket)
+{
+    sock_filter discard = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{.len = 1, .filter = &discard};
+    if (setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0) {
+        throw std::runtime_error("can't attach a filter to the socket");
+    }
+}
+
+HttpClient::Options optionsWithLimits()
+{
+    HttpClient::Options options;
+    options.unackedTimeout = ShortTimeout;
+    options.keepAliveProbes = true;
+    return options;
+}
+
+constexpr std::size_t MoreThanTheWindow = 16 * 1024 * 1024;
+
+// Longer than an exchange takes to fill the window, shorter than the first probe of a full one.
+constexpr Milliseconds TimeToFillTheWindow{150};
+
+// Below the deadline, and generous for busy machines; peersilencetest has the exact times.
+constexpr Milliseconds LostPeerLimit{6000};
+
+// Sends a request with a body of that length to a server that is lost after a pause, and checks that the
+// exchange times out soon after the loss.
+void checkThatLossIsFound(std::size_t bytes, Milliseconds pause)
+{
+    TimePoint lost;
+    TimePoint found;
+    std::string error;
+    std::promise<void> ended;
+    {
+        OneConnection server([&](Tcp::socket &socket) {
+            std::this_thread::sleep_for(pause);
+            disconnectFromNetwork(socket);
+            lost = Clock::now();
+            ended.get_future().wait();
+        });
+        asio::io_context context(1);
+        HttpClient client(context, optionsWithLimits());
+        HttpRequest request(http::verb::post, "/", 11);
+        request.body().assign(bytes, 'x');
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                const auto response = co_await client.exchange(PausedServerEndpoint, request, Clock::now() + TestTimeout, {});
+                error = response ? "response" : response.error().message;
+            },
+            asio::detached);
+        context.run();
+        found = Clock::now();
+        ended.set_value();
+    }
+    const auto duration = std::chrono::duration_cast<Milliseconds>(found - lost).count();
+    BOOST_TEST_MESSAGE(duration << " ms after the loss: " << error);
+    BOOST_TEST(duration < LostPeerLimit.count());
+    BOOST_TEST(error.find("timed out") != std::string::npos);
+}
+
+int tcpOption(Tcp::socket &socket, int name)
+{
+    int value = -1;
+    socklen_t length = sizeof(value);
+    getsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, &length);
+    return value;
+}
+
+}
+
+// Guards against requests that wait until their deadline for a host that is gone.
+BOOST_AUTO_TEST_CASE(LostPeerIsFoundByUnacknowledgedBytes)
+{
+    checkThatLossIsFound(MoreThanTheWindow, Milliseconds(0));
+}
+
+// Guards against requests that wait until their deadline for a host that is lost while its receive window
+// is full.
+BOOST_AUTO_TEST_CASE(LostPeerIsFoundByUnansweredWindowProbes)
+{
+    checkThatLossIsFound(MoreThanTheWindow, TimeToFillTheWindow);
+}
+
+// Guards against a wait for a response that lasts until its deadline although the host is gone.
+BOOST_AUTO_TEST_CASE(LostPeerIsFoundByUnansweredKeepAliveProbes)
+{
+    checkThatLossIsFound(0, TimeToFillTheWindow);
+}
+
+// Guards against a kernel timeout that also ends connections to reachable peers, and against a longer wait
+// for a lost one in exchange for it.
+BOOST_AUTO_TEST_CASE(OneUnansweredKeepAliveProbeReplacesTheKernelTimeout)
+{
+    std::promise<void> ended;
+    OneConnection server([&](Tcp::socket &) { ended.get_future().wait(); });
+    asio::io_context context(1);
+    ConnectionPool pool(context, {.unackedTimeout = ShortTimeout, .keepAliveProbes = true});
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto connection = co_await pool.connect(pool.connectionsTo(PausedServerEndpoint), Clock::now() + TestTimeout);
+            BOOST_TEST(connection.has_value());
+            if (!connection) {
+                co_return;
+            }
+            auto &socket = (*connection)->channel.socket;
+            BOOST_TEST(tcpOption(socket, TCP_USER_TIMEOUT) == 0);
+            BOOST_TEST(tcpOption(socket, TCP_KEEPCNT) == 1);
+        },
+        asio::detached);
+    context.run();
+    ended.set_value();
+}
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -29,6 +29,8 @@
 {
     ++owner->open;
     channel.deadline.expire = [this] { channel.close(); };
+    peer.snapshot = [this] { return readTcpSnapshot(channel.socket.native_handle()); };
+    peer.lost = [this] { channel.closePeerLost(); };
 }
 
 ClientConnection::~ClientConnection()
@@ -45,6 +47,7 @@
     : m_context(context)
     , m_options(options)
     , m_sweeper(context, SweepStep)
+    , m_lostPeers(context, options.unackedTimeout)
 {
 }
 
@@ -87,6 +90,9 @@
         // second it would receive the response to another request.
         if (connection->usableUntil > now && !connection->channel.readable()) {
             m_sweeper.watch(connection->channel.deadline);
+            if (connection->watchesPeer) {
+                m_lostPeers.watch(connection->peer);
+            }
             return connection;
         }
     }
@@ -121,15 +127,26 @@
         co_return failure(ErrorKind::Unavailable, fmt::format("{}: can't connect: {}", address, reason));
     }
     channel.prepare();
-    if (m_options.unackedTimeout.count() > 0) {
-        channel.setUnackedTimeout(m_options.unackedTimeout);
+    const bool limitsSilence = m_options.unackedTimeout.count() > 0;
+    if (limitsSilence) {
+        watchForLostPeer(*connection);
     }
     if (m_options.keepAliveProbes) {
-        channel.enableKeepAliveProbes();
+        channel.enableKeepAliveProbes(limitsSilence ? 1 : 2);
     }
     co_return connection;
 }
 
+void ConnectionPool::watchForLostPeer(ClientConnection &connection)
+{
+    connection.watchesPeer = connection.peer.snapshot().has_value();
+    if (connection.watchesPeer) {
+        m_lostPeers.watch(connection.peer);
+    } else {
+        connection.channel.setUnackedTimeout(m_options.unackedTimeout);
+    }
+}
+
 void ConnectionPool::release(std::unique_ptr<ClientConnection> connection, Milliseconds serverKeepAlive)
 {
     auto &idle = connection->owner->idle;
@@ -140,6 +157,7 @@
     connection->lastUsed = Clock::now();
     connection->usableUntil = connection->lastUsed + std::min(m_options.maxIdleAge, std::chrono::duration_cast<Milliseconds>(keepAlive));
     connection->channel.deadline.release();
+    connection->peer.unlink();
     idle.push_back(std::move(connection));
 }
 
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/cancellation.h"
+#include "adapters/http/lostpeerdetector.h"
 #include "adapters/http/tcpchannel.h"
 #include "common/endpoint.h"
 #include "common/error.h"
@@ -30,6 +31,9 @@
     ~ClientConnection();
 
     TcpChannel channel;
+    WatchedPeer peer;
+    // Whether the connection is watched for a lost peer while it is in use.
+    bool watchesPeer = false;
     std::shared_ptr<EndpointConnections> owner;
     TimePoint lastUsed;
     // Time after which it must not be reused.
@@ -47,7 +51,9 @@
         std::size_t maxPerEndpoint = 512;
         Milliseconds maxIdleAge{20000};
         Milliseconds connectTimeout{60000};
-        // Zero uses the system's default.
+        // Time after which a peer that owes an acknowledgement counts as lost; zero uses the system's
+        // default. Where the system doesn't provide TCP_INFO, it is the connection's TCP_USER_TIMEOUT,
+        // which also ends a connection whose peer doesn't read for that time.
         Milliseconds unackedTimeout{0};
         bool keepAliveProbes = false;
     };
@@ -78,6 +84,8 @@
     const ByteCounts &bytes() const;
 
 private:
+    void watchForLostPeer(ClientConnection &connection);
+
     struct EndpointHash
     {
         std::size_t operator()(const Endpoint &endpoint) const;
@@ -86,6 +94,7 @@
     asio::io_context &m_context;
     Options m_options;
     DeadlineSweeper m_sweeper;
+    LostPeerDetector m_lostPeers;
     ByteCounts m_bytes;
     std::unordered_map<Endpoint, std::shared_ptr<EndpointConnections>, EndpointHash> m_endpoints;
 };
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -30,11 +30,12 @@
         Milliseconds maxIdleAge{20000};
         // Time limit for establishing a connection, in addition to the exchange's deadline.
         Milliseconds connectTimeout{60000};
-        // Time after which a connection with unacknowledged sent bytes is considered dead; zero
-        // uses the system's default.
+        // Time after which the peer of a connection in use counts as lost if it owes an acknowledgement;
+        // zero uses the system's default. Where the system doesn't provide TCP_INFO, TCP_USER_TIMEOUT
+        // is set, which also ends a connection whose peer doesn't read for that time.
         Milliseconds unackedTimeout{0};
         // Whether connections without traffic are probed, so that one whose peer is no longer
-        // reachable breaks within three seconds.
+        // reachable breaks within three seconds; within two if `unackedTimeout` is set.
         bool keepAliveProbes = false;
         std::uint64_t maxBodyBytes = 64 * 1024 * 1024;
         // Whether connections to the endpoint can be made; for fault injection. Null: always.
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -32,16 +32,15 @@
     socket.set_option(UserTimeout(static_cast<int>(time.count())), ignored);
 }
 
-void TcpChannel::enableKeepAliveProbes()
+void TcpChannel::enableKeepAliveProbes(int unansweredProbes)
 {
     namespace option = asio::detail::socket_option;
     constexpr int Seconds = 1;
-    constexpr int Probes = 2;
     ErrorCode ignored;
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(Seconds), ignored);
     socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(Seconds), ignored);
-    socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), ignored);
+    socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPCNT>(unansweredProbes), ignored);
 }
 
 void TcpChannel::abort()
@@ -57,6 +56,15 @@
     socket.close(ignored);
 }
 
+void TcpChannel::closePeerLost()
+{
+    m_peerLost = true;
+    // Otherwise the kernel would go on retransmitting after the close.
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 bool TcpChannel::peerClosed()
 {
     char byte = 0;
@@ -82,7 +90,7 @@
 
 asio::awaitable<ErrorCode> TcpChannel::readMore()
 {
-    if (deadline.passed()) {
+    if (deadline.passed() || m_peerLost) {
         co_return asio::error::timed_out;
     }
     const auto freeBytes = buffer.max_size() - buffer.size();
@@ -105,7 +113,7 @@
 
 asio::awaitable<ErrorCode> TcpChannel::waitWritable()
 {
-    if (deadline.passed()) {
+    if (deadline.passed() || m_peerLost) {
         co_return asio::error::timed_out;
     }
     ErrorCode error;
@@ -115,7 +123,7 @@
 
 ErrorCode TcpChannel::errorOrTimeout(const ErrorCode &error) const
 {
-    const bool timedOut = error && deadline.passed();
+    const bool timedOut = error && (deadline.passed() || m_peerLost);
     return timedOut ? ErrorCode(asio::error::timed_out) : error;
 }
 
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -42,12 +42,14 @@
 
     // Breaks the connection when sent bytes stay unacknowledged for that time (TCP_USER_TIMEOUT): a
     // peer that lost power or its network never acknowledges them, and never resets the connection.
+    // Also breaks it when the peer leaves its receive window full for that time; LostPeerDetector
+    // doesn't.
     void setUnackedTimeout(Milliseconds time);
 
     // Sends keep-alive probes every second while there is no traffic, and breaks the connection
-    // after two unanswered ones. Otherwise a long wait for a response, such as a watch, would
-    // outlast its peer by minutes.
-    void enableKeepAliveProbes();
+    // one second after that number of unanswered ones. Otherwise a long wait for a response, such as
+    // a watch, would outlast its peer by minutes.
+    void enableKeepAliveProbes(int unansweredProbes);
 
     // Ends the pending operations with an error.
     void abort();
@@ -55,6 +57,9 @@
     // Shuts down and closes the connection immediately.
     void close();
 
+    // Closes the connection because its peer is lost; its operations fail with `timed_out`.
+    void closePeerLost();
+
     // Whether the peer has closed its side. Consumes no bytes.
     bool peerClosed();
 
@@ -90,6 +95,7 @@
 
     ByteCounts &m_bytes;
     bool m_usesLink = false;
+    bool m_peerLost = false;
 };
 
 template <typename Buffers>
@@ -105,7 +111,7 @@
             error = co_await waitWritable();
         }
         if (error) {
-            co_return error;
+            co_return errorOrTimeout(error);
         }
     }
     co_return ErrorCode();
@@ -122,7 +128,7 @@
             error = co_await waitWritable();
         }
     }
-    co_return error;
+    co_return errorOrTimeout(error);
 }
 
 template <typename Message>
@@ -137,7 +143,7 @@
             error = co_await waitWritable();
         }
     }
-    co_return error;
+    co_return errorOrTimeout(error);
 }
 
 template <typename Serializer>
