--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -43,8 +43,9 @@
 
 ConnectionPool::ConnectionPool(asio::io_context &context, Options options)
     : m_context(context)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_sweeper(context, SweepStep)
+    , m_lostPeers(context, m_options.unackedTimeout)
 {
 }
 
@@ -87,6 +88,9 @@
         // second it would receive the response to another request.
         if (connection->usableUntil > now && !connection->channel.readable()) {
             m_sweeper.watch(connection->channel.deadline);
+            if (connection->watchesPeer) {
+                m_lostPeers.watch(connection->peer);
+            }
             return connection;
         }
     }
@@ -121,15 +125,29 @@
         co_return failure(ErrorKind::Unavailable, fmt::format("{}: can't connect: {}", address, reason));
     }
     channel.prepare();
-    if (m_options.unackedTimeout.count() > 0) {
-        channel.setUnackedTimeout(m_options.unackedTimeout);
+    const bool limitsSilence = m_options.unackedTimeout.count() > 0;
+    if (limitsSilence) {
+        watchForLostPeer(*connection);
     }
     if (m_options.keepAliveProbes) {
-        channel.enableKeepAliveProbes();
+        channel.enableKeepAliveProbes(limitsSilence ? 1 : 2);
     }
     co_return connection;
 }
 
+void ConnectionPool::watchForLostPeer(ClientConnection &connection)
+{
+    auto &channel = connection.channel;
+    connection.peer.snapshot = [this, &channel] { return m_options.readSnapshot(channel.socket.native_handle()); };
+    connection.peer.lost = [&channel] { channel.closePeerLost(); };
+    connection.watchesPeer = connection.peer.snapshot().has_value();
+    if (connection.watchesPeer) {
+        m_lostPeers.watch(connection.peer);
+    } else {
+        channel.setUnackedTimeout(m_options.unackedTimeout);
+    }
+}
+
 void ConnectionPool::release(std::unique_ptr<ClientConnection> connection, Milliseconds serverKeepAlive)
 {
     auto &idle = connection->owner->idle;
@@ -140,6 +158,7 @@
     connection->lastUsed = Clock::now();
     connection->usableUntil = connection->lastUsed + std::min(m_options.maxIdleAge, std::chrono::duration_cast<Milliseconds>(keepAlive));
     connection->channel.deadline.release();
+    connection->peer.unlink();
     idle.push_back(std::move(connection));
 }
 
