autotests: Test the retry of a call whose replacements were rejected

Cause: a rejected replacement costs its target nothing, so it must not count as an offer of the call's retries and must not exclude its target from them. No test guarded against that.

Ruled out: a fault in the code; the test passes as it stands.

Change: the first attempt breaks after more rejected replacements than a call has offers for its retries; the retry then goes to the same target and is answered.

Conclusion: the behaviour was right, and is guarded now.

--- a/autotests/unit/attemptreplacementtest.cpp
+++ b/autotests/unit/attemptreplacementtest.cpp
@@ -190,6 +190,31 @@
     BOOST_TEST(ingress.retries() == 1U);
 }
 
+// Guards against rejected replacements that use up the retries of a call, or keep their target from them.
+BOOST_AUTO_TEST_CASE(RetriesABrokenAttemptAfterRejectedReplacements)
+{
+    std::atomic<bool> broken = false;
+    onDataThread([&] {
+        slowResponse = [&broken](ServerConnection &connection) {
+            broken = true;
+            return withUnknownOutcome()(connection);
+        };
+    });
+    // Reports free slots, so that it is offered further replacements.
+    setOther(Milliseconds(0), [&broken](ServerConnection &) -> asio::awaitable<HttpResponse> {
+        auto rejected = notRunResponse(http::status::service_unavailable, "refused", "full");
+        rejected.set(CallHeaders::Load, formatLoad({0, 9}));
+        co_return broken ? makeResponse(http::status::ok, "text/plain", "other;") : rejected;
+    });
+    const auto response = callSlowTarget();
+    BOOST_TEST(response.find("200 OK") != std::string::npos);
+    BOOST_TEST(response.find("other;") != std::string::npos);
+    // More than the offers that a call's retries get.
+    BOOST_TEST(ingress.replacementsRejected() > 2U);
+    BOOST_TEST(ingress.attemptsReplaced() == 0U);
+    BOOST_TEST(ingress.retries() == 1U);
+}
+
 // Guards against replacements beyond the retry budget, and against cancelling an attempt without one.
 BOOST_AUTO_TEST_CASE(OffersNothingWithoutRetryBudget)
 {
