explain: Explain a response cut at its deadline in a process test

Cause: only the unit test of CallTrace covered the sentence about a response that ended early; nothing showed that two nodes really log what it needs. It also said '-52 ms before the deadline' for a response that its deadline had ended.

Ruled out: a missing log line; the lines of both nodes have who, which byte and why.

Change: explainfailuretest asks for 600,000 bytes over a link that needs 5 s for them, with a timeout of 2 s. The explanation names the sidecar's node, the deadline, the byte and the reason, and the ingress reports the same number of bytes. The sentence says 'after the deadline' where the time left is negative, with a case in calltracetest.

Conclusion: explain names the end of a cut response from the logs of real nodes.

--- a/autotests/processes/explainfailuretest.cpp
+++ b/autotests/processes/explainfailuretest.cpp
@@ -1,4 +1,4 @@
-// Four kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
+// Five kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
 // engineer has to. The test causes the failure, and the client's explanation of the call must name that
 // cause.
 
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <fstream>
+#include <regex>
 #include <thread>
 
 using namespace Galenahill;
@@ -30,27 +31,42 @@
 
 const SampleRoute Board{.name = "cola", .service = "ventas", .timeoutSeconds = 5, .objectiveSeconds = 0.3};
 const SampleRoute Orders{.name = "orden", .service = "ventas", .idempotent = false, .timeoutSeconds = 5, .objectiveSeconds = 4};
+const SampleRoute Exports{.name = "bajada", .service = "ventas", .timeoutSeconds = 2, .objectiveSeconds = 1, .largeResponses = true};
 
 std::string document(int revision, const std::vector<SampleRoute> &routes)
 {
     return sampleDocument(argument(2), revision, "pedidos.example", routes);
 }
 
-// One node whose target has one slot and takes 400 ms for a call.
-struct Fixture
+PlatformFleet::Options fleetOptions()
 {
-    PlatformFleet fleet{{.programs = argument(1),
+    return {.programs = argument(1),
         .sources = argument(2),
         .folder = argument(1) + "/explainfailure",
         .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + 11),
         .nodes = 1,
         .services = {"ventas"},
         .slots = 1,
-        .serviceTime = std::chrono::milliseconds(400)}};
+        .serviceTime = std::chrono::milliseconds(400)};
+}
 
-    Fixture()
+PlatformFleet::Options slowLinkOptions()
+{
+    auto options = fleetOptions();
+    options.nodes = 2;
+    options.services = {"portal", "ventas"};
+    options.linkMbps = 1;
+    return options;
+}
+
+struct FleetFixture
+{
+    PlatformFleet fleet;
+
+    FleetFixture(PlatformFleet::Options options, const std::vector<SampleRoute> &routes)
+        : fleet(std::move(options))
     {
-        const auto started = fleet.start(document(1, {Board, Orders}));
+        const auto started = fleet.start(document(1, routes));
         BOOST_REQUIRE_MESSAGE(started.has_value(), started.error().message);
         // A ready node has a configuration, but learns of its target only with the next announcement.
         const auto until = Clock::now() + Limit;
@@ -65,14 +81,14 @@
     }
 
     // Sends calls of the route with the given ids, all at the same time.
-    std::vector<Result<HttpResponse>> callAll(const std::vector<std::string> &ids, const std::string &routeName)
+    std::vector<Result<HttpResponse>> callAll(const std::vector<std::string> &ids, const std::string &routeName, const std::string &query = {})
     {
         asio::io_context context(1);
         HttpClient client(context, {});
         const auto headerNames = Platform::callHeaderNames();
         std::vector<Result<HttpResponse>> responses(ids.size());
         const auto send = [&](std::size_t i) -> asio::awaitable<void> {
-            HttpRequest request(http::verb::get, "/" + routeName + "/1", 11);
+            HttpRequest request(http::verb::get, "/" + routeName + "/1" + query, 11);
             request.set(http::field::host, "pedidos.example");
             request.set(headerNames.requestId, ids[i]);
             request.set(headerNames.timeoutMs, "5000");
@@ -85,7 +101,7 @@
         return responses;
     }
 
-    // Explanation of the call from the node's log, once that has the call's last event.
+    // Explanation of the call from the nodes' logs, once these have the call's last event.
     std::string explain(const std::string &id, const std::string &lastEvent) const
     {
         const auto until = Clock::now() + Limit;
@@ -93,14 +109,34 @@
         while (table.find(lastEvent) == std::string::npos && Clock::now() < until) {
             std::this_thread::sleep_for(Milliseconds(50));
             CallTrace trace(id);
-            std::ifstream log(fleet.nodeLog(0));
-            trace.read(log);
+            for (std::size_t node = 0; node < fleet.size(); ++node) {
+                std::ifstream log(fleet.nodeLog(node));
+                trace.read(log);
+            }
             table = trace.table();
         }
         return table;
     }
 };
 
+// One node whose target has one slot and takes 400 ms for a call.
+struct Fixture : FleetFixture
+{
+    Fixture()
+        : FleetFixture(fleetOptions(), {Board, Orders})
+    {
+    }
+};
+
+// The calls enter at the first node and run at the second one, whose link takes 5 s for 600,000 bytes.
+struct SlowLinkFixture : FleetFixture
+{
+    SlowLinkFixture()
+        : FleetFixture(slowLinkOptions(), {{.name = "portal", .service = "portal"}, Board, Exports})
+    {
+    }
+};
+
 }
 
 // Four calls at once compete for one slot. Calls that cannot be answered within their objective of
@@ -178,3 +214,23 @@
     const std::string text(std::istreambuf_iterator<char>(log), {});
     BOOST_TEST(text.find(R"("event":"revision-in-force","revision":2)") != std::string::npos);
 }
+
+// Guards against a large response that ends at its deadline without a trace of who ended it, at which byte
+// and why.
+BOOST_FIXTURE_TEST_CASE(ExplainsAResponseCutAtItsDeadline, SlowLinkFixture)
+{
+    const auto responses = callAll({"cut-1"}, "bajada", "?bytes=600000");
+    BOOST_TEST(!responses.front().has_value());
+    // The two nodes log it in either order.
+    explain("cut-1", "by the sidecar");
+    const auto table = explain("cut-1", "the response ended early at");
+    BOOST_TEST_MESSAGE(table);
+    std::smatch match;
+    const std::regex sentence("the response ended early at (\\S+): ended by the deadline after (\\d+) bytes of 600000 "
+                              "\\(the call's deadline has passed\\), (\\d+) ms after the deadline; the link's backlog was \\d+ bytes");
+    BOOST_REQUIRE(std::regex_search(table, match, sentence));
+    const auto sent = std::stoul(match[2]);
+    BOOST_TEST((sent > 0 && sent < 600000));
+    // The ingress has passed on what the sidecar has sent.
+    BOOST_TEST(table.find(fmt::format("the response ended after {} bytes, by the sidecar", sent)) != std::string::npos);
+}
--- a/autotests/unit/calltracetest.cpp
+++ b/autotests/unit/calltracetest.cpp
@@ -102,7 +102,9 @@
     std::istringstream log("{\"time_ms\":50000,\"up_ms\":9000,\"node\":\"node-a\",\"event\":\"response-ended-early\",\"id\":\"7f\",\"ended_by\":\"target\","
                            "\"reason\":\"End of file\",\"sent_bytes\":49152,\"bytes\":540000,\"backlog_bytes\":610000,\"missing_ms\":390,\"left_ms\":375}\n"
                            "{\"time_ms\":50010,\"up_ms\":5,\"node\":\"node-b\",\"event\":\"response-ended-early\",\"id\":\"7f\",\"ended_by\":\"ingress\","
-                           "\"reason\":\"Broken pipe\",\"sent_bytes\":16384,\"left_ms\":20}\n");
+                           "\"reason\":\"Broken pipe\",\"sent_bytes\":16384,\"left_ms\":20}\n"
+                           "{\"time_ms\":50020,\"up_ms\":9020,\"node\":\"node-a\",\"event\":\"response-ended-early\",\"id\":\"7f\",\"ended_by\":\"deadline\","
+                           "\"reason\":\"the call's deadline has passed\",\"sent_bytes\":16384,\"left_ms\":-20}\n");
     trace.read(log);
     const auto table = trace.table();
     BOOST_TEST(table.find("the response ended early at node-a: ended by the target after 49152 bytes of 540000 (End of file), 375 ms before the deadline; "
@@ -110,4 +112,5 @@
         != std::string::npos);
     BOOST_TEST(
         table.find("the response ended early at node-b: ended by the ingress after 16384 bytes (Broken pipe), 20 ms before the deadline") != std::string::npos);
+    BOOST_TEST(table.find("ended by the deadline after 16384 bytes (the call's deadline has passed), 20 ms after the deadline") != std::string::npos);
 }
--- a/src/cli/calltrace.cpp
+++ b/src/cli/calltrace.cpp
@@ -35,7 +35,8 @@
     if (line.value("bytes", std::int64_t(-1)) >= 0) {
         text += fmt::format(" of {}", field("bytes"));
     }
-    text += fmt::format(" ({}), {} ms before the deadline", field("reason"), field("left_ms"));
+    const auto left = line.value("left_ms", std::int64_t(0));
+    text += fmt::format(" ({}), {} ms {} the deadline", field("reason"), std::abs(left), left < 0 ? "after" : "before");
     if (line.contains("backlog_bytes")) {
         text += fmt::format("; the link's backlog was {} bytes, the rest would have taken {} ms", field("backlog_bytes"), field("missing_ms"));
     }
