ingress: Report the reason of the attempt whose result the caller gets

Cause: each attempt wrote its reason into the call as it ended. Of an attempt and its replacement the loser ends last: an answered call was reported with 'cancelled by the caller', or with the rejection of a replacement that no target ran.

Ruled out: not counting a replaced attempt as a failure of its target. By reading, nothing else keeps calls away from it: the sidecar releases the slot of a cancelled attempt after 20 ms and reports it as free, its limit of slots does not adapt on the platform, and TargetPicker compares loads and waits, not service times. So the count stays, and is documented and tested.

Change: an attempt carries its reason; the call takes that of the deciding attempt, and that of the target's error if a failed retry of it is discarded.

Conclusion: the log no longer blames the loser of the race; ejection is unchanged.

--- a/autotests/support/slowtargetfixture.h
+++ b/autotests/support/slowtargetfixture.h
@@ -51,12 +51,15 @@
     // ever.
     Handler otherHandler;
     Handler localHandler;
+    // Reports of the calls, for the data thread.
+    std::vector<CallReport> reports;
     Ingress ingress{{.client = client,
         .node = NodeName("n"),
         .dataCentre = DataCentre("rosario-a"),
         .localSidecar = localEndpoint,
         .callLocalSidecar = [this](HttpRequest, ServerConnection &connection) { return localHandler(connection); },
-        .callEnded = [](const RouteDefinition &, CallResult, std::chrono::microseconds) {}}};
+        .callEnded = [](const RouteDefinition &, CallResult, std::chrono::microseconds) {},
+        .callReported = [this](const CallReport &report) { reports.push_back(report); }}};
     HttpServer ingressServer{context, {.endpoint = ingressEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) {
                                            return ingress.handle(std::move(request), connection);
                                        }}};
@@ -165,6 +168,14 @@
         setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
     }
 
+    // Report of the last call.
+    CallReport lastReport()
+    {
+        CallReport report;
+        onDataThread([&] { report = reports.back(); });
+        return report;
+    }
+
     // Whether the attempt at the slow target is cancelled. The target is notified a little later than
     // the caller gets the other target's response.
     bool becomesCancelled() const
--- a/autotests/unit/attempttimeouttest.cpp
+++ b/autotests/unit/attempttimeouttest.cpp
@@ -5,12 +5,25 @@
 
 namespace {
 
+constexpr int FailuresToEject = 3;
+// Few enough to take less than the first ejection.
+constexpr int CallsWhileEjected = 20;
+
 struct Fixture : SlowTargetFixture
 {
     Fixture()
         : SlowTargetFixture(testAddress(9))
     {
     }
+
+    // Sends calls until the slow target has one.
+    void callSlowTarget()
+    {
+        for (int i = 0; i < MaxCalls && slowCalls == 0; ++i) {
+            BOOST_TEST(call().find("200 OK") != std::string::npos);
+        }
+        BOOST_TEST(slowCalls == 1);
+    }
 };
 
 }
@@ -54,4 +67,45 @@
     BOOST_TEST(cancelledAttempts == 0);
 }
 
+// Guards against logging the cancellation of a replaced attempt as the reason of a call that was answered.
+BOOST_AUTO_TEST_CASE(ReportsNoReasonOfAReplacedAttempt)
+{
+    setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
+    callSlowTarget();
+    BOOST_TEST(becomesCancelled());
+    const auto report = lastReport();
+    BOOST_TEST(report.replacedAttempts == 1U);
+    BOOST_TEST((report.result == CallResult::Answered));
+    BOOST_TEST(report.reason == "");
+}
+
+// Guards against logging the rejection of a replacement as the reason of a call that the first attempt
+// answered.
+BOOST_AUTO_TEST_CASE(ReportsNoReasonOfARejectedReplacement)
+{
+    otherFillsUp = true;
+    setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
+    callSlowTarget();
+    const auto report = lastReport();
+    BOOST_TEST(report.rejectedReplacements == 1U);
+    BOOST_TEST((report.result == CallResult::Answered));
+    BOOST_TEST(report.reason == "");
+}
+
+// Guards against a target that hangs and keeps getting calls since other targets respond in its stead: each
+// of them loses half of its time.
+BOOST_AUTO_TEST_CASE(EjectsATargetWhoseAttemptsAreReplaced)
+{
+    slowTime = TestTimeout.count();
+    setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
+    for (int i = 0; i < MaxCalls && slowCalls < FailuresToEject; ++i) {
+        BOOST_TEST(call().find("other;") != std::string::npos);
+    }
+    BOOST_TEST(slowCalls == FailuresToEject);
+    for (int i = 0; i < CallsWhileEjected; ++i) {
+        BOOST_TEST(call().find("other;") != std::string::npos);
+    }
+    BOOST_TEST(slowCalls == FailuresToEject);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/calls/ingressattempt.cpp
+++ b/src/daemon/calls/ingressattempt.cpp
@@ -81,8 +81,12 @@
     auto &connection = call.attemptConnection.emplace(call.connection);
     // A large response that waits for the link would be produced again.
     const bool replaceable = !call.hasLargeResponse && options.policy.retryBudget && router.isRetryable(call);
-    auto sent = replaceable ? attemptWithReplacement(call, *offer.target) : send(call, call.request, *offer.target, connection);
-    co_return co_await std::move(sent);
+    auto attempted = replaceable ? attemptWithReplacement(call, *offer.target) : send(call, call.request, *offer.target, connection);
+    auto attempt = co_await std::move(attempted);
+    if (attempt.reason) {
+        call.reason = *attempt.reason;
+    }
+    co_return attempt;
 }
 
 // Sends the request to the target's sidecar, and records what the result says about the target.
@@ -95,7 +99,8 @@
     router.removeInFlight(call, target.name);
     attempt.result = attemptResultOf(response, options.headerNames);
     // If the caller has cancelled the call, or the replaced attempt has responded, the result says nothing
-    // about the target.
+    // about the target. A cancelled first attempt counts as a failure, since nothing else keeps calls away
+    // from a target that hangs.
     const bool unused = connection.isReplacement() && connection.cancellation().cancelled();
     if (unused || call.connection.cancellation().cancelled()) {
         co_return attempt;
@@ -110,10 +115,13 @@
         router.recordServiceTime(call, std::max<std::chrono::microseconds>(time - queuedHeader(*response), std::chrono::microseconds(0)));
     }
     if (!response) {
-        call.reason = response.error().message;
+        attempt.reason = response.error().message;
         co_return attempt;
     }
     recordResponse(call, target, attempt.result, *response);
+    if (attempt.result != AttemptResult::Answered) {
+        attempt.reason = response->body().substr(0, MaxReasonBytes);
+    }
     attempt.response = std::move(*response);
     co_return attempt;
 }
@@ -130,9 +138,6 @@
     if (wait && result == AttemptResult::NotRun) {
         call.reportedWait = std::min(call.reportedWait.value_or(*wait), *wait);
     }
-    if (result != AttemptResult::Answered) {
-        call.reason = response.body().substr(0, MaxReasonBytes);
-    }
 }
 
 }
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -113,6 +113,8 @@
     HttpResponse response;
     // The part of a long response body that has not arrived yet.
     std::unique_ptr<BodySource> remainingBody;
+    // Why the target did not answer, for the log; empty if it answered, or if the attempt was cancelled.
+    std::optional<std::string> reason;
 };
 
 // Result of the call whose final response this is.
--- a/src/daemon/calls/ingressrouting.cpp
+++ b/src/daemon/calls/ingressrouting.cpp
@@ -33,6 +33,7 @@
     const bool answered = last.result == AttemptResult::Answered || last.result == AttemptResult::Failed;
     if (failed && !answered) {
         last = std::move(*failed);
+        call.reason = last.reason.value_or("");
     }
     if (last.remainingBody) {
         stripFields(last.response, options.headerNames);
