autotests: Test half-closed callers and closeIdle() at a stop

Cause: neither was tested. A caller that half-closes its connection counts as gone; a stop closes the connections without a request, and no others.

Ruled out: a fault in the code; both tests pass as it stands.

Conclusion: two rows of the places that end a call have their tests.

--- a/autotests/support/httptest.h
+++ b/autotests/support/httptest.h
@@ -151,6 +151,12 @@
         return m_skipped;
     }
 
+    // Closes the sending half of the connection.
+    void closeSending()
+    {
+        m_socket.shutdown(Tcp::socket::shutdown_send);
+    }
+
     void close()
     {
         m_socket.close();
--- a/autotests/unit/httpservertest.cpp
+++ b/autotests/unit/httpservertest.cpp
@@ -282,6 +282,45 @@
     BOOST_TEST(handled == 3);
 }
 
+// Guards against a target that goes on with a call whose caller has half-closed its connection. Such a caller
+// is considered gone, and gets no response.
+BOOST_FIXTURE_TEST_CASE(CancelsTheHandlerWhenTheCallerHalfCloses, Fixture)
+{
+    RunningServer server(options);
+    RawClient caller(ServerEndpoint);
+    caller.send(get("/wait"));
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 1; }));
+    caller.closeSending();
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 0 && it.connections() == 0; }));
+    BOOST_TEST(cancelled == 1);
+    BOOST_TEST(caller.readToEnd().value_or("open") == "");
+}
+
+// Guards against a stop that closes a connection with a request that runs, or whose body still arrives, and
+// against one that leaves the others open.
+BOOST_FIXTURE_TEST_CASE(ClosesIdleConnectionsAtAStop, Fixture)
+{
+    RunningServer server(options);
+    RawClient idle(ServerEndpoint);
+    idle.send(get("/fine"));
+    BOOST_TEST(!idle.readTo("/fine||h").empty());
+    RawClient running(ServerEndpoint);
+    running.send(get("/wait"));
+    RawClient sending(ServerEndpoint);
+    sending.send("POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.unansweredRequests() == 2; }));
+    server.invoke([](HttpServer &it) {
+        it.drain();
+        it.closeIdle();
+        return 0;
+    });
+    BOOST_TEST(idle.readToEnd().value_or("open") == "");
+    sending.send("b");
+    BOOST_TEST(!sending.readTo("/late|ab|h").empty());
+    release = true;
+    BOOST_TEST(!running.readTo("/wait||h").empty());
+}
+
 // An operator changes the limits while callers are connected. A request within the current limits must
 // be served; one beyond them gets the status for the limit that it exceeds and never reaches the
 // handler.
