autotests: Test a large response that its target cuts while it is buffered

Cause: only the streamed case was tested.

Ruled out: a fault in the code; the test passes as it stands.

Conclusion: the row of the places that end a call has its test.

--- a/autotests/support/largeresponsefixture.h
+++ b/autotests/support/largeresponsefixture.h
@@ -6,6 +6,7 @@
 #include "daemon/calls/responsesender.h"
 #include "daemon/calls/sidecar.h"
 #include "httptest.h"
+#include "repeatedbody.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,6 +15,21 @@
 constexpr std::uint32_t SlowLink = 11;
 constexpr std::uint32_t FastLink = 1000;
 
+// A body that breaks off after its first part.
+class CutBody : public RepeatedBody
+{
+public:
+    using RepeatedBody::RepeatedBody;
+
+    asio::awaitable<ErrorCode> read(std::string &part, std::size_t limit) override
+    {
+        if (readStarted()) {
+            co_return asio::error::eof;
+        }
+        co_return co_await RepeatedBody::read(part, limit);
+    }
+};
+
 // Ingress, sidecar and target on one thread, connected by real sockets. The target responds to
 // /export/COUNT and /lookup/COUNT with that many bytes. Programs that may run at the same time use
 // different addresses.
@@ -24,6 +40,8 @@
     Endpoint targetEndpoint;
     // Service time of exports.
     std::atomic<int> exportMs = 0;
+    // Whether the target closes its connection in the middle of an export.
+    std::atomic<bool> cutsExports = false;
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
     HttpClient client{context, {}};
@@ -36,7 +54,8 @@
     HttpServer sidecarServer{context, {.endpoint = sidecarEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) {
                                            return sidecar.handle(std::move(request), connection);
                                        }}};
-    HttpServer target{context, {.endpoint = targetEndpoint, .handler = [this](HttpRequest request, ServerConnection &) { return serve(std::move(request)); }}};
+    HttpServer target{context,
+        {.endpoint = targetEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) { return serve(std::move(request), connection); }}};
     std::thread thread;
 
     LargeResponseFixture(const std::string &address, std::uint32_t linkMbps, std::uint32_t slots, bool local = false)
@@ -92,14 +111,20 @@
     // A target that has just become ready gets one call at a time, and more with each response.
     void warmUp(std::uint32_t calls) const;
 
-    asio::awaitable<HttpResponse> serve(HttpRequest request)
+    asio::awaitable<HttpResponse> serve(HttpRequest request, ServerConnection &connection)
     {
         ++targetCalls;
         const std::string path(request.target());
-        if (path.starts_with("/export")) {
+        const auto bytes = std::stoul(path.substr(path.rfind('/') + 1));
+        const bool isExport = path.starts_with("/export");
+        if (isExport) {
             co_await sleepFor(context, Milliseconds(exportMs));
         }
-        co_return makeResponse(http::status::ok, "text/plain", std::string(std::stoul(path.substr(path.rfind('/') + 1)), 'x'));
+        if (isExport && cutsExports) {
+            CutBody body('x', bytes);
+            co_await connection.sendStreamed(makeResponse(http::status::ok, "text/plain", ""), body);
+        }
+        co_return makeResponse(http::status::ok, "text/plain", std::string(bytes, 'x'));
     }
 
     template <typename Function>
--- a/autotests/unit/producedresponsetest.cpp
+++ b/autotests/unit/producedresponsetest.cpp
@@ -71,3 +71,18 @@
     }));
     BOOST_TEST(send(ShortBytes, 10 * Deadline)->receives(ShortBytes));
 }
+
+// Guards against passing on a part of a response whose target closes its connection while the response is
+// buffered, and against memory that such a response keeps.
+BOOST_FIXTURE_TEST_CASE(ResponseThatItsTargetCutsIsNotStarted, Fixture)
+{
+    exportMs = 0;
+    cutsExports = true;
+    BOOST_TEST(send(ShortBytes, Deadline)->readTo("\r\n\r\n").find("502 Bad Gateway") != std::string::npos);
+    BOOST_TEST(waitUntil([this] {
+        const auto &schedule = sidecar.responseSender().schedule();
+        return schedule.bufferedBytes() == 0 && schedule.backlogBytes() == 0;
+    }));
+    cutsExports = false;
+    BOOST_TEST(send(ShortBytes, 10 * Deadline)->receives(ShortBytes));
+}
