node: Wait for bodies that still arrive when the INI node stops

Cause: Node::stop() counted the requests that the handler has. A buffered body is received before that, so its request was cut at the end of the linger time, 0.8 s after the signal, though the drain timeout was far from over.

Ruled out: cutting by closeIdle() or drain(); both leave a connection alone whose body arrives (ClosesIdleConnectionsAtAStop).

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -445,7 +445,7 @@
 void Node::Private::waitForCalls()
 {
     const auto until = Clock::now() + settings.drainTimeout;
-    const auto inFlight = [this] { return onDataThread([this] { return ingressServer.requestsInFlight() + sidecarServer.requestsInFlight(); }); };
+    const auto inFlight = [this] { return onDataThread([this] { return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests(); }); };
     while (inFlight() > 0 && Clock::now() < until) {
         std::this_thread::sleep_for(DrainCheckInterval);
     }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -30,8 +30,8 @@
     // Opens the ports and starts the node. Invalid if an address is in use.
     Result<void> start();
 
-    // Stops gracefully: accepts no new calls, lets those in flight finish for up to the
-    // drain timeout, then ends all threads. Blocks.
+    // Stops gracefully: accepts no new calls, lets those in flight and those whose body still
+    // arrives finish for up to the drain timeout, then ends all threads. Blocks.
     void stop();
 
 private:
