autotests: Test a replacement that is cancelled while it connects

Cause: a response waits until its replacement's attempt has ended, so a connection attempt that is not cancelled holds it back; no test guarded against that.

Counts do not tell the cases apart, so the check is on the time: half of the 550 ms for which the response would be held back.

--- a/autotests/unit/attempttimeouttest.cpp
+++ b/autotests/unit/attempttimeouttest.cpp
@@ -92,6 +92,37 @@
     BOOST_TEST(report.reason == "");
 }
 
+// Guards against a response that is held back by the connection attempt of its replacement.
+BOOST_AUTO_TEST_CASE(ACancelledConnectionAttemptHoldsBackNoResponse)
+{
+    // The first connection fills the backlog, and further ones get no answer of the kernel.
+    const Endpoint silentEndpoint{ingressEndpoint.address, 8084};
+    asio::io_context silentContext;
+    Tcp::acceptor acceptor(silentContext);
+    const Tcp::endpoint address(asio::ip::make_address(silentEndpoint.address), silentEndpoint.port);
+    acceptor.open(address.protocol());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen(0);
+    Tcp::socket first(silentContext);
+    first.connect(address);
+    setMembers({member("slow", slowEndpoint), member("silent", silentEndpoint)});
+    std::promise<TimePoint> responds;
+    onDataThread([&] {
+        slowTime = 650;
+        slowResponse = [&responds](ServerConnection &) -> asio::awaitable<HttpResponse> {
+            responds.set_value(Clock::now());
+            co_return makeResponse(http::status::ok, "text/plain", "slow;");
+        };
+        // The slow target is the less loaded one.
+        ingress.targetLoadReceived(NodeName("silent"), {8, 9}, Milliseconds(0), Clock::now());
+    });
+    BOOST_TEST(call().find("slow;") != std::string::npos);
+    // Half of the time that is left until the deadline.
+    BOOST_TEST((Clock::now() - responds.get_future().get() < Milliseconds(270)));
+    BOOST_TEST(lastReport().rejectedReplacements == 1U);
+}
+
 // Guards against a target that hangs and keeps getting calls since other targets respond in its stead: each
 // of them loses half of its time.
 BOOST_AUTO_TEST_CASE(EjectsATargetWhoseAttemptsAreReplaced)
