autotests: Test a call without time for an attempt

Cause: no test showed that a call with less than 1 ms left is not sent.

Ruled out: a fault in the code; the test passes as it stands, three runs of three.

Change: MakesNoAttemptWithoutTimeLeft sends a call with no time: 503 as not run, and the target that it was routed to gets nothing. attempttimeouttest (8 cases) passes.

Conclusion: the first attempt is covered; one that follows another and meets the last millisecond is not, since a test cannot hit it reliably.

--- a/autotests/unit/attempttimeouttest.cpp
+++ b/autotests/unit/attempttimeouttest.cpp
@@ -123,6 +123,19 @@
     BOOST_TEST(lastReport().rejectedReplacements == 1U);
 }
 
+// Guards against an attempt for which the call has no time left: its target would run it for nobody.
+BOOST_AUTO_TEST_CASE(MakesNoAttemptWithoutTimeLeft)
+{
+    RawClient caller(ingressEndpoint);
+    caller.send(std::string("GET /cola/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n") + CallHeaders::TimeoutMs + ": 0\r\n\r\n");
+    const auto response = caller.readToEnd().value_or("");
+    BOOST_TEST(response.find("503") != std::string::npos);
+    BOOST_TEST(response.find(std::string(CallHeaders::Outcome) + ": " + std::string(CallHeaders::NotRun)) != std::string::npos);
+    BOOST_TEST(slowCalls == 0);
+    BOOST_TEST(lastReport().attemptsSent == 0U);
+    BOOST_TEST(lastReport().target == NodeName("slow"));
+}
+
 // Guards against a target that hangs and keeps getting calls since other targets respond in its stead: each
 // of them loses half of its time.
 BOOST_AUTO_TEST_CASE(EjectsATargetWhoseAttemptsAreReplaced)
