http: Report how each connection of a server ended

Callers of the incident got no whole answer around a SIGTERM, and no log said which side of a connection closed first, how many of the requests that were read had been answered, or what was still unacknowledged or unread.

The node logs connection-ended for each connection of a planned stop, and at other times for one that it closed with something missing, and counts them; connections-left-open sums up what the end of the process ends. No decision changes.

--- /dev/null
+++ b/src/adapters/http/connectionend.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace Galenahill {
+
+// How a connection of a server ended, as far as its own kernel knows.
+struct ConnectionEnd
+{
+    enum class Closer {
+        // The peer closed or reset the connection, or half-closed it.
+        Peer,
+        // The server ended it.
+        Server,
+    };
+
+    // The peer's IP address.
+    std::string peer;
+    Closer closer = Closer::Server;
+    // Requests whose header was read, and those whose complete response was handed to the kernel.
+    std::size_t requestsRead = 0;
+    std::size_t requestsAnswered = 0;
+    // Bytes that the peer's kernel has not acknowledged. They reach the peer only if nothing resets the connection.
+    std::size_t unacknowledgedBytes = 0;
+    // Bytes of the peer that nothing has read. The kernel resets a connection that is closed with such bytes.
+    std::size_t unreadBytes = 0;
+
+    // Whether every response was acknowledged and nothing was left unread.
+    bool isClean() const
+    {
+        return unacknowledgedBytes == 0 && unreadBytes == 0 && requestsAnswered == requestsRead;
+    }
+};
+
+// Sums over the open connections of a server.
+struct OpenConnections
+{
+    std::size_t count = 0;
+    std::size_t unacknowledgedBytes = 0;
+    std::size_t unreadBytes = 0;
+};
+
+}
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -166,6 +166,17 @@
     return d->connections.size();
 }
 
+OpenConnections HttpServer::openConnections() const
+{
+    OpenConnections open;
+    for (const auto &connection : d->connections) {
+        ++open.count;
+        open.unacknowledgedBytes += connection->channel().unacknowledgedBytes();
+        open.unreadBytes += connection->channel().unreadBytes();
+    }
+    return open;
+}
+
 std::uint64_t HttpServer::bytes() const
 {
     return d->state->bytes.all;
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/asio.h"
+#include "adapters/http/connectionend.h"
 #include "adapters/http/httpmessage.h"
 #include "adapters/http/serverconnection.h"
 #include "common/endpoint.h"
@@ -44,6 +45,8 @@
         // answered. It must be safe to run twice, since the peer sends it again if an earlier
         // response closes the connection. Null: none may.
         std::function<bool(const HttpRequest &request)> mayPipeline;
+        // Called for each connection right before its socket is closed. Null: not called.
+        std::function<void(const ConnectionEnd &end)> connectionEnded;
     };
 
     HttpServer(asio::io_context &context, Options options);
@@ -76,6 +79,9 @@
 
     std::size_t connections() const;
 
+    // Asks the kernel about each open connection.
+    OpenConnections openConnections() const;
+
     // Bytes received and sent.
     std::uint64_t bytes() const;
 
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -36,6 +36,7 @@
     {
         connection.m_pipeline.push_back(&exchange);
         ++connection.m_state->unanswered;
+        ++connection.m_requestsRead;
     }
 
     ~PipelineEntry()
@@ -112,6 +113,9 @@
 
 void HttpServerConnection::close()
 {
+    if (!m_closed) {
+        reportEnd();
+    }
     m_closed = true;
     m_channel.close();
     for (auto *exchange : m_pipeline) {
@@ -126,6 +130,18 @@
     }
 }
 
+void HttpServerConnection::reportEnd()
+{
+    if (const auto &report = m_state->options.connectionEnded) {
+        report({.peer = m_peerAddress,
+            .closer = peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
+            .requestsRead = m_requestsRead,
+            .requestsAnswered = m_requestsAnswered,
+            .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
+            .unreadBytes = m_channel.unreadBytes()});
+    }
+}
+
 Deadline &HttpServerConnection::deadline()
 {
     return m_channel.deadline;
@@ -251,6 +267,7 @@
         co_return false;
     }
     co_await exchange.respond(std::move(response));
+    m_requestsAnswered += exchange.failed() ? 0 : 1;
     m_rejectsRequests = m_state->stopped;
     const bool leftUnread = !exchange.noBytesPending() || (!exchange.keepsConnection() && m_channel.buffer.size() > 0);
     if (leftUnread && !exchange.failed()) {
@@ -296,6 +313,7 @@
     }
     const auto error = co_await exchange.reject(std::move(requestError));
     if (!error) {
+        ++m_requestsAnswered;
         co_await linger();
     }
 }
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -103,6 +103,7 @@
     void deadlineExpired();
     void checkPeer();
     void peerDisconnected();
+    void reportEnd();
 
     TcpChannel m_channel;
     std::shared_ptr<HttpServerState> m_state;
@@ -114,6 +115,8 @@
     std::uint64_t m_reader = 0;
     Reading m_reading = Reading::Nothing;
     std::size_t m_started = 0;
+    std::size_t m_requestsRead = 0;
+    std::size_t m_requestsAnswered = 0;
     bool m_watching = false;
     bool m_peerDisconnected = false;
     bool m_closesAfterResponse = false;
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -1,6 +1,8 @@
 #include "adapters/http/tcpchannel.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace Galenahill {
 
@@ -81,6 +83,19 @@
     return error != asio::error::would_block;
 }
 
+std::size_t TcpChannel::unacknowledgedBytes()
+{
+    int count = 0;
+    return ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+std::size_t TcpChannel::unreadBytes()
+{
+    ErrorCode error;
+    const auto inKernel = socket.available(error);
+    return buffer.size() + (error ? 0 : inKernel);
+}
+
 void TcpChannel::releaseBuffer()
 {
     if (buffer.size() == 0) {
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -66,6 +66,13 @@
     // Whether a read would return immediately, with bytes, the peer's close or an error.
     bool readable();
 
+    // Bytes that were written and that the peer's kernel has not acknowledged; the end of the sending half
+    // counts as one. Zero once the connection has failed.
+    std::size_t unacknowledgedBytes();
+
+    // Bytes that have arrived and that nothing has consumed.
+    std::size_t unreadBytes();
+
     // Frees the buffer if it is empty. Most connections of a large fleet are idle, and their buffers
     // would take most of a node's memory.
     void releaseBuffer();
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -66,6 +66,10 @@
     HttpServer peerServer;
     HttpServer metricsServer;
     asio::steady_timer ticker;
+    // Connections of callers and other nodes that this node ended while the peer's kernel had not
+    // acknowledged a response, or while bytes of the peer were unread.
+    std::size_t endedUnacknowledged = 0;
+    std::size_t endedUnread = 0;
 
     HttpClient::Options clientOptions() const;
     HttpServer::Options callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const;
@@ -104,6 +108,8 @@
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
     std::size_t inFlight() const;
+    void connectionEnded(const char *server, const ConnectionEnd &end);
+    void logOpenConnections();
 };
 
 }
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -171,6 +171,7 @@
     serverOptions.bufferedBodyBytes = BufferedBodyBytes;
     serverOptions.totalBufferedBytes = AllBufferedBodiesBytes;
     serverOptions.mayPipeline = [this](const HttpRequest &request) { return ingress.mayPipeline(request); };
+    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionEnded("ingress", end); };
     return serverOptions;
 }
 
@@ -178,6 +179,7 @@
 {
     auto serverOptions = callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); });
     serverOptions.peersWaitForContinue = true;
+    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionEnded("sidecar", end); };
     return serverOptions;
 }
 
