autotests: Reproduce responses that a close destroys

The server closes a connection as soon as its kernel has taken the response. If a byte of a further request is unread then, or arrives afterwards, the kernel resets the connection, and the caller loses what it has not got yet.

A request in the kernel is lost when idle connections are closed, and when the acceptor is closed before its connection was accepted.

--- a/autotests/support/httptest.h
+++ b/autotests/support/httptest.h
@@ -85,9 +85,14 @@
 class RawClient
 {
 public:
-    explicit RawClient(const Endpoint &endpoint)
+    // A receive buffer of zero bytes leaves its size to the system.
+    explicit RawClient(const Endpoint &endpoint, int receiveBuffer = 0)
         : m_socket(m_context)
     {
+        m_socket.open(Tcp::v4());
+        if (receiveBuffer > 0) {
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        }
         m_socket.connect(Tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
         const timeval limit{TestTimeout.count() / 1000, 0};
         setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
--- /dev/null
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -0,0 +1,125 @@
+// Connections that the server ends: what it has sent must arrive, whatever the peer sends meanwhile and however
+// slowly it reads.
+
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace Galenahill;
+
+namespace {
+
+const Endpoint ServerEndpoint{testAddress(61), 18161};
+
+// Shorter than the server's interval for looking at connections whose request is being handled, so that it finds a
+// further request only after the response.
+constexpr Milliseconds HandlerTime{50};
+constexpr Milliseconds SendNextAfter{30};
+constexpr Milliseconds ReadAfter{90};
+
+constexpr std::size_t LargeBody = 200 * 1024;
+constexpr std::size_t SmallBody = 9 * 1024;
+constexpr int SmallReceiveBuffer = 2048;
+
+constexpr int Rounds = 5;
+
+std::string get(std::size_t bytes)
+{
+    return fmt::format("GET /{} HTTP/1.1\r\nHost: h\r\n\r\n", bytes);
+}
+
+// A server whose responses have the length that the path states.
+struct Fixture
+{
+    RunningServer server{HttpServer::Options{.endpoint = ServerEndpoint,
+        .handler = [this](HttpRequest request, ServerConnection &) { return handle(std::move(request)); },
+        .mayPipeline = [](const HttpRequest &) { return true; }}};
+
+    asio::awaitable<HttpResponse> handle(HttpRequest request)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor, HandlerTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return makeResponse(http::status::ok, "text/plain", std::string(std::stoul(std::string(request.target().substr(1))), 'x'));
+    }
+
+    void stopAfterResponses()
+    {
+        server.invoke([](HttpServer &it) {
+            it.closeAfterResponses();
+            return 0;
+        });
+    }
+
+    // Whether the caller gets the complete response.
+    static bool receives(RawClient &caller, std::size_t bytes)
+    {
+        return caller.readTo("\r\n\r\n").starts_with("HTTP/1.1 200") && caller.skip(bytes);
+    }
+
+    // The server ends the connection after the response; the caller sends a further request that soon after its first one,
+    // and reads late. Returns how often it gets the complete response.
+    int deliveries(std::size_t bytes, Milliseconds nextAfter, int receiveBuffer = 0)
+    {
+        int received = 0;
+        for (int round = 0; round < Rounds; ++round) {
+            RawClient caller(ServerEndpoint, receiveBuffer);
+            caller.send(get(bytes));
+            std::this_thread::sleep_for(nextAfter);
+            stopAfterResponses();
+            caller.send(get(bytes));
+            std::this_thread::sleep_for(ReadAfter - nextAfter);
+            received += receives(caller, bytes) ? 1 : 0;
+        }
+        return received;
+    }
+};
+
+}
+
+// Guards against a close that resets the connection because a further request is unread in the kernel.
+BOOST_FIXTURE_TEST_CASE(ResponseArrivesWhenAFurtherRequestIsUnread, Fixture)
+{
+    BOOST_TEST(deliveries(LargeBody, SendNextAfter) == Rounds);
+}
+
+// Guards against the same for a caller with a small receive window.
+BOOST_FIXTURE_TEST_CASE(ResponseArrivesAtACallerWithASmallWindow, Fixture)
+{
+    BOOST_TEST(deliveries(SmallBody, SendNextAfter, SmallReceiveBuffer) == Rounds);
+}
+
+// Guards against a reset by a request that arrives after the close, while the caller still reads the response.
+BOOST_FIXTURE_TEST_CASE(ResponseArrivesWhenAFurtherRequestFollowsTheClose, Fixture)
+{
+    BOOST_TEST(deliveries(LargeBody, HandlerTime + Milliseconds(20)) == Rounds);
+}
+
+// Guards against idle connections that are closed although a request has arrived and is unread.
+BOOST_FIXTURE_TEST_CASE(AnswersARequestThatArrivesAsIdleConnectionsAreClosed, Fixture)
+{
+    RawClient caller(ServerEndpoint);
+    caller.send(get(1));
+    BOOST_TEST(receives(caller, 1));
+    server.invoke([&](HttpServer &it) {
+        caller.send(get(SmallBody));
+        std::this_thread::sleep_for(Milliseconds(20));
+        it.closeIdle();
+        return 0;
+    });
+    BOOST_TEST(receives(caller, SmallBody));
+}
+
+// Guards against connections that are reset in the backlog when the server stops accepting.
+BOOST_FIXTURE_TEST_CASE(AnswersARequestOnAConnectionThatWaitsToBeAccepted, Fixture)
+{
+    std::optional<RawClient> caller;
+    server.invoke([&](HttpServer &it) {
+        caller.emplace(ServerEndpoint);
+        caller->send(get(SmallBody));
+        std::this_thread::sleep_for(Milliseconds(20));
+        it.drain();
+        return 0;
+    });
+    BOOST_TEST(!caller->readTo("\r\n\r\n").empty());
+}
