http: End connections only when the peer has received the responses

Callers saw a reset in the middle of a response that the node had logged as answered. The server shut both directions down and closed the socket as soon as its kernel had taken the response. If a byte of a further request was unread then, or arrived later, the kernel reset the connection and dropped what the caller had not received. Only rejected requests were treated otherwise.

A connection that ends is now half-closed and read until the peer closes, or until its kernel has acknowledged the last byte and one second has passed, or until nothing has been acknowledged for the read timeout (RFC 9112, section 9.6). Requests that have arrived in the kernel count like those that were read when the server decides whether a response is the last one, when it ends idle connections, and, for connections that wait in the backlog, when it stops accepting. After drain() each connection answers what has arrived by then and no more, so that a peer that keeps its pipeline filled sees an orderly end. Eviction prefers connections with nothing underway.

Not covered: the end of the process.

--- a/src/adapters/http/connectionend.h
+++ b/src/adapters/http/connectionend.h
@@ -25,6 +25,9 @@
     std::size_t unacknowledgedBytes = 0;
     // Bytes of the peer that nothing has read. The kernel resets a connection that is closed with such bytes.
     std::size_t unreadBytes = 0;
+    // Bytes of the peer that were discarded after the last response, such as further requests. The peer was informed by
+    // Connection: close, or by the end of an idle connection, that they have no effect.
+    std::size_t discardedBytes = 0;
 
     // Whether every response was acknowledged and nothing was left unread.
     bool isClean() const
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -36,6 +36,8 @@
     std::unordered_set<std::shared_ptr<HttpServerConnection>> connections;
 
     asio::awaitable<void> accept();
+    void admit(Tcp::socket socket);
+    void acceptArrived();
     asio::awaitable<void> serve(std::shared_ptr<HttpServerConnection> connection);
     bool evictWaitingConnection();
 };
@@ -89,26 +91,57 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        if (connections.size() >= state->options.maxConnections && !evictWaitingConnection()) {
-            continue;
+        admit(std::move(socket));
+    }
+}
+
+void HttpServer::Private::admit(Tcp::socket socket)
+{
+    if (connections.size() >= state->options.maxConnections && !evictWaitingConnection()) {
+        return;
+    }
+    auto connection = std::make_shared<HttpServerConnection>(std::move(socket), state);
+    connections.insert(connection);
+    sweeper.watch(connection->deadline());
+    asio::co_spawn(context, serve(std::move(connection)), asio::detached);
+}
+
+// The kernel resets the connections that wait in the backlog when the acceptor is closed, although their
+// peers may have sent requests.
+void HttpServer::Private::acceptArrived()
+{
+    ErrorCode error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(context);
+        acceptor.accept(socket, error);
+        if (!error) {
+            admit(std::move(socket));
         }
-        auto connection = std::make_shared<HttpServerConnection>(std::move(socket), state);
-        connections.insert(connection);
-        sweeper.watch(connection->deadline());
-        asio::co_spawn(context, serve(std::move(connection)), asio::detached);
     }
 }
 
 // Closes the connection that has waited longest without a request being handled. Otherwise peers
 // that connect and send nothing, or send slowly, would lock out all others until their time limits
-// pass. A connection whose request is being handled is never closed for a new one.
+// pass. A connection whose request is being handled is never closed for a new one, and one whose peer has
+// not received everything only if there is no other.
 bool HttpServer::Private::evictWaitingConnection()
 {
-    HttpServerConnection *oldest = nullptr;
-    for (const auto &connection : connections) {
-        if (!connection->handling() && (oldest == nullptr || connection->waitingSince() < oldest->waitingSince())) {
-            oldest = connection.get();
+    const auto oldestOf = [this](const std::function<bool(HttpServerConnection &)> &mayClose) {
+        HttpServerConnection *oldest = nullptr;
+        for (const auto &connection : connections) {
+            if (!connection->handling() && (oldest == nullptr || connection->waitingSince() < oldest->waitingSince()) && mayClose(*connection)) {
+                oldest = connection.get();
+            }
         }
+        return oldest;
+    };
+    const auto isDelivered
+        = [](HttpServerConnection &connection) { return connection.channel().unacknowledgedBytes() == 0 && connection.channel().unreadBytes() == 0; };
+    auto *oldest = oldestOf([](HttpServerConnection &) { return true; });
+    if (oldest != nullptr && !isDelivered(*oldest)) {
+        auto *delivered = oldestOf(isDelivered);
+        oldest = delivered != nullptr ? delivered : oldest;
     }
     if (oldest != nullptr) {
         oldest->close();
@@ -138,16 +171,18 @@
 {
     d->state->draining = true;
     d->state->stopped = true;
+    d->acceptArrived();
     ErrorCode ignored;
     d->acceptor.close(ignored);
+    for (const auto &connection : d->connections) {
+        connection->answerArrivedOnly();
+    }
 }
 
 void HttpServer::closeIdle()
 {
     for (const auto &connection : d->connections) {
-        if (!connection->busy()) {
-            connection->close();
-        }
+        connection->endIfIdle();
     }
 }
 
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -58,16 +58,17 @@
     // Replaces the limits; they apply from each connection's next request on.
     void setLimits(const CallerLimits &limits);
 
-    // Closes each connection once all requests that were read from it are answered; the last response
-    // says Connection: close. New connections are still accepted.
+    // Ends each connection once all requests that have arrived on it are answered; the last response says
+    // Connection: close. New connections are still accepted. A connection that ends is half-closed, and stays open
+    // until the peer closes it, or until the peer's kernel has acknowledged everything and a time limit has passed.
     void closeAfterResponses();
 
     // Like closeAfterResponses(), and stops accepting connections. Pipelined requests that still wait
-    // for an earlier response are rejected with 503. Connections without a request stay open until
-    // closeIdle() is called.
+    // for an earlier response are rejected with 503, and what arrives on a connection from now on behind
+    // other requests is discarded. Connections without a request stay open until closeIdle() is called.
     void drain();
 
-    // Closes the connections without a request in flight.
+    // Ends the connections on which no part of a request has arrived.
     void closeIdle();
 
     // Requests being handled.
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-// Limits for reading and discarding the rest of a rejected request (lingering close). Closing
-// with unread bytes would reset the connection, and the peer would lose the error response.
-constexpr Milliseconds LingerTime{1000};
-constexpr std::size_t LingerBytes = 256 * 1024;
-
 // How often a connection whose request is being handled is checked for the peer's close and
 // for further requests. A call passes through two nodes, so a cancelled one stops at its target
 // within a quarter of a second. Checking five times as often took a fifth of an idle node's CPU
@@ -108,38 +103,7 @@
             open = co_await waitForRequest();
         }
     }
-    close();
-}
-
-void HttpServerConnection::close()
-{
-    if (!m_closed) {
-        reportEnd();
-    }
-    m_closed = true;
-    m_channel.close();
-    for (auto *exchange : m_pipeline) {
-        if (exchange->turn) {
-            exchange->turn->cancel();
-        }
-    }
-    // Nobody waits for the responses of the requests that still run.
-    peerDisconnected();
-    if (m_closedSignal) {
-        m_closedSignal->cancel();
-    }
-}
-
-void HttpServerConnection::reportEnd()
-{
-    if (const auto &report = m_state->options.connectionEnded) {
-        report({.peer = m_peerAddress,
-            .closer = peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
-            .requestsRead = m_requestsRead,
-            .requestsAnswered = m_requestsAnswered,
-            .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
-            .unreadBytes = m_channel.unreadBytes()});
-    }
+    co_await finish();
 }
 
 Deadline &HttpServerConnection::deadline()
@@ -213,12 +177,25 @@
         setTimeLimit(m_state->options.limits.idleTimeout);
     }
     m_channel.releaseBuffer();
-    const auto error = co_await m_channel.readMore();
+    auto error = co_await m_channel.readMore();
+    // A request may have arrived in the meantime.
+    while (endsIdle(error) && !m_ending && m_channel.readable()) {
+        m_endsIfIdle = false;
+        setTimeLimit(m_state->options.limits.idleTimeout);
+        error = co_await m_channel.readMore();
+    }
     m_reading = Reading::Nothing;
-    if (error) {
+    if (error && !m_ending && !endsIdle(error)) {
         peerDisconnected();
     }
-    co_return !error;
+    m_endsIfIdle = false;
+    co_return !error && !m_ending;
+}
+
+// Whether the error ends a wait for a request in which nothing has arrived, as opposed to the connection.
+bool HttpServerConnection::endsIdle(const ErrorCode &error) const
+{
+    return m_pipeline.empty() && error == (m_endsIfIdle ? asio::error::operation_aborted : asio::error::timed_out);
 }
 
 asio::awaitable<bool> HttpServerConnection::serveRequest()
@@ -233,7 +210,7 @@
     auto requestError = co_await exchange.readHeader(request);
     m_reading = Reading::Nothing;
     if (m_closesAfterResponse) {
-        co_return true;
+        co_return !m_ending;
     }
     if (requestError && requestError->status == http::status::unknown) {
         peerDisconnected();
@@ -269,11 +246,6 @@
     co_await exchange.respond(std::move(response));
     m_requestsAnswered += exchange.failed() ? 0 : 1;
     m_rejectsRequests = m_state->stopped;
-    const bool leftUnread = !exchange.noBytesPending() || (!exchange.keepsConnection() && m_channel.buffer.size() > 0);
-    if (leftUnread && !exchange.failed()) {
-        co_await linger();
-        co_return false;
-    }
     co_return exchange.keepsConnection();
 }
 
@@ -314,36 +286,22 @@
     const auto error = co_await exchange.reject(std::move(requestError));
     if (!error) {
         ++m_requestsAnswered;
-        co_await linger();
-    }
-}
-
-asio::awaitable<void> HttpServerConnection::linger()
-{
-    ErrorCode error;
-    m_channel.socket.shutdown(Tcp::socket::shutdown_send, error);
-    setTimeLimit(LingerTime);
-    std::size_t discarded = 0;
-    while (!error && discarded < LingerBytes) {
-        discarded += m_channel.buffer.size();
-        m_channel.buffer.clear();
-        error = co_await m_channel.readMore();
     }
 }
 
 bool HttpServerConnection::isFirst(const ServerExchange &exchange) const
 {
-    return !m_closed && m_pipeline.front() == &exchange;
+    return !m_closed && !m_ending && m_pipeline.front() == &exchange;
 }
 
 asio::awaitable<bool> HttpServerConnection::waitTurn(ServerExchange &exchange)
 {
-    while (m_pipeline.front() != &exchange && !m_closed) {
+    while (m_pipeline.front() != &exchange && !m_closed && !m_ending) {
         exchange.turn.emplace(co_await asio::this_coro::executor, TimePoint::max());
         ErrorCode ignored;
         co_await exchange.turn->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return !m_closed;
+    co_return !m_closed && !m_ending;
 }
 
 void HttpServerConnection::closeAfterResponse()
@@ -351,15 +309,23 @@
     m_closesAfterResponse = true;
 }
 
-bool HttpServerConnection::hasReadAfter(const ServerExchange &exchange) const
+bool HttpServerConnection::hasArrivedAfter(const ServerExchange &exchange)
 {
-    return m_pipeline.back() != &exchange || m_reading == Reading::Request || m_channel.buffer.size() > 0;
+    return m_pipeline.back() != &exchange || m_reading == Reading::Request || hasUnansweredBytes();
+}
+
+bool HttpServerConnection::hasUnansweredBytes()
+{
+    if (m_answerUpTo) {
+        return m_channel.received - m_channel.buffer.size() < *m_answerUpTo;
+    }
+    return m_channel.unreadBytes() > 0;
 }
 
 void HttpServerConnection::removeFromPipeline(ServerExchange &exchange)
 {
     m_pipeline.erase(std::find(m_pipeline.begin(), m_pipeline.end(), &exchange));
-    if (m_closed) {
+    if (m_closed || m_ending) {
         return;
     }
     if (!m_pipeline.empty()) {
@@ -411,15 +377,13 @@
 // one detects the close.
 void HttpServerConnection::checkPeer()
 {
-    auto &buffer = m_channel.buffer;
-    const auto space = buffer.max_size() - buffer.size();
+    const auto space = m_channel.buffer.max_size() - m_channel.buffer.size();
     if (m_reading != Reading::Nothing || m_pipeline.empty() || !m_pipeline.back()->noBytesPending() || space == 0) {
         // A passed deadline would end the next read.
         m_channel.deadline.clear();
         return;
     }
-    ErrorCode error;
-    buffer.commit(m_channel.socket.read_some(buffer.prepare(space), error));
+    const auto error = m_channel.readArrived();
     if (error && error != asio::error::would_block) {
         peerDisconnected();
         return;
@@ -428,14 +392,4 @@
     readAhead();
 }
 
-// Cancels all requests of the pipeline, since nobody waits for their responses.
-void HttpServerConnection::peerDisconnected()
-{
-    m_peerDisconnected = true;
-    const auto pipeline = m_pipeline;
-    for (auto *exchange : pipeline) {
-        exchange->cancellation().cancel();
-    }
-}
-
 }
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -40,9 +40,19 @@
     // Serves until the connection is closed.
     asio::awaitable<void> serve();
 
-    // Closes the connection immediately.
+    // Closes the connection immediately. What the peer has not received yet may be lost.
     void close();
 
+    // Ends the connection if it waits for a request of which nothing has arrived.
+    void endIfIdle();
+
+    // Bounds the requests that are still answered to those of which anything has arrived. For a server
+    // that stops: a peer that sends on without a pause would never see the end of its connection.
+    void answerArrivedOnly();
+
+    // Whether the connection has been half-closed, and is only open until the peer has received everything.
+    bool ending() const;
+
     Deadline &deadline();
 
     // Whether a request is being read or handled.
@@ -74,8 +84,8 @@
     // Makes the response that is about to be sent the last one; later requests are ignored.
     void closeAfterResponse();
 
-    // Whether anything of a later request than that of the exchange has been read.
-    bool hasReadAfter(const ServerExchange &exchange) const;
+    // Whether anything of a later request than that of the exchange has arrived and must be answered.
+    bool hasArrivedAfter(const ServerExchange &exchange);
 
 private:
     // What the reading coroutine is doing.
@@ -97,12 +107,17 @@
     bool mayPipeline(const ServerExchange &exchange, const HttpRequest &request) const;
     asio::awaitable<HttpResponse> handle(ServerExchange &exchange, HttpRequest request);
     asio::awaitable<void> reject(ServerExchange &exchange, RequestError requestError);
-    asio::awaitable<void> linger();
+    asio::awaitable<void> finish();
+    void beginEnding();
+    asio::awaitable<void> discardUntilClosed();
+    bool endsIdle(const ErrorCode &error) const;
+    bool hasUnansweredBytes();
     void readAhead();
     void removeFromPipeline(ServerExchange &exchange);
     void deadlineExpired();
     void checkPeer();
     void peerDisconnected();
+    void cancelPipeline();
     void reportEnd();
 
     TcpChannel m_channel;
@@ -123,6 +138,13 @@
     // Whether requests that are read from now on are answered without being handled.
     bool m_rejectsRequests = false;
     bool m_closed = false;
+    bool m_ending = false;
+    // Whether a coroutine discards what the peer sends after the half-close.
+    bool m_discarding = false;
+    bool m_endsIfIdle = false;
+    std::size_t m_discarded = 0;
+    // Number of the received byte from which on requests are not answered; no limit if not set.
+    std::optional<std::uint64_t> m_answerUpTo;
     // Wakes serve() when another coroutine closes the connection.
     std::optional<asio::steady_timer> m_closedSignal;
 };
--- /dev/null
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -0,0 +1,144 @@
+// Ends the connections of a server.
+
+#include "adapters/http/httpserverconnection.h"
+#include "adapters/http/lingeringclose.h"
+
+namespace Galenahill {
+
+namespace {
+
+// How often a half-closed connection is checked for the peer's acknowledgement; the kernel signals only
+// further bytes and the peer's close.
+constexpr Milliseconds AcknowledgementCheckInterval{50};
+
+}
+
+// Ends the connection so that the peer gets all that was sent. If another coroutine is reading, that one
+// reads until the peer closes.
+asio::awaitable<void> HttpServerConnection::finish()
+{
+    if (m_closed) {
+        co_return;
+    }
+    if (m_peerDisconnected) {
+        close();
+        co_return;
+    }
+    if (!m_ending) {
+        beginEnding();
+    }
+    if (!m_discarding && m_reading == Reading::Nothing) {
+        m_discarding = true;
+        co_await discardUntilClosed();
+        close();
+    }
+}
+
+void HttpServerConnection::beginEnding()
+{
+    m_ending = true;
+    m_closesAfterResponse = true;
+    ErrorCode ignored;
+    m_channel.socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    cancelPipeline();
+    setTimeLimit(AcknowledgementCheckInterval);
+    // Wakes the coroutine that reads.
+    m_channel.abort();
+}
+
+asio::awaitable<void> HttpServerConnection::discardUntilClosed()
+{
+    LingeringClose lingering({.acknowledgementTimeout = m_state->options.readTimeout}, Clock::now());
+    bool peerCloses = false;
+    for (;;) {
+        m_discarded += m_channel.buffer.size();
+        m_channel.buffer.clear();
+        const auto unacknowledged = m_channel.unacknowledgedBytes();
+        if ((peerCloses && unacknowledged == 0) || lingering.isOver(Clock::now(), unacknowledged, m_discarded)) {
+            co_return;
+        }
+        ErrorCode error;
+        if (peerCloses) {
+            m_channel.deadline.clear();
+            asio::steady_timer timer(m_channel.socket.get_executor(), AcknowledgementCheckInterval);
+            ErrorCode ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        } else {
+            setTimeLimit(AcknowledgementCheckInterval);
+            error = co_await m_channel.readMore();
+        }
+        peerCloses = peerCloses || error == asio::error::eof;
+        if (m_closed || (error && error != asio::error::eof && error != asio::error::timed_out)) {
+            co_return;
+        }
+    }
+}
+
+void HttpServerConnection::close()
+{
+    if (!m_closed) {
+        reportEnd();
+    }
+    m_closed = true;
+    m_channel.close();
+    cancelPipeline();
+    if (m_closedSignal) {
+        m_closedSignal->cancel();
+    }
+}
+
+void HttpServerConnection::reportEnd()
+{
+    if (const auto &report = m_state->options.connectionEnded) {
+        report({.peer = m_peerAddress,
+            .closer = !m_ending && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
+            .requestsRead = m_requestsRead,
+            .requestsAnswered = m_requestsAnswered,
+            .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
+            .unreadBytes = m_channel.unreadBytes(),
+            .discardedBytes = m_discarded});
+    }
+}
+
+void HttpServerConnection::endIfIdle()
+{
+    if (m_pipeline.empty() && m_reading == Reading::Idle && !m_ending) {
+        m_endsIfIdle = true;
+        m_channel.abort();
+    }
+}
+
+void HttpServerConnection::answerArrivedOnly()
+{
+    m_answerUpTo = m_channel.received - m_channel.buffer.size() + m_channel.unreadBytes();
+}
+
+bool HttpServerConnection::ending() const
+{
+    return m_ending;
+}
+
+void HttpServerConnection::peerDisconnected()
+{
+    m_peerDisconnected = true;
+    const auto pipeline = m_pipeline;
+    for (auto *exchange : pipeline) {
+        exchange->cancellation().cancel();
+    }
+}
+
+// Ends all requests of the pipeline: their responses can't be sent any more.
+void HttpServerConnection::cancelPipeline()
+{
+    for (auto *exchange : m_pipeline) {
+        if (exchange->turn) {
+            exchange->turn->cancel();
+        }
+    }
+    const auto pipeline = m_pipeline;
+    for (auto *exchange : pipeline) {
+        exchange->cancellation().cancel();
+    }
+}
+
+}
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -193,7 +193,7 @@
 // drains, the connection is kept until the last of them is answered.
 bool ServerExchange::keepsAfterResponse() const
 {
-    const bool continues = !m_connection.draining() || m_connection.hasReadAfter(*this);
+    const bool continues = !m_connection.draining() || m_connection.hasArrivedAfter(*this);
     return m_keepAlive && !m_failed && noBytesPending() && continues;
 }
 
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -103,6 +103,16 @@
     }
 }
 
+ErrorCode TcpChannel::readArrived()
+{
+    ErrorCode error;
+    const auto count = socket.read_some(buffer.prepare(buffer.max_size() - buffer.size()), error);
+    buffer.commit(count);
+    received += count;
+    m_bytes.all += count;
+    return error;
+}
+
 asio::awaitable<ErrorCode> TcpChannel::readMore()
 {
     if (deadline.passed() || m_peerLost) {
@@ -122,6 +132,7 @@
     const auto space = buffer.prepare(std::min<std::size_t>(freeBytes, 4096));
     const auto count = co_await socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
+    received += count;
     m_bytes.all += count;
     co_return errorOrTimeout(error);
 }
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -35,6 +35,8 @@
 
     Tcp::socket socket;
     boost::beast::flat_buffer buffer{ReadAheadBytes};
+    // Bytes that were read into the buffer so far.
+    std::uint64_t received = 0;
     Deadline deadline;
 
     // Makes a connected socket non-blocking and sets TCP_NODELAY.
@@ -77,6 +79,9 @@
     // would take most of a node's memory.
     void releaseBuffer();
 
+    // Appends the bytes that have arrived to the buffer without waiting.
+    ErrorCode readArrived();
+
     // Waits for bytes and appends them to the buffer; a freed buffer is allocated only when they
     // arrive. Fails with `timed_out` if the deadline has passed, and with `no_buffer_space` if the
     // buffer is full.
