daemon: Answer calls that outlast a planned stop

Callers whose deadlines lie beyond the stop timeout saw their connections end without a byte of an answer when the process ended, though the node knew for seconds that it would not be there for the target's response.

Shortly before the end of the stop the ingress answers each call that has no response yet: not run if no target has got it, 502 with an unknown outcome otherwise. A response that has begun goes on. The stop timeout is counted from the last time at which the node handled its periodic work, since on a busy VM the signal may have waited since then. The INI node does the same at its drain timeout.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <future>
+#include <set>
 #include <sstream>
 
 using namespace Galenahill;
@@ -25,6 +26,7 @@
 constexpr std::size_t ResponseBytes = 600000;
 constexpr std::size_t UploadPieces = 5;
 constexpr std::size_t PieceBytes = 20000;
+constexpr int SmallReceiveBuffer = 2048;
 constexpr std::size_t Ingress = 0;
 constexpr std::size_t FirstSidecar = 1;
 constexpr std::size_t Sidecars = 2;
@@ -250,6 +252,20 @@
     BOOST_TEST(checkAnswers() >= 8);
 }
 
+// Guards against calls that the end of the stop cuts, because their targets take longer than it.
+BOOST_FIXTURE_TEST_CASE(StopAnswersCallsThatOutlastIt, Fixture)
+{
+    setServiceTime(GraceTime + Milliseconds(1500));
+    auto running = hold({requestText("POST", "/orden/1", "running")}, {"running"});
+    std::this_thread::sleep_for(SignalAfter);
+    signal(Ingress);
+    checkEnd(Ingress);
+    const auto answer = running.get().front();
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(answer.complete);
+    BOOST_TEST(!answer.notRun);
+}
+
 // Guards against a process that ends while a request body still arrives.
 BOOST_FIXTURE_TEST_CASE(StopWaitsForAnUploadThatArrives, Fixture)
 {
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -179,11 +179,12 @@
     }
 }
 
-void HttpServer::closeIdle()
+std::size_t HttpServer::closeIdle()
 {
     for (const auto &connection : d->connections) {
         connection->endIfIdle();
     }
+    return d->connections.size();
 }
 
 std::size_t HttpServer::requestsInFlight() const
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -68,8 +68,9 @@
     // other requests is discarded. Connections without a request stay open until closeIdle() is called.
     void drain();
 
-    // Ends the connections on which no part of a request has arrived.
-    void closeIdle();
+    // Ends the connections on which no part of a request has arrived. Returns the number of connections that
+    // are still open.
+    std::size_t closeIdle();
 
     // Requests being handled.
     std::size_t requestsInFlight() const;
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -20,6 +20,30 @@
     return std::any_of(targets.begin(), targets.end(), [](const MemberRecord &target) { return target.linkMbps > 0; });
 }
 
+// Lists the call among the running ones while in scope.
+class RunningEntry
+{
+public:
+    RunningEntry(std::unordered_set<IngressCall *> &running, IngressCall &call)
+        : m_running(running)
+        , m_call(call)
+    {
+        m_running.insert(&m_call);
+    }
+
+    ~RunningEntry()
+    {
+        m_running.erase(&m_call);
+    }
+
+    RunningEntry(const RunningEntry &) = delete;
+    RunningEntry &operator=(const RunningEntry &) = delete;
+
+private:
+    std::unordered_set<IngressCall *> &m_running;
+    IngressCall &m_call;
+};
+
 }
 
 Ingress::Ingress(Options options)
@@ -137,6 +161,7 @@
     stripFields(request, d->options.headerNames);
     request.keep_alive(true);
     call.request = std::move(request);
+    const RunningEntry entry(d->running, call);
     auto response = co_await d->admit(call);
     d->options.callEnded(*call.route, callResultOf(response), std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - call.begin));
     d->reportCustomer(call, response);
@@ -158,6 +183,15 @@
     d->router.prepareToStop();
 }
 
+std::size_t Ingress::endCalls()
+{
+    const auto calls = std::vector(d->running.begin(), d->running.end());
+    for (auto *call : calls) {
+        d->endForStop(*call);
+    }
+    return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [](const auto *call) { return call->endedByStop; }));
+}
+
 std::uint64_t Ingress::shedCalls() const
 {
     return d->shedCalls;
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -12,6 +12,7 @@
 #include "daemon/calls/ingresscall.h"
 
 #include <atomic>
+#include <unordered_set>
 
 namespace Galenahill {
 
@@ -65,6 +66,8 @@
     std::atomic<std::uint64_t> responsesEndedEarly = 0;
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
+    // Calls that have a route and are not answered yet.
+    std::unordered_set<IngressCall *> running;
 
     void assignVersion(IngressCall &call);
     void setDeadlines(IngressCall &call, const HttpRequest &request);
@@ -91,6 +94,7 @@
     void recordResponse(IngressCall &call, const MemberRecord &target, AttemptResult result, const HttpResponse &response);
     void setSidecarFields(const IngressCall &call, HttpRequest &request, const AttemptTerms &attemptTerms) const;
     bool isShed(IngressCall &call);
+    void endForStop(IngressCall &call);
     HttpResponse rejection(IngressCall &call);
     HttpResponse finalResponse(IngressCall &call, Attempt last);
     void recordEarlyEnd(IngressCall &call, const StreamResult &result, HttpResponse &response);
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -87,6 +87,10 @@
     bool hasRunningParent = false;
     // Whether that parent call is a retry, which makes its nested calls again.
     bool parentIsRetry = false;
+    // Whether the response that an attempt has got is being sent to the caller.
+    bool isResponding = false;
+    // Whether this node answers the call because the time for its stop is over.
+    bool endedByStop = false;
 };
 
 // Result of one attempt.
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -1,6 +1,7 @@
 #include "daemon/calls/ingress_p.h"
 
 #include "core/calls/callheaders.h"
+#include "daemon/calls/attemptreplacement.h"
 #include "daemon/calls/callmessages.h"
 
 #include <fmt/format.h>
@@ -68,6 +69,23 @@
     response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
 }
 
+// A call whose response has begun goes on: there is nothing else that the caller could be sent.
+void Ingress::Private::endForStop(IngressCall &call)
+{
+    const auto *connection = respondingConnection(call);
+    if (call.isResponding || (connection != nullptr && connection->responseStarted())) {
+        return;
+    }
+    call.endedByStop = true;
+    call.deadline = std::min(call.deadline, Clock::now());
+    if (call.replacement && call.replacement->connection) {
+        call.replacement->connection->cancellation().cancel();
+    }
+    if (call.attemptConnection) {
+        call.attemptConnection->cancellation().cancel();
+    }
+}
+
 HttpResponse Ingress::Private::finalResponse(IngressCall &call, Attempt last)
 {
     if (last.result == AttemptResult::Answered || last.result == AttemptResult::Failed || last.result == AttemptResult::Overloaded) {
@@ -76,7 +94,7 @@
     }
     if (call.unknownOutcomes > 0 || mayHaveRun(last.result)) {
         // The sidecar's deadline is stated in whole milliseconds, and passes up to one before this one.
-        const bool late = call.deadline - Clock::now() < Milliseconds(1);
+        const bool late = !call.endedByStop && call.deadline - Clock::now() < Milliseconds(1);
         return outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
     }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -54,8 +54,7 @@
 
 std::uint64_t wallClockIncarnation()
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
 std::int64_t wallClockSeconds()
@@ -218,6 +217,7 @@
     asio::awaitable<void> tickLimits();
     bool joinThrough(const Endpoint &contact);
     asio::awaitable<void> pull(Endpoint peer);
+    std::size_t waitForNone(Milliseconds limit, const std::function<std::size_t()> &count);
     void waitForCalls();
 
     template <typename Message>
@@ -443,15 +443,23 @@
     return {};
 }
 
-void Node::Private::waitForCalls()
+// Waits until the count is zero; returns what is left when the time is up.
+std::size_t Node::Private::waitForNone(Milliseconds limit, const std::function<std::size_t()> &count)
 {
-    const auto until = Clock::now() + settings.drainTimeout;
-    const auto inFlight = [this] { return onDataThread([this] { return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests(); }); };
-    while (inFlight() > 0 && Clock::now() < until) {
+    const auto until = Clock::now() + limit;
+    auto left = onDataThread(count);
+    for (; left > 0 && Clock::now() < until; left = onDataThread(count)) {
         std::this_thread::sleep_for(DrainCheckInterval);
     }
-    if (const auto left = inFlight(); left > 0) {
+    return left;
+}
+
+void Node::Private::waitForCalls()
+{
+    const auto left = waitForNone(settings.drainTimeout, [this] { return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests(); });
+    if (left > 0) {
         log(LogLevel::Error, "drain-timeout", {{"in_flight", left}});
+        onDataThread([this] { return ingress.endCalls(); });
     }
 }
 
@@ -467,10 +475,7 @@
     });
     std::this_thread::sleep_for(LingerTime);
     d->waitForCalls();
-    d->onDataThread([this] {
-        d->ingressServer.closeIdle();
-        return 0;
-    });
+    d->onDataThread([this] { return d->ingressServer.closeIdle(); });
     d->waitForCalls();
     d->state->stopping = true;
     d->store.stop();
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -18,7 +18,11 @@
 constexpr Milliseconds SidecarDrainDelay{1800};
 constexpr Milliseconds IngressDrainDelay{2300};
 constexpr Milliseconds StopMargin{400};
-constexpr Milliseconds StopCheckInterval{50};
+constexpr Milliseconds StopCheckInterval{20};
+
+// Time before the end of a stop at which calls without a response are answered by the node itself, so
+// that the answers arrive.
+constexpr Milliseconds FinalAnswerTime{400};
 
 // Time between two checks for idle connections, which are closed to free their memory.
 constexpr Milliseconds TrimInterval{1000};
@@ -78,6 +82,7 @@
 asio::awaitable<void> PlatformNode::Private::tick()
 {
     for (;;) {
+        lastTick = Clock::now();
         checkClock();
         trimConnections();
         fleet.tick();
@@ -353,8 +358,11 @@
 asio::awaitable<void> PlatformNode::Private::stopGracefully()
 {
     const auto begin = Clock::now();
+    // On a busy VM the signal may have waited since the node last had the processor.
+    const auto signalled = lastTick;
+    const auto end = signalled + settings.stopTimeout - StopMargin;
     stopping = true;
-    log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}});
+    log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}, {"late_at_most_ms", std::chrono::duration_cast<Milliseconds>(begin - signalled).count()}});
     ingress.prepareToStop();
     ingressServer.closeAfterResponses();
     asio::co_spawn(context, directory.deregister(), asio::detached);
@@ -368,8 +376,14 @@
     // calls would be interrupted at the end of the stop timeout.
     ingressServer.drain();
     ingressServer.closeIdle();
-    const auto until = begin + settings.stopTimeout - StopMargin;
-    while (inFlight() > 0 && Clock::now() < until) {
+    while (inFlight() > 0 && Clock::now() < end - FinalAnswerTime) {
+        co_await sleepFor(context, StopCheckInterval);
+    }
+    if (inFlight() > 0) {
+        const auto ended = ingress.endCalls();
+        log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
+    }
+    while (inFlight() > 0 && Clock::now() < end) {
         co_await sleepFor(context, StopCheckInterval);
     }
     logOpenConnections();
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -37,6 +37,8 @@
     bool wasReady = false;
     ClockStepDetector clockStepDetector;
     TimePoint lastTrim;
+    // When the node last handled its periodic work.
+    TimePoint lastTick = Clock::now();
     std::shared_ptr<NodeState> state = std::make_shared<NodeState>();
     ServiceLevelMetrics metrics;
     CustomerCounters customers;
