daemon: End the process when the peers have received everything

The process ended as soon as no request was in flight: the kernel had the responses then, the callers not necessarily. A process that ends with unread bytes resets its connections, and where the VM's network ends with the process nothing delivers the rest.

Connections without a request are asked again in each step, since some come from the backlog.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -266,6 +266,55 @@
     BOOST_TEST(!answer.notRun);
 }
 
+// Guards against a response that the end of the stop destroys, because its caller reads slowly and has sent more.
+BOOST_FIXTURE_TEST_CASE(StopDeliversAResponseToASlowReaderThatPipelines, Fixture)
+{
+    setServiceTime(Milliseconds(400));
+    RawClient caller(fleet.ingress(Ingress), SmallReceiveBuffer);
+    caller.send(requestText("GET", fmt::format("/bajada/1?bytes={}", PieceBytes), "slow-reader"));
+    std::this_thread::sleep_for(Milliseconds(200));
+    signal(Ingress);
+    std::this_thread::sleep_for(Milliseconds(600));
+    caller.send(requestText("GET", "/cola/1", "behind"));
+    std::this_thread::sleep_for(Milliseconds(2000));
+    const auto answer = readAnswer(caller, "slow-reader");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.complete);
+    checkEnd(Ingress);
+}
+
+// Guards against a caller that keeps its pipeline filled: it must see an orderly end of its connection, and an answer
+// to each call that ran.
+BOOST_FIXTURE_TEST_CASE(StopEndsAFullPipelineInOrder, Fixture)
+{
+    setServiceTime(Milliseconds(20));
+    RawClient caller(fleet.ingress(Ingress));
+    std::set<std::string> answered;
+    bool closed = false;
+    // More than the node reads at once.
+    constexpr int Ahead = 60;
+    for (int sent = 0; !closed; ++sent) {
+        caller.send(requestText("GET", "/cola/1", fmt::format("full-{}", sent)));
+        if (sent == Ahead * 2) {
+            signal(Ingress);
+        }
+        if (sent >= Ahead) {
+            const auto header = caller.readTo("\r\n\r\n");
+            const auto length = header.find("Content-Length: ");
+            BOOST_REQUIRE_MESSAGE(length != std::string::npos, "the connection ended without Connection: close");
+            BOOST_REQUIRE(caller.skip(std::stoul(header.substr(length + 16))));
+            if (header.starts_with("HTTP/1.1 200")) {
+                answered.insert(fmt::format("full-{}", sent - Ahead));
+            }
+            closed = header.find("Connection: close") != std::string::npos;
+        }
+    }
+    checkEnd(Ingress);
+    for (const auto &id : fleet.executedCalls()) {
+        BOOST_TEST((!id.starts_with("full-") || answered.count(id) == 1), id + " ran and was not answered");
+    }
+}
+
 // Guards against a process that ends while a request body still arrives.
 BOOST_FIXTURE_TEST_CASE(StopWaitsForAnUploadThatArrives, Fixture)
 {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -45,6 +45,9 @@
 
 constexpr Milliseconds DrainCheckInterval{10};
 
+// Time for peers to receive the last responses and to close their connections.
+constexpr Milliseconds DeliveryTime{1500};
+
 // Bodies of calls and responses are streamed, so this limit bounds time rather than
 // memory.
 constexpr std::uint64_t MaxCallBodyBytes = std::uint64_t(1) << 30;
@@ -475,8 +478,12 @@
     });
     std::this_thread::sleep_for(LingerTime);
     d->waitForCalls();
-    d->onDataThread([this] { return d->ingressServer.closeIdle(); });
+    d->onDataThread([this] {
+        d->sidecarServer.drain();
+        return d->ingressServer.closeIdle();
+    });
     d->waitForCalls();
+    d->waitForNone(DeliveryTime, [this] { return d->ingressServer.closeIdle() + d->sidecarServer.closeIdle(); });
     d->state->stopping = true;
     d->store.stop();
     d->controlService.stop();
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -355,6 +355,16 @@
     }
 }
 
+// Waits until the peers have received everything and closed. The end of the process resets a connection
+// with unread bytes, and the VM's network may end with the process.
+asio::awaitable<void> PlatformNode::Private::endConnections(TimePoint until)
+{
+    sidecarServer.drain();
+    while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < until) {
+        co_await sleepFor(context, StopCheckInterval);
+    }
+}
+
 asio::awaitable<void> PlatformNode::Private::stopGracefully()
 {
     const auto begin = Clock::now();
@@ -383,9 +393,7 @@
         const auto ended = ingress.endCalls();
         log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
     }
-    while (inFlight() > 0 && Clock::now() < end) {
-        co_await sleepFor(context, StopCheckInterval);
-    }
+    co_await endConnections(end);
     logOpenConnections();
     log(inFlight() > 0 ? LogLevel::Error : LogLevel::Info, "stopped", {{"in_flight", inFlight()}});
     context.stop();
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -109,6 +109,7 @@
     void logCall(const CallReport &call);
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
+    asio::awaitable<void> endConnections(TimePoint until);
     std::size_t inFlight() const;
     void connectionEnded(const char *server, const ConnectionEnd &end);
     void logOpenConnections();
