soak: Add callers that pipeline, read slowly and sit behind delays

The soak's callers took one response before the next request, sat on loopback without a delay or a small window, and its nodes had whole cores, so it could not find responses that a close destroys (incident of responses not received).

Stops follow each other after 30, 100 or 250 ms.

--- a/bench/faultproxy.cpp
+++ b/bench/faultproxy.cpp
@@ -51,16 +51,24 @@
 class FaultProxy::Private
 {
 public:
-    Private(const Endpoint &listen, const Endpoint &server)
-        : acceptor(context, tcpEndpoint(listen))
+    Private(const Endpoint &listen, const Endpoint &server, int bytes)
+        : acceptor(context)
         , server(tcpEndpoint(server))
+        , receiveBuffer(bytes)
     {
+        const auto local = tcpEndpoint(listen);
+        acceptor.open(local.protocol());
+        acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        limitBuffer(acceptor);
+        acceptor.bind(local);
+        acceptor.listen();
     }
 
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
     Tcp::acceptor acceptor;
     Tcp::endpoint server;
+    int receiveBuffer;
     Mode mode = Mode::Pass;
     Milliseconds delay{0};
     std::set<std::shared_ptr<ProxiedConnection>> connections;
@@ -71,13 +79,22 @@
         return mode == Mode::HoldBoth || mode == (fromServer ? Mode::HoldResponses : Mode::HoldRequests);
     }
 
+    // Must precede the connection for the window to be as small from the beginning.
+    template <typename Socket>
+    void limitBuffer(Socket &socket) const
+    {
+        if (receiveBuffer > 0) {
+            socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        }
+    }
+
     asio::awaitable<void> accept();
     asio::awaitable<void> relay(std::shared_ptr<ProxiedConnection> connection);
     asio::awaitable<void> forward(std::shared_ptr<ProxiedConnection> connection, bool fromServer);
 };
 
-FaultProxy::FaultProxy(const Endpoint &listen, const Endpoint &server)
-    : d(std::make_unique<Private>(listen, server))
+FaultProxy::FaultProxy(const Endpoint &listen, const Endpoint &server, int receiveBuffer)
+    : d(std::make_unique<Private>(listen, server, receiveBuffer))
 {
     asio::co_spawn(d->context, d->accept(), asio::detached);
     d->thread = std::thread([this] { d->context.run(); });
@@ -116,6 +133,8 @@
 {
     ErrorCode error;
     if (mode != Mode::Reset) {
+        connection->server.open(server.protocol(), error);
+        limitBuffer(connection->server);
         co_await connection->server.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
     }
     if (error || mode == Mode::Reset) {
--- a/bench/faultproxy.h
+++ b/bench/faultproxy.h
@@ -25,8 +25,9 @@
         HoldBoth,
     };
 
-    // Throws if it can't listen on the address.
-    FaultProxy(const Endpoint &listen, const Endpoint &server);
+    // Throws if it can't listen on the address. The receive buffers of both sides have that many bytes, so that the peers'
+    // sockets keep what exceeds it unacknowledged; zero leaves them to the system.
+    FaultProxy(const Endpoint &listen, const Endpoint &server, int receiveBuffer = 0);
     ~FaultProxy();
 
     FaultProxy(const FaultProxy &) = delete;
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -5,6 +5,7 @@
 // records of callers and targets.
 
 #include "adapters/http/blockinghttpclient.h"
+#include "busythreads.h"
 #include "fleet.h"
 #include "platform/callheadernames.h"
 #include "sampledocument.h"
@@ -39,6 +40,11 @@
 constexpr std::uint64_t PlannedOnlyEvery = 3;
 constexpr std::uint64_t PlannedOnlyRemainder = 2;
 
+// In a quarter of the seeds, nodes get a share of a core only.
+constexpr std::uint64_t BusyCoresEvery = 4;
+constexpr std::uint64_t BusyCoresRemainder = 1;
+constexpr std::size_t BusyThreadsPerCore = 2;
+
 // Each second seed has links that carry less than the large responses need.
 constexpr std::uint64_t SlowLinksEvery = 2;
 constexpr std::uint32_t SlowLinkMbps = 11;
@@ -52,15 +58,12 @@
 // Each seed uses its own addresses, so that several runs can go on at once.
 constexpr std::uint8_t FirstNetwork = 20;
 constexpr std::uint64_t Networks = 50;
-constexpr Milliseconds CallerTimeout{2500};
 constexpr Milliseconds Length{16000};
 constexpr Milliseconds QuickLength{10000};
 // Users expect a configuration to be in force within two seconds. The test waits longer, since the
 // machine may be busy, and only checks that it happens at all.
 constexpr Milliseconds RecoveryLimit{15000};
 
-constexpr const char *Host = "soak.example";
-
 }
 
 Soak::Soak(const ExperimentOptions &options)
@@ -69,6 +72,7 @@
     , m_largeFleet(options.seed % LargeFleetEvery == 0)
     , m_plannedOnly(options.seed % PlannedOnlyEvery == PlannedOnlyRemainder)
     , m_slowLinks(options.seed % SlowLinksEvery == 0)
+    , m_busyCores(options.seed % BusyCoresEvery == BusyCoresRemainder)
     , m_nodes(m_largeFleet    ? LargeFleetNodes
               : m_plannedOnly ? PlannedOnlyNodes
                               : Nodes)
@@ -91,6 +95,7 @@
     for (std::size_t node = 0; node < m_nodes; ++node) {
         m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node)));
     }
+    startCallerProxies();
 }
 
 std::string Soak::document(int revision) const
@@ -176,6 +181,22 @@
     }
 }
 
+// Callers that send at a fixed rate, beside some that keep pipelines filled.
+std::vector<CallRecord> Soak::callEverywhere()
+{
+    const auto calls = static_cast<std::size_t>(callsPerSecond() * std::chrono::duration<double>(m_length).count());
+    std::vector<CallRecord> near;
+    std::vector<CallRecord> far;
+    std::thread nearCallers([&] { near = callInPipelines(false); });
+    std::thread farCallers([&] { far = callInPipelines(true); });
+    auto records = call(calls, "soak", callsPerSecond());
+    nearCallers.join();
+    farCallers.join();
+    records.insert(records.end(), near.begin(), near.end());
+    records.insert(records.end(), far.begin(), far.end());
+    return records;
+}
+
 bool Soak::run()
 {
     if (const auto started = m_fleet.start(document(m_revision)); !started) {
@@ -183,9 +204,9 @@
         return false;
     }
     std::vector<CallRecord> records;
-    const auto calls = static_cast<std::size_t>(callsPerSecond() * std::chrono::duration<double>(m_length).count());
     m_begin = Clock::now();
-    std::thread callers([&] { records = call(calls, "soak", callsPerSecond()); });
+    auto busy = std::make_unique<BusyThreads>(m_busyCores ? BusyThreadsPerCore * std::thread::hardware_concurrency() : 0);
+    std::thread callers([&] { records = callEverywhere(); });
     std::vector<std::thread> series;
     for (std::uint64_t i = 0; i < (m_plannedOnly ? PlannedOnlySeries : 1U); ++i) {
         series.emplace_back([this, i] { runSeries(m_options.seed * PlannedOnlySeries + i); });
@@ -195,6 +216,7 @@
     }
     std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
     callers.join();
+    busy.reset();
     checkRecovery();
     checkCalls(records);
     checkStatements(records);
@@ -214,6 +236,7 @@
         {"nodes", m_nodes},
         {"planned_only", m_plannedOnly},
         {"slow_links", m_slowLinks},
+        {"busy_cores", m_busyCores},
         {"faults", m_injectedFaults},
         {"calls", records.size()},
         {"answered", answered},
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -92,9 +92,14 @@
     int statusOf(std::size_t node, const std::string &path) const;
     void addViolation(std::string guarantee, std::string description);
     double callsPerSecond() const;
+    void startCallerProxies();
+    std::vector<CallRecord> callInPipelines(bool throughProxies) const;
+    std::vector<CallRecord> callEverywhere();
     std::vector<CallRecord> call(std::size_t calls, const std::string &prefix, double rate) const;
 
     static constexpr std::size_t DataCentres = 3;
+    static constexpr Milliseconds CallerTimeout{2500};
+    static constexpr const char *Host = "soak.example";
 
     ExperimentOptions m_options;
     std::mt19937_64 m_random;
@@ -102,10 +107,14 @@
     // Whether the run has planned work only, and whether the VMs' links are too slow for the load.
     bool m_plannedOnly;
     bool m_slowLinks;
+    // Whether other threads use all cores beside the nodes.
+    bool m_busyCores;
     std::size_t m_nodes;
     PlatformFleet m_fleet;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::vector<std::unique_ptr<FaultProxy>> m_targetProxies;
+    // Between callers and the ingresses, for the callers that are far away.
+    std::vector<std::unique_ptr<FaultProxy>> m_callerProxies;
     // Guards what the series and the faults share: the members below.
     mutable std::mutex m_mutex;
     // Held while a configuration is written, so that revisions are written in order.
--- a/bench/soakplans.cpp
+++ b/bench/soakplans.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Shorter than a stop takes, so that both nodes of a call are often in their stop at once.
-constexpr Milliseconds StopStep{250};
+// Shorter than a stop takes, so that both nodes of a call are often in their stop at once, or get their signals
+// nearly at once.
+constexpr Milliseconds StopSteps[] = {Milliseconds(30), Milliseconds(100), Milliseconds(250)};
 
 constexpr Milliseconds PollInterval{20};
 constexpr Milliseconds StopLimit{9000};
@@ -142,9 +143,10 @@
         slowTargetsDown(all, random);
         std::this_thread::sleep_for(Milliseconds(random() % MaxPauseMs));
     }
+    const auto step = StopSteps[random() % std::size(StopSteps)];
     std::vector<Stopping> stopping;
     for (const auto node : nodes) {
-        const auto next = Clock::now() + StopStep;
+        const auto next = Clock::now() + step;
         if (random() % 4 == 0) {
             slowTargetsDown(all, random);
         }
