daemon: Answer calls that arrive during a planned stop

A call whose header was completed after the stop had found no call in flight got no answer: the node passed it on to a target, waited for the peers of its connections and ended the process with the call under way. Only the calls that ran when the wait for them ended were answered. The same held for a request that a busy node read late.

While the node waits for its peers it now ends calls as well, in each step from 400 ms before the end of the stop, and rejects calls that arrive after that as not run.

Ruled out: closing connections with half a header at the start of the wait, since a caller that sends slowly is not told apart from one that has stalled.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -266,6 +266,26 @@
     BOOST_TEST(!answer.notRun);
 }
 
+// Guards against calls that the end of the stop cuts, because their headers arrive while it waits for the peers.
+BOOST_FIXTURE_TEST_CASE(StopAnswersACallThatArrivesDuringIt, Fixture)
+{
+    setServiceTime(GraceTime);
+    const auto request = requestText("POST", "/orden/1", "late");
+    RawClient caller(fleet.ingress(Ingress));
+    caller.send(request.substr(0, request.size() / 2));
+    std::this_thread::sleep_for(Milliseconds(100));
+    signal(Ingress);
+    std::this_thread::sleep_for(Milliseconds(3000));
+    caller.send(request.substr(request.size() / 2));
+    const auto answer = readAnswer(caller, "late");
+    BOOST_TEST((answer.status == 502 || answer.status == 503));
+    BOOST_TEST(answer.complete);
+    checkEnd(Ingress);
+    const auto executed = fleet.executedCalls();
+    const bool hasRun = std::count(executed.begin(), executed.end(), "late") > 0;
+    BOOST_TEST(!(answer.notRun && hasRun));
+}
+
 // Guards against a response that the end of the stop destroys, because its caller reads slowly and has sent more.
 BOOST_FIXTURE_TEST_CASE(StopDeliversAResponseToASlowReaderThatPipelines, Fixture)
 {
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -122,6 +122,10 @@
     call.begin = Clock::now();
     const auto &idField = d->options.headerNames.requestId;
     call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
+    if (d->callsEnded) {
+        d->reportUnrouted(call, 0, "the node is stopping");
+        co_return notRunResponse(http::status::service_unavailable, "stopping", "this node is stopping; send the request to another one");
+    }
     if (!call.view || !call.view->config) {
         d->reportUnrouted(call, 0, "no configuration");
         co_return notRunResponse(http::status::service_unavailable, "no-configuration", "this node has no configuration yet; retry later or use another node");
@@ -185,11 +189,9 @@
 
 std::size_t Ingress::endCalls()
 {
+    d->callsEnded = true;
     const auto calls = std::vector(d->running.begin(), d->running.end());
-    for (auto *call : calls) {
-        d->endForStop(*call);
-    }
-    return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [](const auto *call) { return call->endedByStop; }));
+    return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [this](auto *call) { return d->endForStop(*call); }));
 }
 
 std::uint64_t Ingress::shedCalls() const
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -137,8 +137,8 @@
     void prepareToStop();
 
     // Answers the calls that are still running, for a node whose time to stop is over: as not run if no
-    // target has got them, otherwise with an unknown outcome. A response that is being sent goes on. Returns
-    // the number of calls ended.
+    // target has got them, otherwise with an unknown outcome. A response that is being sent goes on. Calls
+    // that arrive later are rejected. Returns the number of calls ended.
     std::size_t endCalls();
 
     // Number of attempts after the first attempt of a call.
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -68,6 +68,7 @@
     std::uint64_t nextCall = 1;
     // Calls that have a route and are not answered yet.
     std::unordered_set<IngressCall *> running;
+    bool callsEnded = false;
 
     void assignVersion(IngressCall &call);
     void setDeadlines(IngressCall &call, const HttpRequest &request);
@@ -94,7 +95,7 @@
     void recordResponse(IngressCall &call, const MemberRecord &target, AttemptResult result, const HttpResponse &response);
     void setSidecarFields(const IngressCall &call, HttpRequest &request, const AttemptTerms &attemptTerms) const;
     bool isShed(IngressCall &call);
-    void endForStop(IngressCall &call);
+    bool endForStop(IngressCall &call);
     HttpResponse rejection(IngressCall &call);
     HttpResponse finalResponse(IngressCall &call, Attempt last);
     void recordEarlyEnd(IngressCall &call, const StreamResult &result, HttpResponse &response);
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -69,12 +69,13 @@
     response.set(CallHeaders::Outcome, CallHeaders::OutcomeUnknown);
 }
 
-// A call whose response has begun goes on: there is nothing else that the caller could be sent.
-void Ingress::Private::endForStop(IngressCall &call)
+// A call whose response has begun goes on: there is nothing else that the caller could be sent. Returns
+// whether the call was ended now.
+bool Ingress::Private::endForStop(IngressCall &call)
 {
     const auto *connection = respondingConnection(call);
-    if (call.isResponding || (connection != nullptr && connection->responseStarted())) {
-        return;
+    if (call.endedByStop || call.isResponding || (connection != nullptr && connection->responseStarted())) {
+        return false;
     }
     call.endedByStop = true;
     call.deadline = std::min(call.deadline, Clock::now());
@@ -84,6 +85,7 @@
     if (call.attemptConnection) {
         call.attemptConnection->cancellation().cancel();
     }
+    return true;
 }
 
 HttpResponse Ingress::Private::finalResponse(IngressCall &call, Attempt last)
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -357,14 +357,26 @@
 
 // Waits until the peers have received everything and closed. The end of the process resets a connection
 // with unread bytes, and the VM's network may end with the process.
-asio::awaitable<void> PlatformNode::Private::endConnections(TimePoint until)
+asio::awaitable<void> PlatformNode::Private::endConnections(TimePoint end)
 {
     sidecarServer.drain();
-    while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < until) {
+    while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < end) {
+        // Requests may still arrive on connections that were not idle when the server was drained.
+        if (Clock::now() >= end - FinalAnswerTime) {
+            endCalls();
+        }
         co_await sleepFor(context, StopCheckInterval);
     }
 }
 
+void PlatformNode::Private::endCalls()
+{
+    const auto ended = ingress.endCalls();
+    if (ended > 0) {
+        log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
+    }
+}
+
 asio::awaitable<void> PlatformNode::Private::stopGracefully()
 {
     const auto begin = Clock::now();
@@ -389,10 +401,6 @@
     while (inFlight() > 0 && Clock::now() < end - FinalAnswerTime) {
         co_await sleepFor(context, StopCheckInterval);
     }
-    if (inFlight() > 0) {
-        const auto ended = ingress.endCalls();
-        log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
-    }
     co_await endConnections(end);
     logOpenConnections();
     log(inFlight() > 0 ? LogLevel::Error : LogLevel::Info, "stopped", {{"in_flight", inFlight()}});
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -109,7 +109,8 @@
     void logCall(const CallReport &call);
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
-    asio::awaitable<void> endConnections(TimePoint until);
+    asio::awaitable<void> endConnections(TimePoint end);
+    void endCalls();
     std::size_t inFlight() const;
     void connectionEnded(const char *server, const ConnectionEnd &end);
     void logOpenConnections();
