http: Don't take late checks for the silence of a peer

A check of LostPeerDetector that ran late, since the process or its VM had no processor, counted the whole time since the check before it as silence of the peer, although an answer might have arrived and not been processed. In the same way a peer counted as lost right after its second probe or a further retransmission had been sent, before the answer could arrive: with a round trip of 30 ms and a check each 100 ms, after about one in three lost probes (computed, not measured).

PeerSilence counts at most two check intervals of the time between two checks, and waits 100 ms for the answer to the last probe or retransmission. The time until a peer counts as lost stays 700 to 800 ms for unanswered retransmissions.

Open: on a link with a short round trip the kernel retransmits 200, 600 and 1400 ms after the first transmission. A peer that three transmissions in a row don't reach counts as lost after 700 to 800 ms. With round trips of more than 50 to 100 ms two in a row suffice (computed from the kernel's timeouts).

--- a/src/adapters/http/lostpeerdetector.cpp
+++ b/src/adapters/http/lostpeerdetector.cpp
@@ -24,6 +24,7 @@
     List watched;
     bool scheduled = false;
 
+    Milliseconds checkInterval() const;
     void schedule();
     void check();
 };
@@ -40,13 +41,18 @@
 
 void LostPeerDetector::watch(WatchedPeer &peer)
 {
-    peer.m_silence = PeerSilence();
+    peer.m_silence = PeerSilence(2 * d->checkInterval());
     if (!peer.is_linked()) {
         d->watched.push_back(peer);
     }
     d->schedule();
 }
 
+Milliseconds LostPeerDetector::Private::checkInterval() const
+{
+    return timeout / ChecksPerTimeout;
+}
+
 // The timer isn't cancelled when the last connection is unlinked: short exchanges in turn would start
 // and cancel it each time.
 void LostPeerDetector::Private::schedule()
@@ -55,7 +61,7 @@
         return;
     }
     scheduled = true;
-    timer.expires_after(timeout / ChecksPerTimeout);
+    timer.expires_after(checkInterval());
     timer.async_wait([weak = weak_from_this()](ErrorCode error) {
         if (const auto self = weak.lock(); self && !error) {
             self->scheduled = false;
--- a/src/adapters/http/peersilence.cpp
+++ b/src/adapters/http/peersilence.cpp
@@ -12,6 +12,9 @@
 // A single probe may be lost on the way to a reachable host.
 constexpr std::uint32_t MinUnansweredProbes = 2;
 
+// Time for the answer to the last retransmission or probe to arrive.
+constexpr Milliseconds AnswerTime{100};
+
 bool retransmissionUnanswered(const TcpSnapshot &snapshot)
 {
     return snapshot.unackedSegments > 0 && snapshot.retransmissions > 0 && snapshot.lastReceived < snapshot.lastSent;
@@ -40,20 +43,32 @@
         .lastReceived = now - Milliseconds(std::min(info.tcpi_last_ack_recv, info.tcpi_last_data_recv))};
 }
 
+PeerSilence::PeerSilence(Milliseconds maxStep)
+    : m_maxStep(maxStep)
+{
+}
+
 void PeerSilence::update(const TcpSnapshot &snapshot)
 {
+    const auto step = snapshot.at - m_snapshot.at;
+    if (snapshot.unansweredProbes != m_snapshot.unansweredProbes) {
+        m_lastProbe = snapshot.at;
+    }
     m_snapshot = snapshot;
     if (!retransmissionUnanswered(snapshot) && snapshot.unansweredProbes == 0) {
         m_since.reset();
     } else if (!m_since || snapshot.lastReceived >= *m_since) {
         m_since = snapshot.at;
+    } else if (step > m_maxStep) {
+        *m_since += step - m_maxStep;
     }
 }
 
 bool PeerSilence::lastsFor(Milliseconds time) const
 {
-    const bool repeated = retransmissionUnanswered(m_snapshot) || m_snapshot.unansweredProbes >= MinUnansweredProbes;
-    return m_since && repeated && m_snapshot.at - *m_since >= time;
+    const bool retransmitted = retransmissionUnanswered(m_snapshot) && m_snapshot.at - m_snapshot.lastSent >= AnswerTime;
+    const bool probed = m_snapshot.unansweredProbes >= MinUnansweredProbes && m_snapshot.at - m_lastProbe >= AnswerTime;
+    return m_since && (retransmitted || probed) && m_snapshot.at - *m_since >= time;
 }
 
 }
--- a/src/adapters/http/peersilence.h
+++ b/src/adapters/http/peersilence.h
@@ -31,6 +31,10 @@
 class PeerSilence
 {
 public:
+    // At most `maxStep` of the time between two snapshots counts: after a longer one, this system may have been
+    // paused, and answers that have arrived may not have been processed.
+    explicit PeerSilence(Milliseconds maxStep = Milliseconds(200));
+
     // Adds the next snapshot of the connection.
     void update(const TcpSnapshot &snapshot);
 
@@ -39,9 +43,12 @@
     bool lastsFor(Milliseconds time) const;
 
 private:
+    Milliseconds m_maxStep;
     TcpSnapshot m_snapshot;
-    // The first snapshot at which an answer was due.
+    // The first snapshot at which an answer was due, later by the time that doesn't count.
     std::optional<TimePoint> m_since;
+    // The first snapshot that shows the last probe.
+    TimePoint m_lastProbe;
 };
 
 }
