http: Check ended connections only while acknowledgements are awaited

Each connection that the server had ended was looked at every 50 ms until its peer closed, up to 20 times. A caller that keeps a pool of connections notices their end at its next request, so that a stop of a node with many idle connections took processor time from the last responses, which matters on a VM with a tenth of a core.

Once everything is acknowledged only the peer's bytes, its close or the end of the time are awaited, and the kernel signals the first two.

ChecksOnlyWhileAnAcknowledgementIsAwaited covers the interval; lingeringclosetest and orderlyclosetest pass.

--- a/autotests/unit/lingeringclosetest.cpp
+++ b/autotests/unit/lingeringclosetest.cpp
@@ -39,6 +39,17 @@
     BOOST_TEST(isOver(1000, 5000));
 }
 
+// Guards against many idle connections whose peers close late and that take a busy VM's processor in a stop.
+BOOST_FIXTURE_TEST_CASE(ChecksOnlyWhileAnAcknowledgementIsAwaited, Fixture)
+{
+    BOOST_TEST(!isOver(0, 1));
+    BOOST_TEST(lingering.checkAfter(begin).count() == 50);
+    BOOST_TEST(!isOver(50, 0));
+    BOOST_TEST(lingering.checkAfter(begin + Milliseconds(50)).count() == 100);
+    BOOST_TEST(lingering.checkAfter(begin + Milliseconds(149)).count() == 1);
+    BOOST_TEST(lingering.checkAfter(begin + Milliseconds(200)).count() == 0);
+}
+
 // Guards against connections to peers that never close, or that send on.
 BOOST_FIXTURE_TEST_CASE(BoundsTheWaitForThePeersClose, Fixture)
 {
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -5,14 +5,6 @@
 
 namespace Galenahill {
 
-namespace {
-
-// How often a half-closed connection is checked for the peer's acknowledgement; the kernel signals only
-// further bytes and the peer's close.
-constexpr Milliseconds AcknowledgementCheckInterval{50};
-
-}
-
 // Ends the connection so that the peer gets all that was sent. If another coroutine is reading, that one
 // reads until the peer closes.
 asio::awaitable<void> HttpServerConnection::finish()
@@ -41,7 +33,7 @@
     ErrorCode ignored;
     m_channel.socket.shutdown(Tcp::socket::shutdown_send, ignored);
     cancelPipeline();
-    setTimeLimit(AcknowledgementCheckInterval);
+    setTimeLimit(LingeringClose::Options().acknowledgementCheckInterval);
     // Wakes the coroutine that reads.
     m_channel.abort();
 }
@@ -60,11 +52,11 @@
         ErrorCode error;
         if (peerCloses) {
             m_channel.deadline.clear();
-            asio::steady_timer timer(m_channel.socket.get_executor(), AcknowledgementCheckInterval);
+            asio::steady_timer timer(m_channel.socket.get_executor(), lingering.checkAfter(Clock::now()));
             ErrorCode ignored;
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         } else {
-            setTimeLimit(AcknowledgementCheckInterval);
+            setTimeLimit(lingering.checkAfter(Clock::now()));
             error = co_await m_channel.readMore();
         }
         peerCloses = peerCloses || error == asio::error::eof;
--- a/src/adapters/http/lingeringclose.cpp
+++ b/src/adapters/http/lingeringclose.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/lingeringclose.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace Galenahill {
@@ -24,4 +25,13 @@
     return time >= m_options.closeTimeout || discarded >= m_options.discardLimit;
 }
 
+Milliseconds LingeringClose::checkAfter(TimePoint now) const
+{
+    if (m_unacknowledged > 0) {
+        return m_options.acknowledgementCheckInterval;
+    }
+    const auto left = std::chrono::ceil<Milliseconds>(m_lastProgress + m_options.closeTimeout - now);
+    return std::max(left, Milliseconds(0));
+}
+
 }
--- a/src/adapters/http/lingeringclose.h
+++ b/src/adapters/http/lingeringclose.h
@@ -16,6 +16,7 @@
     {
         // Time without a further acknowledgement after which the peer counts as lost.
         Milliseconds acknowledgementTimeout{10000};
+        Milliseconds acknowledgementCheckInterval{50};
         // Time, and bytes of the peer to discard, for which its close is awaited once it has acknowledged everything.
         Milliseconds closeTimeout{1000};
         std::size_t discardLimit = 256 * 1024;
@@ -27,6 +28,10 @@
     // the peer that were discarded since the half-close.
     bool isOver(TimePoint now, std::size_t unacknowledged, std::size_t discarded);
 
+    // Time until the next check. The kernel signals further bytes and the close of the peer, but no
+    // acknowledgement; once everything is acknowledged, nothing else is awaited.
+    Milliseconds checkAfter(TimePoint now) const;
+
 private:
     Options m_options;
     std::size_t m_unacknowledged;
