http: Wait for half-closed peers to receive the responses

A peer that closed its sending half after its last request was taken to have received everything: the server closed the socket, and in a stop the process ended, while the kernel still had the rest of the response.

A connection with unacknowledged bytes is now ended in the same way whichever side closed first, and a failed one at once. A half-close while the target still works is taken for a cancelled call as before: a close can't be told from it.

--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -95,6 +95,36 @@
     BOOST_TEST(deliveries(LargeBody, HandlerTime + Milliseconds(20)) == Rounds);
 }
 
+// Guards against taking the half-close of a peer for its receipt of the response.
+BOOST_FIXTURE_TEST_CASE(StaysOpenUntilAPeerThatHalfClosedHasReceivedTheResponse, Fixture)
+{
+    const auto connections = [this] { return server.invoke([](HttpServer &it) { return it.connections(); }); };
+    RawClient caller(ServerEndpoint, SmallReceiveBuffer);
+    caller.send(get(SmallBody));
+    std::this_thread::sleep_for(HandlerTime * 3);
+    caller.closeSending();
+    std::this_thread::sleep_for(ReadAfter);
+    BOOST_TEST(connections() == 1U);
+    BOOST_TEST(receives(caller, SmallBody));
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.connections() == 0; }));
+}
+
+// Guards against connections that wait for acknowledgements of a peer that has reset them.
+BOOST_FIXTURE_TEST_CASE(EndsWhenThePeerResetsTheConnection, Fixture)
+{
+    stopAfterResponses();
+    RawClient caller(ServerEndpoint, SmallReceiveBuffer);
+    caller.send(get(SmallBody));
+    std::this_thread::sleep_for(HandlerTime * 3);
+    caller.closeSending();
+    std::this_thread::sleep_for(ReadAfter);
+    const auto begin = Clock::now();
+    // The kernel resets a connection that is closed with unread bytes.
+    caller.close();
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.connections() == 0; }));
+    BOOST_TEST((Clock::now() - begin < HttpServer::Options().readTimeout / 2));
+}
+
 // Guards against idle connections that are closed although a request has arrived and is unread.
 BOOST_FIXTURE_TEST_CASE(AnswersARequestThatArrivesAsIdleConnectionsAreClosed, Fixture)
 {
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -6,13 +6,13 @@
 namespace Galenahill {
 
 // Ends the connection so that the peer gets all that was sent. If another coroutine is reading, that one
-// reads until the peer closes.
+// reads until the peer closes. A peer that has half-closed the connection may still receive.
 asio::awaitable<void> HttpServerConnection::finish()
 {
     if (m_closed) {
         co_return;
     }
-    if (m_peerDisconnected) {
+    if (m_peerDisconnected && (m_channel.unacknowledgedBytes() == 0 || m_channel.hasFailed())) {
         close();
         co_return;
     }
@@ -46,7 +46,7 @@
         m_discarded += m_channel.buffer.size();
         m_channel.buffer.clear();
         const auto unacknowledged = m_channel.unacknowledgedBytes();
-        if ((peerCloses && unacknowledged == 0) || lingering.isOver(Clock::now(), unacknowledged, m_discarded)) {
+        if ((peerCloses && (unacknowledged == 0 || m_channel.hasFailed())) || lingering.isOver(Clock::now(), unacknowledged, m_discarded)) {
             co_return;
         }
         ErrorCode error;
@@ -83,7 +83,7 @@
 {
     if (const auto &report = m_state->options.connectionEnded) {
         report({.peer = m_peerAddress,
-            .closer = !m_ending && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
+            .closer = (m_peerDisconnected || !m_ending) && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
             .requestsRead = m_requestsRead,
             .requestsAnswered = m_requestsAnswered,
             .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -89,6 +89,13 @@
     return ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+bool TcpChannel::hasFailed()
+{
+    tcp_info info = {};
+    socklen_t length = sizeof(info);
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0 && info.tcpi_state == TCP_CLOSE;
+}
+
 std::size_t TcpChannel::unreadBytes()
 {
     ErrorCode error;
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -69,9 +69,12 @@
     bool readable();
 
     // Bytes that were written and that the peer's kernel has not acknowledged; the end of the sending half
-    // counts as one. Zero once the connection has failed.
+    // counts as one. Not reset when the connection fails.
     std::size_t unacknowledgedBytes();
 
+    // Whether the peer or the kernel has reset the connection.
+    bool hasFailed();
+
     // Bytes that have arrived and that nothing has consumed.
     std::size_t unreadBytes();
 
