soak: Let pipelining callers survive late timers, and record cut responses

The timer of a call that had ended in the meantime cancelled a socket that was closed. The same late handler could also cancel the read for the next call, which would then count as cut although the node had done nothing; and a cancellation that fell into the pause after a read was lost, so that the caller waited beyond its deadline. Nothing of this is a fault of a node.

Errors of the cancellation are ignored, a cancelled read before the deadline is repeated, and the deadline is checked before each read.

A cut response now has its status and the bytes that had arrived in its record, which were 0 so far.

--- a/bench/pipeliningcallers.cpp
+++ b/bench/pipeliningcallers.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t PartBytes = 16 * 1024;
 constexpr std::uint64_t MaxBodyBytes = 4 * 1024 * 1024;
 
+using ResponseParser = http::response_parser<http::string_body>;
+
 // One connection of a caller. Requests are sent by one coroutine, and responses read by another.
 class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>
 {
@@ -51,6 +53,8 @@
     asio::awaitable<ErrorCode> receive();
     std::string nextRequest();
     void record(CallRecord &call, const http::response<http::string_body> &response) const;
+    // Records what has arrived of an incomplete response.
+    void recordPart(CallRecord &call, const ResponseParser &parser) const;
     void endOutstanding(CallEnd first, CallEnd others);
 
     asio::io_context &m_context;
@@ -156,6 +160,15 @@
     }
 }
 
+void PipelinedConnection::recordPart(CallRecord &call, const ResponseParser &parser) const
+{
+    if (parser.is_header_done()) {
+        call.status = static_cast<int>(parser.get().result_int());
+        call.target = std::string(parser.get()[m_options.headerNames.originMarker]);
+        call.receivedBytes = parser.get().body().size();
+    }
+}
+
 void PipelinedConnection::endOutstanding(CallEnd first, CallEnd others)
 {
     auto end = first;
@@ -171,7 +184,7 @@
 // Reads the response to the oldest request. Returns whether the connection goes on.
 asio::awaitable<bool> PipelinedConnection::readResponse()
 {
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(MaxBodyBytes);
     parser.eager(true);
     bool started = false;
@@ -182,15 +195,27 @@
             started = true;
         }
         if (error && error != http::error::need_more) {
+            recordPart(*m_outstanding.front(), parser);
             endOutstanding(CallEnd::ClosedInResponse, CallEnd::ClosedBeforeResponse);
             co_return false;
         }
         if (parser.is_done()) {
             break;
         }
-        if (const auto failed = co_await receive()) {
-            const bool timedOut = !m_outstanding.empty() && Clock::now() >= m_outstanding.front()->sentAt + m_options.timeout;
+        // The timer's cancellation is lost if it falls into the pause after a read, and reaches the wrong call if that of
+        // an earlier one is carried out late.
+        const auto deadline = m_outstanding.front()->sentAt + m_options.timeout;
+        ErrorCode failed;
+        if (Clock::now() < deadline) {
+            failed = co_await receive();
+        }
+        const bool timedOut = Clock::now() >= deadline;
+        if (failed == asio::error::operation_aborted && !timedOut) {
+            continue;
+        }
+        if (failed || timedOut) {
             const auto first = timedOut ? CallEnd::TimedOut : started ? CallEnd::ClosedInResponse : CallEnd::ClosedBeforeResponse;
+            recordPart(*m_outstanding.front(), parser);
             endOutstanding(first, timedOut ? CallEnd::TimedOut : CallEnd::ClosedBeforeResponse);
             co_return false;
         }
@@ -223,7 +248,8 @@
             asio::steady_timer deadline(m_context, m_outstanding.front()->sentAt + m_options.timeout);
             deadline.async_wait([self](const ErrorCode &error) {
                 if (!error) {
-                    self->m_socket.cancel();
+                    ErrorCode ignored;
+                    self->m_socket.cancel(ignored);
                 }
             });
             goesOn = co_await readResponse();
