http: Serve connections that were accepted while the server stops listening

Evidence: the node had no processor from 2.196 s at the latest until 2.438 s after its line "stopping" (calls sent in that time were answered at 2.438 s), while calls that the same caller sent to other nodes in between arrived on time: the request was in the node's kernel. The node logged neither the call nor a "connection-ended" with no request read, so no connection object existed. Ruled out: a caller that ran late (its other calls), closeIdle() (spares connections with bytes, and leaves a line), the backlog (drain() accepts it).

Cause: an accept that has succeeded is handled in a later turn of the I/O context. If drain() closes the acceptor in between, accept() saw the closed acceptor and returned, and the accepted socket was destroyed with its unread request. Several connections have to arrive while the node doesn't run, so it takes a node that is short of processor time.

Change: an accepted connection is served also after drain(), with the same limit on what it still answers as those that drain() accepts itself.

--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -3,6 +3,7 @@
 
 #include "httptest.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -36,8 +37,14 @@
         .handler = [this](HttpRequest request, ServerConnection &) { return handle(std::move(request)); },
         .mayPipeline = [](const HttpRequest &) { return true; }}};
 
+    // Called with the next request only.
+    std::function<void()> onRequest;
+
     asio::awaitable<HttpResponse> handle(HttpRequest request)
     {
+        if (const auto call = std::exchange(onRequest, nullptr)) {
+            call();
+        }
         asio::steady_timer timer(co_await asio::this_coro::executor, HandlerTime);
         co_await timer.async_wait(asio::use_awaitable);
         co_return makeResponse(http::status::ok, "text/plain", std::string(std::stoul(std::string(request.target().substr(1))), 'x'));
@@ -123,3 +130,25 @@
     });
     BOOST_TEST(!caller->readTo("\r\n\r\n").empty());
 }
+
+// Guards against a connection that the server has accepted, and drops because it has stopped listening before the accept
+// is handled.
+BOOST_FIXTURE_TEST_CASE(AnswersRequestsOfConnectionsAcceptedWhileItStopsListening, Fixture)
+{
+    constexpr std::size_t Callers = 20;
+    std::vector<std::unique_ptr<RawClient>> callers;
+    server.invoke([&](HttpServer &it) {
+        // The first request is read while the others' connections are still being accepted.
+        onRequest = [&it] {
+            it.drain();
+            it.closeIdle();
+        };
+        for (std::size_t i = 0; i < Callers; ++i) {
+            callers.push_back(std::make_unique<RawClient>(ServerEndpoint));
+            callers.back()->send(get(SmallBody));
+        }
+        return 0;
+    });
+    const auto answered = std::count_if(callers.begin(), callers.end(), [](const auto &caller) { return receives(*caller, SmallBody); });
+    BOOST_TEST(answered == Callers);
+}
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -81,17 +81,18 @@
         ErrorCode error;
         Tcp::socket socket(context);
         co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        // A connection that was accepted before drain() closed the acceptor may carry a request.
+        if (!error && (acceptor.is_open() || state->stopped)) {
+            admit(std::move(socket));
+            continue;
+        }
         if (error == asio::error::operation_aborted || !acceptor.is_open()) {
             co_return;
         }
-        if (error) {
-            // Out of file descriptors: free one, and pause instead of spinning.
-            evictWaitingConnection();
-            asio::steady_timer timer(context, AcceptRetryDelay);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-            continue;
-        }
-        admit(std::move(socket));
+        // Out of file descriptors: free one, and pause instead of spinning.
+        evictWaitingConnection();
+        asio::steady_timer timer(context, AcceptRetryDelay);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
 }
 
@@ -103,6 +104,9 @@
     auto connection = std::make_shared<HttpServerConnection>(std::move(socket), state);
     connections.insert(connection);
     sweeper.watch(connection->deadline());
+    if (state->stopped) {
+        connection->answerArrivedOnly();
+    }
     asio::co_spawn(context, serve(std::move(connection)), asio::detached);
 }
 
