soak: Stop nodes while they send a response

The stops of the series came at any time, and the callers' large responses were under way only by chance. In half of the cases the node beside the call's target gets its signal as well, up to 100 ms before or after. These calls are judged like all others.

--- a/bench/pipeliningcallers.cpp
+++ b/bench/pipeliningcallers.cpp
@@ -188,6 +188,7 @@
     parser.body_limit(MaxBodyBytes);
     parser.eager(true);
     bool started = false;
+    bool begun = false;
     while (!parser.is_done()) {
         ErrorCode error;
         if (m_buffer.size() > 0) {
@@ -202,6 +203,11 @@
         if (parser.is_done()) {
             break;
         }
+        if (!begun && m_options.responseBegan && parser.is_header_done() && !parser.get().body().empty()) {
+            begun = true;
+            recordPart(*m_outstanding.front(), parser);
+            m_options.responseBegan(*m_outstanding.front());
+        }
         // The timer's cancellation is lost if it falls into the pause after a read, and reaches the wrong call if that of
         // an earlier one is carried out late.
         const auto deadline = m_outstanding.front()->sentAt + m_options.timeout;
--- a/bench/pipeliningcallers.h
+++ b/bench/pipeliningcallers.h
@@ -2,6 +2,8 @@
 
 #include "loadgenerator.h"
 
+#include <functional>
+
 namespace Galenahill {
 
 // Callers that keep connections to each ingress open until the process is gone, and send the next requests
@@ -31,6 +33,9 @@
         std::string idPrefix = "p";
         CallHeaderNames headerNames;
         std::string host;
+        // Called with each call once the header and a part of the body of its response have arrived, and the record names
+        // the target. What it takes delays the reading of the rest. Null: not called.
+        std::function<void(const CallRecord &)> responseBegan;
     };
 
     explicit PipeliningCallers(Options options);
--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -6,6 +6,7 @@
 #include "platform/objectstore.h"
 
 #include <algorithm>
+#include <charconv>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -165,6 +166,14 @@
     return {d->address(node), TargetPort};
 }
 
+std::optional<std::size_t> PlatformFleet::nodeOfTarget(const std::string &id)
+{
+    std::size_t node = 0;
+    const auto begin = id.find('-') + 1;
+    const auto [end, error] = std::from_chars(id.data() + begin, id.data() + id.size(), node);
+    return error == std::errc() ? std::optional(node) : std::nullopt;
+}
+
 Endpoint PlatformFleet::storeForNodes() const
 {
     return d->options.proxied ? Endpoint{fmt::format("127.{}.0.2", d->options.network), StorePort} : store();
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -6,6 +6,7 @@
 #include "common/identifiers.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,9 @@
     Endpoint ingress(std::size_t node) const;
     Endpoint target(std::size_t node) const;
 
+    // Index of the node beside the target with that id; not set if there is none.
+    static std::optional<std::size_t> nodeOfTarget(const std::string &id);
+
     // Addresses at which the nodes reach the store, and a node its target.
     Endpoint storeForNodes() const;
     Endpoint targetForNode(std::size_t node) const;
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -217,6 +217,7 @@
     std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
     callers.join();
     busy.reset();
+    records.insert(records.end(), m_interruptedCalls.begin(), m_interruptedCalls.end());
     checkRecovery();
     checkCalls(records);
     checkStatements(records);
@@ -238,6 +239,7 @@
         {"slow_links", m_slowLinks},
         {"busy_cores", m_busyCores},
         {"faults", m_injectedFaults},
+        {"stops_during_responses", m_interruptions},
         {"calls", records.size()},
         {"answered", answered},
         {"unauthorized", unauthorized},
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -5,6 +5,7 @@
 #include "faultproxy.h"
 #include "loadgenerator.h"
 #include "lostchecks.h"
+#include "pipeliningcallers.h"
 #include "platformfleet.h"
 #include "statementchecks.h"
 
@@ -23,7 +24,8 @@
 };
 
 // One run: soak.cpp starts the fleet and sends the calls, soakchecks.cpp checks the records,
-// soakfaults.cpp injects the faults, soakplans.cpp performs planned work in series of their own.
+// soakfaults.cpp injects the faults, soakplans.cpp performs planned work in series of their own, soakpipelining.cpp
+// has the callers that pipeline, the proxies, and the stops during a response.
 class Soak
 {
 public:
@@ -79,6 +81,11 @@
     void runSeries(std::uint64_t seed);
     void stopInSeries(std::mt19937_64 &random);
     bool beginStop(std::size_t node, std::vector<Stopping> &stopping);
+    // Reserves the node if it responds; false if it can't be stopped now.
+    bool claimForStop(std::size_t node);
+    void sendStopSignal(std::size_t node, std::vector<Stopping> &stopping);
+    void endStops(std::vector<Stopping> &stopping);
+    void stopWhileAnswering(std::mt19937_64 &random);
     void restartStopped(std::vector<Stopping> &stopping);
     void slowTargetsDown(const std::vector<std::size_t> &nodes, std::mt19937_64 &random);
     void reload(std::size_t node);
@@ -94,6 +101,7 @@
     double callsPerSecond() const;
     void startCallerProxies();
     std::vector<CallRecord> callInPipelines(bool throughProxies) const;
+    PipeliningCallers::Options pipelineOptions(bool throughProxies) const;
     std::vector<CallRecord> callEverywhere();
     std::vector<CallRecord> call(std::size_t calls, const std::string &prefix, double rate) const;
 
@@ -128,6 +136,9 @@
     std::vector<NodeDisruption> m_disruptions;
     std::vector<PlannedWork> m_plannedWork;
     std::vector<TimeSpan> m_unplanned;
+    // Calls that the series sent to nodes in order to stop them during the response.
+    std::vector<CallRecord> m_interruptedCalls;
+    std::size_t m_interruptions = 0;
     LostCalls m_lost;
     std::vector<SoakViolation> m_violations;
 };
--- a/bench/soakcustomers.cpp
+++ b/bench/soakcustomers.cpp
@@ -25,7 +25,6 @@
 // Mean and maximum of the large responses that docs/design/hard-load.md expects.
 constexpr const char *MeanDownload = "/descarga/1?bytes=90000";
 constexpr std::size_t MeanBytes = 90000;
-constexpr const char *LongDownload = "/descarga/1?bytes=540000";
 constexpr std::size_t LongBytes = 540000;
 
 }
@@ -56,7 +55,7 @@
         {TemporaryPath, Timeout},
         {ShortDownload, DownloadTimeout},
         {MeanDownload, DownloadTimeout},
-        {LongDownload, DownloadTimeout}};
+        {LargestPath, DownloadTimeout}};
 }
 
 std::vector<SampleCustomer> customers(int revision)
@@ -78,7 +77,7 @@
         {.method = "GET", .path = TemporaryPath, .weight = 2, .key = ValidKey},
         {.method = "GET", .path = ShortDownload, .weight = 4, .key = ValidKey, .responseBytes = ShortBytes},
         {.method = "GET", .path = MeanDownload, .weight = 2, .key = KeyOfDos, .responseBytes = MeanBytes},
-        {.method = "GET", .path = LongDownload, .weight = 2, .key = ValidKey, .responseBytes = LongBytes},
+        {.method = "GET", .path = LargestPath, .weight = 2, .key = ValidKey, .responseBytes = LongBytes},
         {.method = "POST", .path = "/orden/1", .idempotent = false, .key = RevokedKey},
         {.method = "POST", .path = "/orden/1", .idempotent = false, .key = UnknownKey},
         {.method = "GET", .path = "/cola/1", .key = UnknownKey},
--- a/bench/soakcustomers.h
+++ b/bench/soakcustomers.h
@@ -25,6 +25,9 @@
 // Path of a route that some revisions do not have.
 inline constexpr const char *TemporaryPath = "/vaiven/1";
 
+// Path of the longest responses.
+inline constexpr const char *LargestPath = "/descarga/1?bytes=540000";
+
 bool hasTemporaryRoute(int revision);
 
 // Routes of the revision: each has one that no other has, and the timeout of one route changes.
--- a/bench/soakpipelining.cpp
+++ b/bench/soakpipelining.cpp
@@ -1,9 +1,10 @@
-#include "pipeliningcallers.h"
 #include "platform/callheadernames.h"
 #include "soak_p.h"
 #include "soakcustomers.h"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <thread>
 
 namespace Galenahill {
 
@@ -21,6 +22,13 @@
 constexpr Milliseconds MaxPause{150};
 constexpr Milliseconds LargeFleetMaxPause{1200};
 
+// Callers of a node that is stopped during a response go on until it has ended the connections that it keeps.
+constexpr Milliseconds InterruptedCallerPause{20};
+constexpr Milliseconds InterruptedCallerLength{3000};
+
+// Upper bound of the time between the signals to both nodes of a call.
+constexpr int MaxSignalGapMs = 100;
+
 }
 
 void Soak::startCallerProxies()
@@ -32,27 +40,79 @@
     }
 }
 
-// Half of the callers reach the ingresses directly, and half through proxies; of these, half read slowly.
-std::vector<CallRecord> Soak::callInPipelines(bool throughProxies) const
+PipeliningCallers::Options Soak::pipelineOptions(bool throughProxies) const
 {
     PipeliningCallers::Options options;
     for (std::size_t node = 0; node < m_nodes; ++node) {
         const auto ingress = m_fleet.ingress(node);
         options.ingresses.push_back(throughProxies ? Endpoint{ingress.address, CallerProxyPort} : ingress);
     }
+    options.connectionsPerIngress = 1;
+    options.timeout = CallerTimeout;
+    options.seed = m_options.seed * 2 + (throughProxies ? 1 : 0);
+    options.headerNames = Platform::callHeaderNames();
+    options.host = Host;
+    return options;
+}
+
+// Half of the callers reach the ingresses directly, and half through proxies; of these, half read slowly.
+std::vector<CallRecord> Soak::callInPipelines(bool throughProxies) const
+{
+    auto options = pipelineOptions(throughProxies);
     options.kinds = SoakCustomers::callKinds();
     std::erase_if(options.kinds, [](const auto &kind) { return !kind.idempotent || kind.key != SoakCustomers::ValidKey; });
-    options.connectionsPerIngress = 1;
     options.maxPause = m_largeFleet ? LargeFleetMaxPause : MaxPause;
     options.receiveBuffer = throughProxies ? SmallBufferBytes : 0;
     options.readPause = throughProxies ? ReadPause : Milliseconds(0);
-    options.timeout = CallerTimeout;
     options.length = m_length;
-    options.seed = m_options.seed * 2 + (throughProxies ? 1 : 0);
     options.idPrefix = throughProxies ? "far" : "near";
-    options.headerNames = Platform::callHeaderNames();
-    options.host = Host;
     return PipeliningCallers(options).run();
 }
 
+// Sends large requests to a node and stops it once the first bytes of a response have arrived; the rest is read slowly.
+// In half of the cases the node beside the call's target gets its signal as well, before or after.
+void Soak::stopWhileAnswering(std::mt19937_64 &random)
+{
+    const auto node = random() % m_nodes;
+    if (!claimForStop(node)) {
+        return;
+    }
+    const bool both = random() % 2 == 0;
+    const bool nodeFirst = random() % 2 == 0;
+    const Milliseconds gap(random() % MaxSignalGapMs);
+    auto options = pipelineOptions(random() % 2 == 0);
+    options.ingresses = {options.ingresses[node]};
+    options.kinds = SoakCustomers::callKinds();
+    std::erase_if(options.kinds, [](const auto &kind) { return kind.path != SoakCustomers::LargestPath; });
+    options.maxPause = InterruptedCallerPause;
+    options.length = InterruptedCallerLength;
+    options.receiveBuffer = SmallBufferBytes;
+    options.readPause = ReadPause;
+    options.idPrefix = fmt::format("busy{}", random() % 1000000);
+    std::vector<Stopping> stopping;
+    options.responseBegan = [&](const CallRecord &call) {
+        if (!stopping.empty()) {
+            return;
+        }
+        const auto other = both ? PlatformFleet::nodeOfTarget(call.target) : std::nullopt;
+        if (!other || *other == node || !claimForStop(*other)) {
+            sendStopSignal(node, stopping);
+            return;
+        }
+        sendStopSignal(nodeFirst ? node : *other, stopping);
+        std::this_thread::sleep_for(gap);
+        sendStopSignal(nodeFirst ? *other : node, stopping);
+    };
+    auto records = PipeliningCallers(options).run();
+    const bool interrupted = !stopping.empty();
+    if (!interrupted) {
+        release(fmt::format("node-{}", node));
+    }
+    endStops(stopping);
+    std::for_each(records.begin(), records.end(), [node](auto &record) { record.ingress = node; });
+    const std::lock_guard lock(m_mutex);
+    m_interruptions += interrupted ? 1 : 0;
+    m_interruptedCalls.insert(m_interruptedCalls.end(), records.begin(), records.end());
+}
+
 }
--- a/bench/soakplans.cpp
+++ b/bench/soakplans.cpp
@@ -102,7 +102,7 @@
     }
 }
 
-bool Soak::beginStop(std::size_t node, std::vector<Stopping> &stopping)
+bool Soak::claimForStop(std::size_t node)
 {
     const auto subject = fmt::format("node-{}", node);
     if (!claim(subject)) {
@@ -112,11 +112,24 @@
         release(subject);
         return false;
     }
+    return true;
+}
+
+void Soak::sendStopSignal(std::size_t node, std::vector<Stopping> &stopping)
+{
     recordDisruption(node);
     recordPlannedWork(PlannedWork::Kind::Stop, node);
-    recordFault("stop " + subject);
+    recordFault(fmt::format("stop node-{}", node));
     m_fleet.nodeProcess(node).signal(SIGTERM);
     stopping.push_back({node, Clock::now() + StopLimit});
+}
+
+bool Soak::beginStop(std::size_t node, std::vector<Stopping> &stopping)
+{
+    if (!claimForStop(node)) {
+        return false;
+    }
+    sendStopSignal(node, stopping);
     return true;
 }
 
@@ -132,6 +145,14 @@
     });
 }
 
+void Soak::endStops(std::vector<Stopping> &stopping)
+{
+    while (!stopping.empty()) {
+        restartStopped(stopping);
+        std::this_thread::sleep_for(PollInterval);
+    }
+}
+
 // Stops nodes one after the other without waiting for the end of a stop, with slow targets, reloads
 // and changes of the configuration in between.
 void Soak::stopInSeries(std::mt19937_64 &random)
@@ -166,17 +187,14 @@
         restartStopped(stopping);
         std::this_thread::sleep_until(next);
     }
-    while (!stopping.empty()) {
-        restartStopped(stopping);
-        std::this_thread::sleep_for(PollInterval);
-    }
+    endStops(stopping);
 }
 
 void Soak::runSeries(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
     while (Clock::now() - m_begin < m_length) {
-        switch (random() % 5) {
+        switch (random() % 6) {
         case 0:
             for (const auto node : chooseNodes(random)) {
                 const auto subject = fmt::format("node-{}", node);
@@ -191,6 +209,10 @@
             recordFault("write configuration");
             changeConfiguration();
             break;
+        case 2:
+        case 3:
+            stopWhileAnswering(random);
+            break;
         default:
             stopInSeries(random);
         }
