http: Begin a response's time limit anew while its peer receives it

Callers that read slowly but steadily saw the connection end in the middle of a response: sending it had 10 s in all (a buffered response), or 10 s for each part of 64 KB (a streamed one), and a write waits until the kernel has room again, which on a socket with a send buffer of megabytes takes far more than 64 KB.

The limit now applies to pauses. Bytes acknowledged are used instead of the progress of writes, because the socket becomes writable only when a third of its send buffer is free.

--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -37,8 +37,8 @@
         // send the body. The handler then decides whether the body is sent, and the connection
         // can be reused after a rejection.
         bool peersWaitForContinue = false;
-        // Time limit for receiving a buffered body completely, for sending a response, and for
-        // each part of a streamed body.
+        // Time limit for receiving a buffered body completely, for each part of a streamed body, and for a peer
+        // that receives nothing of a response.
         Milliseconds readTimeout{10000};
         std::size_t maxConnections = 4096;
         // Whether a pipelined request may run before the earlier ones of its connection are
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -67,6 +67,7 @@
     : m_channel(std::move(socket), state->bytes)
     , m_state(std::move(state))
     , m_waitingSince(Clock::now())
+    , m_sendLimit({.limit = m_state->options.readTimeout})
 {
     m_channel.prepare();
     ErrorCode failed;
@@ -159,9 +160,19 @@
 void HttpServerConnection::setTimeLimit(Milliseconds time)
 {
     m_watching = false;
+    m_limitsSending = false;
     m_channel.deadline.set(Clock::now() + time);
 }
 
+void HttpServerConnection::limitSending()
+{
+    const auto now = Clock::now();
+    m_sendLimit.begin(now);
+    m_watching = false;
+    m_limitsSending = true;
+    m_channel.deadline.set(m_sendLimit.nextCheck(now));
+}
+
 // The idle timeout applies only while no earlier request is being handled.
 asio::awaitable<bool> HttpServerConnection::waitForRequest()
 {
@@ -361,12 +372,16 @@
 {
     m_channel.deadline.set(Clock::now() + PeerCheckInterval);
     m_watching = true;
+    m_limitsSending = false;
 }
 
 void HttpServerConnection::deadlineExpired()
 {
+    const auto now = Clock::now();
     if (m_watching && handling()) {
         checkPeer();
+    } else if (m_limitsSending && !m_sendLimit.isOver(now, m_channel.acknowledgedBytes())) {
+        m_channel.deadline.set(m_sendLimit.nextCheck(now));
     } else {
         m_channel.abort();
     }
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/httpserver.h"
+#include "adapters/http/sendtimelimit.h"
 #include "adapters/http/serverexchange.h"
 
 #include <vector>
@@ -74,6 +75,9 @@
     void setTimeLimit(Milliseconds time);
     void watchPeer();
 
+    // Limits the time in which the peer must have received something of what is sent next.
+    void limitSending();
+
     // Whether all responses before that of the exchange have been sent.
     bool isFirst(const ServerExchange &exchange) const;
 
@@ -133,6 +137,9 @@
     std::size_t m_requestsRead = 0;
     std::size_t m_requestsAnswered = 0;
     bool m_watching = false;
+    // Whether the deadline is the next check of the limit for sending.
+    bool m_limitsSending = false;
+    SendTimeLimit m_sendLimit;
     bool m_peerDisconnected = false;
     bool m_closesAfterResponse = false;
     // Whether requests that are read from now on are answered without being handled.
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -226,7 +226,7 @@
     if (m_isHead) {
         response.body().clear();
     }
-    m_connection.setTimeLimit(m_connection.options().readTimeout);
+    m_connection.limitSending();
     const auto error = co_await m_channel.writeMessage(response);
     m_failed = m_failed || error;
 }
@@ -257,7 +257,7 @@
     } else {
         header.chunked(chunked);
     }
-    m_connection.setTimeLimit(m_connection.options().readTimeout);
+    m_connection.limitSending();
     StreamResult result;
     result.error = co_await m_channel.writeHeader(header);
     if (!result.error) {
@@ -269,7 +269,6 @@
 
 asio::awaitable<StreamResult> ServerExchange::sendParts(std::string part, BodySource &rest, bool chunked)
 {
-    const auto timeout = m_connection.options().readTimeout;
     StreamResult result;
     auto &error = result.error;
     while (!error && !(part.empty() && rest.done())) {
@@ -279,7 +278,7 @@
             result.sourceFailed = static_cast<bool>(error);
             continue;
         }
-        m_connection.setTimeLimit(timeout);
+        m_connection.limitSending();
         const auto buffer = asio::buffer(part);
         if (chunked) {
             const auto chunk = http::make_chunk(buffer);
@@ -292,7 +291,7 @@
     }
     if (!error && chunked) {
         const auto last = http::make_chunk_last();
-        m_connection.setTimeLimit(timeout);
+        m_connection.limitSending();
         error = co_await m_channel.write(last);
     }
     co_return result;
@@ -304,7 +303,7 @@
     auto response = makeErrorResponse(requestError.status, "invalid", requestError.message);
     response.set(CallHeaders::Outcome, CallHeaders::NotRun);
     response.keep_alive(false);
-    m_connection.setTimeLimit(m_connection.options().readTimeout);
+    m_connection.limitSending();
     co_return co_await m_channel.writeMessage(response);
 }
 
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/tcpchannel.h"
 
+#include <algorithm>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -23,6 +24,7 @@
 
 void TcpChannel::countSent(std::size_t count)
 {
+    sent += count;
     m_bytes.all += count;
     m_bytes.sentOnLink += m_usesLink ? count : 0;
 }
@@ -89,6 +91,11 @@
     return ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+std::uint64_t TcpChannel::acknowledgedBytes()
+{
+    return sent - std::min<std::uint64_t>(sent, unacknowledgedBytes());
+}
+
 std::size_t TcpChannel::unreadBytes()
 {
     ErrorCode error;
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -37,6 +37,8 @@
     boost::beast::flat_buffer buffer{ReadAheadBytes};
     // Bytes that were read into the buffer so far.
     std::uint64_t received = 0;
+    // Bytes that were written so far.
+    std::uint64_t sent = 0;
     Deadline deadline;
 
     // Makes a connected socket non-blocking and sets TCP_NODELAY.
@@ -72,6 +74,9 @@
     // counts as one. Zero once the connection has failed.
     std::size_t unacknowledgedBytes();
 
+    // Bytes that were written and that the peer's kernel has acknowledged.
+    std::uint64_t acknowledgedBytes();
+
     // Bytes that have arrived and that nothing has consumed.
     std::size_t unreadBytes();
 
