log: Limit the lines of an event for each level on its own

A planned stop logs the end of each connection, plain ones as info and those with something missing as warnings. Both counted against one limit of 40 lines, so that a warning after 40 plain ends was dropped, and with it the only trace of a response that was not received.

PlainLinesDoNotDisplaceWarnings failed before (the warning after 100 plain lines was missing) and passes now.

--- a/src/adapters/log/jsonlogger.cpp
+++ b/src/adapters/log/jsonlogger.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Rate limit for the lines of one event: a burst, and a sustained rate. Ten events at their limit
+// Rate limit for the lines of one event at one level: a burst, and a sustained rate. Ten events at their limit
 // amount to 200 lines or 60 KB per second.
 constexpr double BurstLines = 40;
 constexpr double LinesPerSecond = 20;
@@ -29,12 +29,12 @@
 class LineWriter
 {
 public:
-    bool allows(std::string_view event)
+    bool allows(LogLevel level, std::string_view event)
     {
         const std::lock_guard lock(m_mutex);
         const auto now = Clock::now();
         const TokenBucket full({.tokensPerSecond = LinesPerSecond, .capacity = BurstLines, .initialTokens = BurstLines}, now);
-        const bool allowed = m_rateLimits.try_emplace(std::string(event), full).first->second.tryTake(now);
+        const bool allowed = m_rateLimits.try_emplace({level, std::string(event)}, full).first->second.tryTake(now);
         m_dropped += allowed ? 0 : 1;
         return allowed;
     }
@@ -55,7 +55,7 @@
 
 private:
     std::mutex m_mutex;
-    std::map<std::string, TokenBucket> m_rateLimits;
+    std::map<std::pair<LogLevel, std::string>, TokenBucket> m_rateLimits;
     std::uint64_t m_dropped = 0;
 };
 
@@ -65,7 +65,7 @@
 {
     auto writer = std::make_shared<LineWriter>();
     return [node = std::move(node), minLevel, writer, startTime = Clock::now()](LogLevel level, std::string_view event, const std::vector<LogField> &fields) {
-        if (level < minLevel || !writer->allows(event)) {
+        if (level < minLevel || !writer->allows(level, event)) {
             return;
         }
         const auto now = std::chrono::system_clock::now().time_since_epoch();
