--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/tcpchannel.h"
 
+#include <algorithm>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -23,6 +24,7 @@
 
 void TcpChannel::countSent(std::size_t count)
 {
+    sent += count;
     m_bytes.all += count;
     m_bytes.sentOnLink += m_usesLink ? count : 0;
 }
@@ -96,6 +98,11 @@
     return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0 && info.tcpi_state == TCP_CLOSE;
 }
 
+std::uint64_t TcpChannel::acknowledgedBytes()
+{
+    return sent - std::min<std::uint64_t>(sent, unacknowledgedBytes());
+}
+
 std::size_t TcpChannel::unreadBytes()
 {
     ErrorCode error;
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -37,6 +37,8 @@
     boost::beast::flat_buffer buffer{ReadAheadBytes};
     // Bytes that were read into the buffer so far.
     std::uint64_t received = 0;
+    // Bytes that were written so far.
+    std::uint64_t sent = 0;
     Deadline deadline;
 
     // Makes a connected socket non-blocking and sets TCP_NODELAY.
@@ -75,6 +77,9 @@
     // Whether the peer or the kernel has reset the connection.
     bool hasFailed();
 
+    // Bytes that were written and that the peer's kernel has acknowledged.
+    std::uint64_t acknowledgedBytes();
+
     // Bytes that have arrived and that nothing has consumed.
     std::size_t unreadBytes();
 
