bench: Close the harness's descriptors in child processes

Processes that a harness starts inherited its sockets: a node that the soak starts again during a run held the connections of all callers and the listening sockets of the proxies (`ss -ltnp` of a soak showed 127.71.1.25:8090, a proxy's address, open in the harness and in each of its nodes and targets). A connection that a caller closes then stays open for its node until the other process ends, so that a stop waits for a peer that has gone; and after a harness that was aborted, its addresses stayed in use.

The child closes all descriptors above standard error.

--- a/bench/childprocess.cpp
+++ b/bench/childprocess.cpp
@@ -22,6 +22,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // Otherwise the child would keep the harness's connections open after the harness has closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failed = posix_spawn(&m_pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) {
