soak: Don't judge connections that only a proxy accepted

The caller had connected to the proxy anew; the kernel accepts for the proxy, so the calls could be sent; at 3.27 s the proxy found that the node refuses connections, and reset the caller's. No byte reached the node, which a direct caller would have seen as a refused connection.

A proxy notes the local port of each client whose connection the server refused. A call on such a connection, on which nothing has arrived, counts as not sent. Connections that the node has accepted, or that its kernel has in the backlog, are judged as before.

--- a/bench/faultproxy.cpp
+++ b/bench/faultproxy.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -73,6 +74,9 @@
     Milliseconds delay{0};
     std::set<std::shared_ptr<ProxiedConnection>> connections;
     std::thread thread;
+    // Guards the ports of refused clients, which other threads ask for.
+    std::mutex mutex;
+    std::set<std::uint16_t> refusedClients;
 
     bool isHeld(bool fromServer) const
     {
@@ -88,6 +92,18 @@
         }
     }
 
+    void recordClient(const Tcp::socket &client, bool refused)
+    {
+        ErrorCode ignored;
+        const auto port = client.remote_endpoint(ignored).port();
+        const std::lock_guard lock(mutex);
+        // An earlier client may have had the same port.
+        refusedClients.erase(port);
+        if (refused) {
+            refusedClients.insert(port);
+        }
+    }
+
     asio::awaitable<void> accept();
     asio::awaitable<void> relay(std::shared_ptr<ProxiedConnection> connection);
     asio::awaitable<void> forward(std::shared_ptr<ProxiedConnection> connection, bool fromServer);
@@ -117,6 +133,12 @@
     });
 }
 
+bool FaultProxy::takeRefusal(std::uint16_t clientPort)
+{
+    const std::lock_guard lock(d->mutex);
+    return d->refusedClients.erase(clientPort) > 0;
+}
+
 asio::awaitable<void> FaultProxy::Private::accept()
 {
     for (;;) {
@@ -137,6 +159,7 @@
         limitBuffer(connection->server);
         co_await connection->server.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
     }
+    recordClient(connection->client, error == asio::error::connection_refused);
     if (error || mode == Mode::Reset) {
         connection->reset();
         co_return;
--- a/bench/faultproxy.h
+++ b/bench/faultproxy.h
@@ -33,6 +33,10 @@
     FaultProxy(const FaultProxy &) = delete;
     FaultProxy &operator=(const FaultProxy &) = delete;
 
+    // Whether the server refused the connection of the client with that local port, of which the client could not learn before
+    // it sent. Each refusal is returned once.
+    bool takeRefusal(std::uint16_t clientPort);
+
     void setMode(Mode mode, Milliseconds delay = Milliseconds(0));
 
 private:
--- a/bench/pipeliningcallers.cpp
+++ b/bench/pipeliningcallers.cpp
@@ -70,6 +70,9 @@
     std::size_t m_sent = 0;
     bool m_open = false;
     bool m_sending = false;
+    // Whether anything has arrived on the connection.
+    bool m_received = false;
+    std::uint16_t m_localPort = 0;
 };
 
 asio::awaitable<bool> PipelinedConnection::connect()
@@ -84,6 +87,9 @@
     const Tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
     co_await m_socket.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
     m_buffer.clear();
+    m_received = false;
+    ErrorCode ignored;
+    m_localPort = m_socket.local_endpoint(ignored).port();
     m_open = !error;
     co_return m_open;
 }
@@ -137,6 +143,7 @@
     ErrorCode error;
     const auto count = co_await m_socket.async_read_some(m_buffer.prepare(limit), asio::redirect_error(asio::use_awaitable, error));
     m_buffer.commit(count);
+    m_received = m_received || count > 0;
     if (m_options.readPause.count() > 0) {
         co_await sleepFor(m_context, m_options.readPause);
     }
@@ -219,6 +226,10 @@
         if (failed == asio::error::operation_aborted && !timedOut) {
             continue;
         }
+        if (failed && !m_received && m_options.wasRefused && m_options.wasRefused(m_ingress, m_localPort)) {
+            endOutstanding(CallEnd::NotSent, CallEnd::NotSent);
+            co_return false;
+        }
         if (failed || timedOut) {
             const auto first = timedOut ? CallEnd::TimedOut : started ? CallEnd::ClosedInResponse : CallEnd::ClosedBeforeResponse;
             recordPart(*m_outstanding.front(), parser);
--- a/bench/pipeliningcallers.h
+++ b/bench/pipeliningcallers.h
@@ -33,6 +33,9 @@
         std::string idPrefix = "p";
         CallHeaderNames headerNames;
         std::string host;
+        // Whether a proxy accepted the connection from that local port, which the ingress refused: its calls count as not sent.
+        // Null: there are no proxies.
+        std::function<bool(std::size_t ingress, std::uint16_t localPort)> wasRefused;
         // Called with each call once the header and a part of the body of its response have arrived, and the record names
         // the target. What it takes delays the reading of the rest. Null: not called.
         std::function<void(const CallRecord &)> responseBegan;
--- a/bench/soakpipelining.cpp
+++ b/bench/soakpipelining.cpp
@@ -52,6 +52,9 @@
     options.seed = m_options.seed * 2 + (throughProxies ? 1 : 0);
     options.headerNames = Platform::callHeaderNames();
     options.host = Host;
+    if (throughProxies) {
+        options.wasRefused = [this](std::size_t ingress, std::uint16_t port) { return m_callerProxies[ingress]->takeRefusal(port); };
+    }
     return options;
 }
 
@@ -82,6 +85,9 @@
     const Milliseconds gap(random() % MaxSignalGapMs);
     auto options = pipelineOptions(random() % 2 == 0);
     options.ingresses = {options.ingresses[node]};
+    if (options.wasRefused) {
+        options.wasRefused = [this, node](std::size_t, std::uint16_t port) { return m_callerProxies[node]->takeRefusal(port); };
+    }
     options.kinds = SoakCustomers::callKinds();
     std::erase_if(options.kinds, [](const auto &kind) { return kind.path != SoakCustomers::LargestPath; });
     options.maxPause = InterruptedCallerPause;
