soak: Let targets make nested calls through the node beside them

One case of the incident is a nested call: its caller is the target beside the stopped node. In the soak, targets made no calls. The target logs what it saw of each as "called ..."; PlatformFleet reads it, and the soak judges it as a call to the ingress of that node.

--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -34,6 +34,33 @@
 constexpr Milliseconds PollInterval{50};
 constexpr Milliseconds StartLimit{20000};
 
+// Reads what NestedCaller::call() of the target stand-in returns, with the time at which the call ended.
+std::optional<CallRecord> readNestedCall(std::istream &words)
+{
+    static const std::map<std::string, CallEnd> ends
+        = {{"response", CallEnd::Response}, {"unsent", CallEnd::NotSent}, {"closed", CallEnd::ClosedBeforeResponse}, {"timed-out", CallEnd::TimedOut}};
+    static const std::map<std::string, CallOutcome> outcomes
+        = {{"answered", CallOutcome::Answered}, {"not-run", CallOutcome::NotRun}, {"unknown", CallOutcome::Unknown}, {"mismatched", CallOutcome::Mismatched}};
+    CallRecord call;
+    std::int64_t timeout = 0;
+    std::int64_t sent = 0;
+    std::int64_t ended = 0;
+    std::string end;
+    std::string outcome;
+    words >> call.id >> call.path >> timeout >> sent >> end >> outcome >> call.status >> call.receivedBytes >> call.target >> ended;
+    if (!words || !ends.contains(end) || !outcomes.contains(outcome)) {
+        return std::nullopt;
+    }
+    call.idempotent = true;
+    call.end = ends.at(end);
+    call.outcome = outcomes.at(outcome);
+    call.timeout = Milliseconds(timeout);
+    call.target = call.target == "-" ? std::string() : call.target;
+    call.sentAt = TimePoint(std::chrono::microseconds(sent));
+    call.endedAt = TimePoint(std::chrono::microseconds(ended));
+    return call;
+}
+
 // Adds the event in a line of a target's log to the history of the target's last start.
 void readEvent(const std::string &line, std::vector<TargetHistory> &histories)
 {
@@ -54,6 +81,12 @@
         histories.back().customers.push_back({.call = event.value, .customer = customer == "-" ? std::string() : customer});
         return;
     }
+    if (kind == "called" && !histories.empty()) {
+        if (const auto call = readNestedCall(words)) {
+            histories.back().nestedCalls.push_back(*call);
+        }
+        return;
+    }
     if (kind == "stated") {
         words >> field;
     }
@@ -259,7 +292,7 @@
 void PlatformFleet::startTarget(std::size_t node)
 {
     auto &entry = d->processes[node];
-    const std::vector<std::string> command{d->options.programs + "/standins/targetstandin",
+    std::vector<std::string> command{d->options.programs + "/standins/targetstandin",
         "--address=" + d->address(node),
         fmt::format("--port={}", TargetPort),
         fmt::format("--slots={}", d->options.slots),
@@ -275,6 +308,12 @@
         fmt::format("--seed={}", d->options.seed * 1000 + node),
         "--key-marker=" + d->options.keyMarker,
         "--log-runs"};
+    if (d->options.nestedShare > 0) {
+        command.push_back("--nested-through=" + toString(ingress(node)));
+        command.push_back("--nested-path=" + d->options.nestedPath);
+        command.push_back("--nested-host=" + d->options.nestedHost);
+        command.push_back(fmt::format("--nested-share={}", d->options.nestedShare));
+    }
     entry.target = std::make_unique<ChildProcess>(command, d->path(fmt::format("target-{}.log", node)));
 }
 
@@ -317,11 +356,23 @@
         while (std::getline(log, line)) {
             readEvent(line, histories);
         }
-        std::for_each(histories.begin() + static_cast<std::ptrdiff_t>(first), histories.end(), [node](auto &history) { history.node = node; });
+        std::for_each(histories.begin() + static_cast<std::ptrdiff_t>(first), histories.end(), [node](auto &history) {
+            history.node = node;
+            std::for_each(history.nestedCalls.begin(), history.nestedCalls.end(), [node](auto &call) { call.ingress = node; });
+        });
     }
     return histories;
 }
 
+std::vector<CallRecord> PlatformFleet::nestedCalls() const
+{
+    std::vector<CallRecord> calls;
+    for (const auto &history : targetHistories()) {
+        calls.insert(calls.end(), history.nestedCalls.begin(), history.nestedCalls.end());
+    }
+    return calls;
+}
+
 std::vector<std::string> PlatformFleet::executedCalls() const
 {
     std::vector<std::string> ids;
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -4,6 +4,7 @@
 #include "common/endpoint.h"
 #include "common/error.h"
 #include "common/identifiers.h"
+#include "loadgenerator.h"
 
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
     // When it stated that it is leaving.
     std::vector<Event> departures;
     std::vector<ToldCustomer> customers;
+    // Calls that the target itself sent to the ingress beside it and that ended.
+    std::vector<CallRecord> nestedCalls;
     // Ids of the calls in whose header a customer's key reached the target.
     std::vector<Event> leaks;
 };
@@ -82,6 +85,10 @@
         bool proxied = false;
         // Text that each key of a customer contains; empty: targets do not search for keys.
         std::string keyMarker;
+        // Path and Host of the calls that targets make through the node beside them, in a share of their own calls.
+        std::string nestedPath;
+        std::string nestedHost;
+        double nestedShare = 0;
     };
 
     explicit PlatformFleet(Options options);
@@ -126,6 +133,9 @@
     // Histories of all starts of all targets.
     std::vector<TargetHistory> targetHistories() const;
 
+    // Calls that the targets made, as these saw them.
+    std::vector<CallRecord> nestedCalls() const;
+
     // Ids of the calls that the targets ran; an id occurs once for each execution.
     std::vector<std::string> executedCalls() const;
 
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -51,6 +51,7 @@
 
 constexpr std::chrono::microseconds MeanServiceTime{60000};
 constexpr double LateShare = 0.03;
+constexpr double NestedShare = 0.2;
 
 // Series of planned work at a time in a run that has nothing else.
 constexpr std::uint64_t PlannedOnlySeries = 2;
@@ -88,7 +89,10 @@
           .dataCentres = DataCentres,
           .linkMbps = m_slowLinks ? SlowLinkMbps : 0,
           .proxied = true,
-          .keyMarker = SoakCustomers::KeyMarker})
+          .keyMarker = SoakCustomers::KeyMarker,
+          .nestedPath = SoakCustomers::NestedPath,
+          .nestedHost = Host,
+          .nestedShare = NestedShare})
     , m_length(options.quick ? QuickLength : Length)
 {
     m_storeProxy = std::make_unique<FaultProxy>(m_fleet.storeForNodes(), m_fleet.store());
@@ -219,6 +223,8 @@
     busy.reset();
     records.insert(records.end(), m_interruptedCalls.begin(), m_interruptedCalls.end());
     checkRecovery();
+    const auto nested = m_fleet.nestedCalls();
+    records.insert(records.end(), nested.begin(), nested.end());
     checkCalls(records);
     checkStatements(records);
     checkCustomers(records, {SoakCustomers::UnknownKey});
@@ -230,6 +236,7 @@
 void Soak::printResult(const std::vector<CallRecord> &records) const
 {
     const auto answered = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.outcome == CallOutcome::Answered; });
+    const auto nested = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.id.find('.') != std::string::npos; });
     const auto unauthorized = std::count_if(records.begin(), records.end(), [](const auto &record) { return record.status == 401; });
     nlohmann::json result = {{"bench", "soak"},
         {"commit", m_options.commit},
@@ -241,6 +248,7 @@
         {"faults", m_injectedFaults},
         {"stops_during_responses", m_interruptions},
         {"calls", records.size()},
+        {"nested_calls", nested},
         {"answered", answered},
         {"unauthorized", unauthorized},
         {"lost", m_lost.aroundPlannedWork.size()},
--- a/bench/soakcustomers.h
+++ b/bench/soakcustomers.h
@@ -28,6 +28,9 @@
 // Path of the longest responses.
 inline constexpr const char *LargestPath = "/descarga/1?bytes=540000";
 
+// Path of the calls that targets make, on a route that needs no key.
+inline constexpr const char *NestedPath = "/abierto/1?bytes=20000";
+
 bool hasTemporaryRoute(int revision);
 
 // Routes of the revision: each has one that no other has, and the timeout of one route changes.
--- a/standins/targetoptions.cpp
+++ b/standins/targetoptions.cpp
@@ -25,6 +25,10 @@
     char *service = nullptr;
     char *dataCentre = nullptr;
     char *keyMarker = nullptr;
+    char *nestedThrough = nullptr;
+    char *nestedHost = nullptr;
+    char *nestedPath = nullptr;
+    double nestedShare = 0;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP address to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
@@ -43,6 +47,10 @@
         {"service", 0, POPT_ARG_STRING, &service, 0, "Service to announce", "NAME"},
         {"data-centre", 0, POPT_ARG_STRING, &dataCentre, 0, "Data centre to announce", "NAME"},
         {"key-marker", 0, POPT_ARG_STRING, &keyMarker, 0, "Text that each customer's key contains", "TEXT"},
+        {"nested-through", 0, POPT_ARG_STRING, &nestedThrough, 0, "Ingress for nested calls", "IP:PORT"},
+        {"nested-host", 0, POPT_ARG_STRING, &nestedHost, 0, "Host of nested calls", "NAME"},
+        {"nested-path", 0, POPT_ARG_STRING, &nestedPath, 0, "Path of nested calls", "PATH"},
+        {"nested-share", 0, POPT_ARG_DOUBLE, &nestedShare, 0, "Share of the calls that make a nested one", "SHARE"},
         {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each call that runs to standard error", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -71,6 +79,10 @@
     options.service = text(service);
     options.dataCentre = text(dataCentre);
     options.keyMarker = text(keyMarker);
+    options.nestedThrough = endpointOf(text(nestedThrough)).value_or(Endpoint());
+    options.nestedHost = text(nestedHost);
+    options.nestedPath = text(nestedPath);
+    options.nestedShare = nestedShare;
     return options;
 }
 
--- a/standins/targetoptions.h
+++ b/standins/targetoptions.h
@@ -35,6 +35,12 @@
     std::string service;
     std::string dataCentre;
     std::string keyMarker;
+    // Ingress through which the target calls another service; port zero if it calls none.
+    Endpoint nestedThrough;
+    std::string nestedHost;
+    std::string nestedPath;
+    // Share of the calls that make a nested one.
+    double nestedShare = 0;
 
     bool announces() const
     {
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -14,6 +14,8 @@
 // change of what the target states about itself. With --announce, "customer ID NAME MICROSECONDS" says
 // which customer the target is told for a call, or "-", and "leaked ID MICROSECONDS" that a header
 // field contains the text of --key-marker, which is part of every key.
+// With --nested-through, a share of the calls makes a nested call in the middle of its service time, and then logs what
+// NestedCaller::call() describes. Nested calls make none.
 // A call that finds no free slot counts as an overrun. It waits in the backlog and then runs, even
 // if its caller has disconnected; if the backlog is full, the target rejects the call with 503.
 // The run of a call goes on when its connection is closed. "slow_ms" makes the calls that start in
@@ -27,6 +29,7 @@
 
 #include "adapters/http/httpserver.h"
 #include "announcer.h"
+#include "nestedcaller.h"
 #include "platform/callheadernames.h"
 #include "responsebody.h"
 #include "serveuntilstopped.h"
@@ -37,6 +40,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 
 namespace Galenahill {
 
@@ -55,12 +59,21 @@
         : m_context(context)
         , m_options(std::move(options))
         , m_serviceTimes({.mean = m_options.serviceTime, .lateShare = m_options.lateShare, .lateFactor = m_options.lateFactor, .seed = m_options.seed})
+        , m_random(m_options.seed)
         , m_readyAt(Clock::now() + m_options.coldStart)
     {
         logEvent("started " + m_options.id);
         if (m_options.announces()) {
             m_headerNames = Platform::callHeaderNames();
         }
+        if (m_options.nestedThrough.port != 0) {
+            m_nestedCaller.emplace(context,
+                NestedCaller::Options{.ingress = m_options.nestedThrough,
+                    .targetId = m_options.id,
+                    .host = m_options.nestedHost,
+                    .path = m_options.nestedPath,
+                    .headerNames = m_headerNames});
+        }
     }
 
     std::uint32_t slots() const
@@ -81,6 +94,7 @@
     HttpResponse load() const;
     HttpResponse admin(const HttpRequest &request);
     asio::awaitable<bool> acquireSlot();
+    asio::awaitable<void> serve(const std::string &id);
     std::string requestIdOf(const HttpRequest &request) const;
     HttpResponse notRunResponse(http::status status, const std::string &kind, const std::string &message) const;
     void logEvent(const std::string &event) const;
@@ -93,6 +107,8 @@
     ServiceTimeDraw m_serviceTimes;
     // Left at the defaults with galenahilld nodes, whose request id field is Request-Id.
     CallHeaderNames m_headerNames;
+    std::optional<NestedCaller> m_nestedCaller;
+    std::mt19937_64 m_random;
     TimePoint m_readyAt;
     std::string m_ledger;
     std::uint32_t m_running = 0;
@@ -254,6 +270,21 @@
     return response;
 }
 
+// Takes the service time, and that of a nested call.
+asio::awaitable<void> Target::serve(const std::string &id)
+{
+    const bool makesCall = m_nestedCaller && id.find('.') == std::string::npos && std::bernoulli_distribution(m_options.nestedShare)(m_random);
+    const auto serviceTime = m_serviceTimes.next(Clock::now());
+    asio::steady_timer timer(m_context, makesCall ? serviceTime / 2 : serviceTime);
+    ErrorCode ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (makesCall) {
+        logEvent(co_await m_nestedCaller->call(id));
+        timer.expires_after(serviceTime / 2);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<HttpResponse> Target::runCall(HttpRequest request, ServerConnection &connection)
 {
     const auto expected = m_headerNames.expectedTarget.empty() ? boost::beast::string_view() : request[m_headerNames.expectedTarget];
@@ -272,10 +303,9 @@
     const auto id = requestIdOf(request);
     m_ledger += id + "\n";
     logEvent("ran " + id);
+    co_await serve(id);
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
-    timer.expires_after(m_serviceTimes.next(Clock::now()));
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     while (m_responsesHeld) {
         timer.expires_after(Milliseconds(20));
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
