--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -96,9 +96,7 @@
     , m_length(options.quick ? QuickLength : Length)
 {
     m_storeProxy = std::make_unique<FaultProxy>(m_fleet.storeForNodes(), m_fleet.store());
-    for (std::size_t node = 0; node < m_nodes; ++node) {
-        m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node)));
-    }
+    startTargetProxies();
     startCallerProxies();
 }
 
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -99,6 +99,7 @@
     int statusOf(std::size_t node, const std::string &path) const;
     void addViolation(std::string guarantee, std::string description);
     double callsPerSecond() const;
+    void startTargetProxies();
     void startCallerProxies();
     std::vector<CallRecord> callInPipelines(bool throughProxies) const;
     PipeliningCallers::Options pipelineOptions(bool throughProxies) const;
--- a/bench/soakpipelining.cpp
+++ b/bench/soakpipelining.cpp
@@ -31,6 +31,18 @@
 
 }
 
+// Without unplanned faults, the connections between sidecars and targets are those of a slow network.
+void Soak::startTargetProxies()
+{
+    for (std::size_t node = 0; node < m_nodes; ++node) {
+        const int receiveBuffer = m_plannedOnly && node % 2 == 0 ? SmallBufferBytes : 0;
+        m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node), receiveBuffer));
+        if (m_plannedOnly) {
+            m_targetProxies.back()->setMode(FaultProxy::Mode::Delay, Milliseconds(1 + m_random() % MaxDelayMs));
+        }
+    }
+}
+
 void Soak::startCallerProxies()
 {
     for (std::size_t node = 0; node < m_nodes; ++node) {
