--- a/bench/soakpipelining.cpp
+++ b/bench/soakpipelining.cpp
@@ -31,6 +31,18 @@
 
 }
 
+// Without unplanned faults, the connections between sidecars and targets are those of a slow network.
+void Soak::startTargetProxies()
+{
+    for (std::size_t node = 0; node < m_nodes; ++node) {
+        const int receiveBuffer = m_plannedOnly && node % 2 == 0 ? SmallBufferBytes : 0;
+        m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node), receiveBuffer));
+        if (m_plannedOnly) {
+            m_targetProxies.back()->setMode(FaultProxy::Mode::Delay, Milliseconds(1 + m_random() % MaxDelayMs));
+        }
+    }
+}
+
 void Soak::startCallerProxies()
 {
     for (std::size_t node = 0; node < m_nodes; ++node) {
@@ -52,6 +64,9 @@
     options.seed = m_options.seed * 2 + (throughProxies ? 1 : 0);
     options.headerNames = Platform::callHeaderNames();
     options.host = Host;
+    if (throughProxies) {
+        options.wasRefused = [this](std::size_t ingress, std::uint16_t port) { return m_callerProxies[ingress]->takeRefusal(port); };
+    }
     return options;
 }
 
@@ -82,6 +97,9 @@
     const Milliseconds gap(random() % MaxSignalGapMs);
     auto options = pipelineOptions(random() % 2 == 0);
     options.ingresses = {options.ingresses[node]};
+    if (options.wasRefused) {
+        options.wasRefused = [this, node](std::size_t, std::uint16_t port) { return m_callerProxies[node]->takeRefusal(port); };
+    }
     options.kinds = SoakCustomers::callKinds();
     std::erase_if(options.kinds, [](const auto &kind) { return kind.path != SoakCustomers::LargestPath; });
     options.maxPause = InterruptedCallerPause;
