explain: Say what the caller's connection did not deliver

The log of a call says "answered" once the node's kernel has the response. Operators could not tell from it whether the caller received it: the line of the connection's end had the caller's address only, which many connections share, calls answered at once have no line, and a connection that was open when the process ended had none either.

connection-ended now has peer_port, last_answered_id and left_open, the line of a call has caller_port, and each connection that the end of the process ends with something missing gets a line. explain prints below the table, for each connection that carried the call, who closed first, the requests read and answered, and the bytes that were not acknowledged and not read. It matches by node, address, port and time, or by the id. The log of ends moves from PlatformNode to ConnectionLog.

--- a/autotests/processes/explainfailuretest.cpp
+++ b/autotests/processes/explainfailuretest.cpp
@@ -1,10 +1,11 @@
-// Five kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
+// Six kinds of failed call on real processes, each explained from the nodes' logs alone, as an on-call
 // engineer has to. The test causes the failure, and the client's explanation of the call must name that
 // cause.
 
 #include "adapters/http/httpclient.h"
 #include "cli/calltrace.h"
 #include "fleet.h"
+#include "httptest.h"
 #include "platform/callheadernames.h"
 #include "platformfleet.h"
 #include "sampledocument.h"
@@ -234,3 +235,19 @@
     // The ingress has passed on what the sidecar has sent.
     BOOST_TEST(table.find(fmt::format("the response ended after {} bytes, by the sidecar", sent)) != std::string::npos);
 }
+
+// Guards against a call that its node says it answered, and whose caller did not receive the response, without a trace
+// of it. The caller reads nothing, its receive buffer is small, and the node is stopped.
+BOOST_FIXTURE_TEST_CASE(ExplainsAnAnsweredCallThatWasNotReceived, Fixture)
+{
+    RawClient caller(fleet.ingress(0), 2048);
+    caller.send("GET /cola/1?bytes=20000 HTTP/1.1\r\nHost: pedidos.example\r\nGalenahill-Request-Id: unread-1\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(1000));
+    fleet.nodeProcess(0).signal(SIGTERM);
+    BOOST_TEST(fleet.nodeProcess(0).wait() == 0);
+    const auto table = explain("unread-1", "acknowledged");
+    BOOST_TEST_MESSAGE(table);
+    const std::regex sentence("the connection of 127\\.\\S+ to the ingress \\S+ was open when the process ended: 1 requests read, 1 answered, this call the "
+                              "last; [1-9]\\d* bytes sent last were not acknowledged by the peer's kernel");
+    BOOST_TEST(std::regex_search(table, sentence));
+}
--- a/autotests/unit/calltracetest.cpp
+++ b/autotests/unit/calltracetest.cpp
@@ -114,3 +114,42 @@
         table.find("the response ended early at node-b: ended by the ingress after 16384 bytes (Broken pipe), 20 ms before the deadline") != std::string::npos);
     BOOST_TEST(table.find("ended by the deadline after 16384 bytes (the call's deadline has passed), 20 ms after the deadline") != std::string::npos);
 }
+
+namespace {
+
+std::string connectionEnd(int timeMs, int port, const std::string &fields)
+{
+    return "{\"time_ms\":" + std::to_string(timeMs) + ",\"node\":\"node-b\",\"event\":\"connection-ended\",\"server\":\"ingress\",\"peer\":\"10.0.0.9\","
+        + "\"peer_port\":" + std::to_string(port) + ",\"closed_first_by\":\"this node\",\"left_open\":false,\"requests_read\":3,\"requests_answered\":2,"
+        + fields + "}\n";
+}
+
+}
+
+// Guards against an explanation of an answered call that doesn't say whether the caller received the response.
+BOOST_AUTO_TEST_CASE(SaysWhatTheCallersConnectionDidNotDeliver)
+{
+    CallTrace trace("7f");
+    std::istringstream log(connectionEnd(4000, 5001, "\"last_answered_id\":\"3a\",\"unacknowledged_bytes\":11,\"unread_bytes\":0")
+        + "{\"time_ms\":5000,\"node\":\"node-b\",\"event\":\"call-answered\",\"id\":\"7f\",\"caller\":\"10.0.0.9\",\"caller_port\":5001}\n"
+        + connectionEnd(5010, 5002, "\"last_answered_id\":\"8c\",\"unacknowledged_bytes\":22,\"unread_bytes\":0")
+        + connectionEnd(5020, 5001, "\"last_answered_id\":\"9d\",\"unacknowledged_bytes\":4096,\"unread_bytes\":80")
+        + connectionEnd(5030, 5001, "\"last_answered_id\":\"\",\"unacknowledged_bytes\":33,\"unread_bytes\":0"));
+    trace.read(log);
+    BOOST_TEST(trace.json().at("connections").size() == 1U);
+    BOOST_TEST(trace.table().find("\nthe connection of 10.0.0.9:5001 to the ingress node-b ended, closed first by this node: 3 requests read, 2 answered; "
+                                  "4096 bytes sent last were not acknowledged by the peer's kernel; 80 bytes of the peer were not read, so the connection was "
+                                  "reset")
+        != std::string::npos);
+}
+
+// A call that is answered at once leaves no line of its own.
+BOOST_AUTO_TEST_CASE(FindsTheConnectionWhoseLastAnsweredCallItWas)
+{
+    CallTrace trace("7f");
+    std::istringstream log(connectionEnd(5020, 5001, "\"last_answered_id\":\"7f\",\"unacknowledged_bytes\":0,\"unread_bytes\":0"));
+    trace.read(log);
+    BOOST_TEST(!trace.empty());
+    BOOST_TEST(trace.table().find("3 requests read, 2 answered, this call the last; the peer's kernel had acknowledged everything that was sent")
+        != std::string::npos);
+}
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -202,15 +202,15 @@
     return d->connections.size();
 }
 
-OpenConnections HttpServer::openConnections() const
+std::vector<ConnectionEnd> HttpServer::openConnections() const
 {
-    OpenConnections open;
+    std::vector<ConnectionEnd> ends;
+    ends.reserve(d->connections.size());
     for (const auto &connection : d->connections) {
-        ++open.count;
-        open.unacknowledgedBytes += connection->channel().unacknowledgedBytes();
-        open.unreadBytes += connection->channel().unreadBytes();
+        ends.push_back(connection->end());
+        ends.back().leftOpen = true;
     }
-    return open;
+    return ends;
 }
 
 std::uint64_t HttpServer::bytes() const
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace Galenahill {
 
@@ -81,8 +82,8 @@
 
     std::size_t connections() const;
 
-    // Asks the kernel about each open connection.
-    OpenConnections openConnections() const;
+    // How the open connections would end if the process ended now, by asking the kernel about each.
+    std::vector<ConnectionEnd> openConnections() const;
 
     // Bytes received and sent.
     std::uint64_t bytes() const;
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -72,7 +72,9 @@
     m_channel.prepare();
     ErrorCode failed;
     const auto peer = m_channel.socket.remote_endpoint(failed);
-    m_peerAddress = failed ? std::string() : peer.address().to_string();
+    if (!failed) {
+        m_peer = {peer.address().to_string(), peer.port()};
+    }
     m_channel.deadline.expire = [this] { deadlineExpired(); };
 }
 
@@ -152,9 +154,9 @@
     return m_peerDisconnected || m_channel.peerClosed();
 }
 
-std::string HttpServerConnection::peerAddress() const
+const Endpoint &HttpServerConnection::peer() const
 {
-    return m_peerAddress;
+    return m_peer;
 }
 
 void HttpServerConnection::setTimeLimit(Milliseconds time)
@@ -255,7 +257,10 @@
         co_return false;
     }
     co_await exchange.respond(std::move(response));
-    m_requestsAnswered += exchange.failed() ? 0 : 1;
+    if (!exchange.failed()) {
+        ++m_requestsAnswered;
+        m_lastAnsweredId = exchange.requestId();
+    }
     m_rejectsRequests = m_state->stopped;
     co_return exchange.keepsConnection();
 }
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -51,6 +51,9 @@
     // that stops: a peer that sends on without a pause would never see the end of its connection.
     void answerArrivedOnly();
 
+    // How the connection ended, or how it would if the process ended now.
+    ConnectionEnd end();
+
     // Whether the connection has been half-closed, and is only open until the peer has received everything.
     bool ending() const;
 
@@ -71,7 +74,7 @@
     std::uint64_t &bufferedBytes();
     bool draining() const;
     bool peerClosed();
-    std::string peerAddress() const;
+    const Endpoint &peer() const;
     void setTimeLimit(Milliseconds time);
     void watchPeer();
 
@@ -122,13 +125,13 @@
     void checkPeer();
     void peerDisconnected();
     void cancelPipeline();
-    void reportEnd();
 
     TcpChannel m_channel;
     std::shared_ptr<HttpServerState> m_state;
     // Exchanges in the order of their requests.
     std::vector<ServerExchange *> m_pipeline;
-    std::string m_peerAddress;
+    Endpoint m_peer;
+    std::string m_lastAnsweredId;
     TimePoint m_waitingSince;
     // Number of the coroutine that reads; each new one takes over.
     std::uint64_t m_reader = 0;
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -76,8 +76,8 @@
 
 void HttpServerConnection::close()
 {
-    if (!m_closed) {
-        reportEnd();
+    if (const auto &report = m_state->options.connectionEnded; report && !m_closed) {
+        report(end());
     }
     m_closed = true;
     m_channel.close();
@@ -87,17 +87,16 @@
     }
 }
 
-void HttpServerConnection::reportEnd()
+ConnectionEnd HttpServerConnection::end()
 {
-    if (const auto &report = m_state->options.connectionEnded) {
-        report({.peer = m_peerAddress,
-            .closer = !m_ending && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
-            .requestsRead = m_requestsRead,
-            .requestsAnswered = m_requestsAnswered,
-            .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
-            .unreadBytes = m_channel.unreadBytes(),
-            .discardedBytes = m_discarded});
-    }
+    return {.peer = m_peer,
+        .closer = !m_ending && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
+        .requestsRead = m_requestsRead,
+        .requestsAnswered = m_requestsAnswered,
+        .lastAnsweredId = m_lastAnsweredId,
+        .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
+        .unreadBytes = m_channel.unreadBytes(),
+        .discardedBytes = m_discarded};
 }
 
 void HttpServerConnection::endIfIdle()
--- a/src/adapters/http/serverconnection.h
+++ b/src/adapters/http/serverconnection.h
@@ -5,6 +5,9 @@
 #include "adapters/http/httpmessage.h"
 #include "adapters/http/streamresult.h"
 
+#include <cstdint>
+#include <string>
+
 namespace Galenahill {
 
 // The connection that a request arrived on, as its handler sees it.
@@ -19,6 +22,17 @@
     // The peer's IP address; empty if the peer had already disconnected when it was accepted.
     virtual std::string peerAddress() const = 0;
 
+    // The peer's port; zero if the address is empty.
+    virtual std::uint16_t peerPort() const
+    {
+        return 0;
+    }
+
+    // Gives the request an id, for the report on the connection's end.
+    virtual void setRequestId(const std::string &)
+    {
+    }
+
     // Whether the peer is reached over the VM's link. False for a peer in this process.
     virtual bool usesLink() const
     {
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -334,7 +334,22 @@
 
 std::string ServerExchange::peerAddress() const
 {
-    return m_connection.peerAddress();
+    return m_connection.peer().address;
+}
+
+std::uint16_t ServerExchange::peerPort() const
+{
+    return m_connection.peer().port;
+}
+
+void ServerExchange::setRequestId(const std::string &id)
+{
+    m_requestId = id;
+}
+
+const std::string &ServerExchange::requestId() const
+{
+    return m_requestId;
 }
 
 Cancellation &ServerExchange::cancellation()
--- a/src/adapters/http/serverexchange.h
+++ b/src/adapters/http/serverexchange.h
@@ -49,10 +49,14 @@
 
     bool peerClosed() override;
     std::string peerAddress() const override;
+    std::uint16_t peerPort() const override;
+    void setRequestId(const std::string &id) override;
     Cancellation &cancellation() override;
     BodySource *requestBody() override;
     asio::awaitable<StreamResult> sendStreamed(HttpResponse response, BodySource &rest) override;
 
+    const std::string &requestId() const;
+
     // Whether the request has been passed to the handler.
     bool started = false;
 
@@ -74,6 +78,7 @@
     MessageReader<true> m_reader;
     Cancellation m_cancellation;
     std::unique_ptr<BodySource> m_body;
+    std::string m_requestId;
     unsigned m_version = 11;
     bool m_isHead = false;
     bool m_keepAlive = true;
--- a/src/cli/calltrace.cpp
+++ b/src/cli/calltrace.cpp
@@ -22,6 +22,9 @@
 // A line that names who ended a response before it was complete.
 constexpr const char *EarlyEndEvent = "response-ended-early";
 
+// How a connection of a node's server ended.
+constexpr const char *ConnectionEndEvent = "connection-ended";
+
 std::string formatField(const nlohmann::ordered_json &value)
 {
     return value.is_string() ? value.get<std::string>() : value.dump();
@@ -43,6 +46,26 @@
     return text;
 }
 
+// Says who closed the connection first, what it carried, and what its peer did not get.
+std::string describeConnectionEnd(const nlohmann::ordered_json &line, const std::string &node, const std::string &id)
+{
+    const auto field = [&line](const char *name) { return line.contains(name) ? formatField(line.at(name)) : std::string("?"); };
+    const auto unacknowledged = line.value("unacknowledged_bytes", std::int64_t(0));
+    auto text = fmt::format("the connection of {}:{} to the {} {} ", field("peer"), field("peer_port"), field("server"), node);
+    text
+        += line.value("left_open", false) ? std::string("was open when the process ended") : fmt::format("ended, closed first by {}", field("closed_first_by"));
+    text += fmt::format(": {} requests read, {} answered", field("requests_read"), field("requests_answered"));
+    if (line.value("last_answered_id", std::string()) == id) {
+        text += ", this call the last";
+    }
+    text += unacknowledged > 0 ? fmt::format("; {} bytes sent last were not acknowledged by the peer's kernel", unacknowledged)
+                               : std::string("; the peer's kernel had acknowledged everything that was sent");
+    if (const auto unread = line.value("unread_bytes", std::int64_t(0)); unread > 0) {
+        text += fmt::format("; {} bytes of the peer were not read, so the connection was reset", unread);
+    }
+    return text;
+}
+
 std::int64_t wallClockTime(const nlohmann::ordered_json &line)
 {
     return line.value("time_ms", std::int64_t(0));
@@ -95,7 +118,9 @@
         }
         const auto node = parsed.value("node", std::string("?"));
         const auto time = timeWithoutSteps(parsed, node);
-        if (isAboutCall(parsed)) {
+        if (parsed.value("event", std::string()) == ConnectionEndEvent) {
+            m_connectionEnds.push_back({std::move(parsed), node, time});
+        } else if (isAboutCall(parsed)) {
             m_lines.push_back({std::move(parsed), node, time});
         }
     }
@@ -158,9 +183,44 @@
     return lines;
 }
 
+// The first end of the connection between the call's ingress and that port of the caller after the call. A port is
+// used again only after its connection has ended.
+const CallTrace::Line *CallTrace::connectionEndOf(const Line &call) const
+{
+    const auto port = call.fields.value("caller_port", 0);
+    const Line *first = nullptr;
+    for (const auto &end : m_connectionEnds) {
+        const bool matches = end.node == call.node && end.fields.value("server", std::string()) == "ingress" && end.fields.value("peer_port", 0) == port
+            && end.fields.value("peer", std::string()) == call.fields.value("caller", std::string()) && end.time >= call.time;
+        if (matches && (first == nullptr || end.time < first->time)) {
+            first = &end;
+        }
+    }
+    return first;
+}
+
+// Ends of connections that carried the call: those that name it, which is all that there is of a call that was
+// answered at once, and those of the callers that its lines name.
+std::vector<const CallTrace::Line *> CallTrace::connectionEnds() const
+{
+    std::vector<const Line *> ends;
+    for (const auto &end : m_connectionEnds) {
+        if (end.fields.value("last_answered_id", std::string()) == m_id) {
+            ends.push_back(&end);
+        }
+    }
+    for (const auto &line : m_lines) {
+        const auto *end = line.fields.value("caller_port", 0) > 0 ? connectionEndOf(line) : nullptr;
+        if (end != nullptr && std::find(ends.begin(), ends.end(), end) == ends.end()) {
+            ends.push_back(end);
+        }
+    }
+    return ends;
+}
+
 bool CallTrace::empty() const
 {
-    return m_lines.empty();
+    return m_lines.empty() && connectionEnds().empty();
 }
 
 std::size_t CallTrace::unreadableLines() const
@@ -174,13 +234,22 @@
     for (const auto &line : orderedLines()) {
         lines.emplace_back(line.fields);
     }
+    auto connections = nlohmann::json::array();
+    for (const auto *end : connectionEnds()) {
+        connections.emplace_back(end->fields);
+    }
     auto steps = nlohmann::json::object();
     for (const auto &[node, clock] : m_clocks) {
         if (clock.steps > 0) {
             steps[node] = clock.steps;
         }
     }
-    return {{"id", m_id}, {"lines", lines}, {"unreadable", m_unreadable}, {"clock_steps", steps}, {"clock_corrections_ms", clockCorrections()}};
+    return {{"id", m_id},
+        {"lines", lines},
+        {"connections", connections},
+        {"unreadable", m_unreadable},
+        {"clock_steps", steps},
+        {"clock_corrections_ms", clockCorrections()}};
 }
 
 std::string CallTrace::table() const
@@ -196,6 +265,9 @@
             text += "\n" + describeEarlyEnd(line.fields, line.node);
         }
     }
+    for (const auto *end : connectionEnds()) {
+        text += "\n" + describeConnectionEnd(end->fields, end->node, m_id);
+    }
     for (const auto &[node, clock] : m_clocks) {
         if (clock.steps > 0) {
             text += fmt::format("\nthe wall clock of {} stepped {} times in its log; its lines are ordered by its monotonic clock", node, clock.steps);
--- a/src/cli/calltrace.h
+++ b/src/cli/calltrace.h
@@ -24,11 +24,13 @@
     bool empty() const;
     std::size_t unreadableLines() const;
 
-    // The lines as they were logged, and the detected clock steps and differences per node.
+    // The lines as they were logged, the ends of the callers' connections, and the detected clock steps and
+    // differences per node.
     nlohmann::json json() const;
 
     // One row per line: milliseconds since the first line, node, event, and the event's other fields. Below
-    // them, who ended a response before it was complete, and what is known of the clocks.
+    // them, who ended a response before it was complete, how the callers' connections ended, and what is known
+    // of the clocks.
     std::string table() const;
 
 private:
@@ -55,9 +57,13 @@
     std::int64_t timeWithoutSteps(const nlohmann::ordered_json &line, const std::string &node);
     std::map<std::string, std::int64_t> clockCorrections() const;
     std::vector<Line> orderedLines() const;
+    std::vector<const Line *> connectionEnds() const;
+    const Line *connectionEndOf(const Line &call) const;
 
     std::string m_id;
     std::vector<Line> m_lines;
+    // The ends of all connections in the logs; which of them carried the call is known once its line is.
+    std::vector<Line> m_connectionEnds;
     std::map<std::string, NodeClock> m_clocks;
     std::size_t m_unreadable = 0;
 };
--- a/src/daemon/calls/attemptconnection.cpp
+++ b/src/daemon/calls/attemptconnection.cpp
@@ -47,6 +47,11 @@
     return m_caller.peerAddress();
 }
 
+std::uint16_t AttemptConnection::peerPort() const
+{
+    return m_caller.peerPort();
+}
+
 // Only an ingress creates this class, and passes it to the sidecar in its own process.
 bool AttemptConnection::usesLink() const
 {
--- a/src/daemon/calls/attemptconnection.h
+++ b/src/daemon/calls/attemptconnection.h
@@ -25,6 +25,7 @@
 
     bool peerClosed() override;
     std::string peerAddress() const override;
+    std::uint16_t peerPort() const override;
     bool usesLink() const override;
     Cancellation &cancellation() override;
     BodySource *requestBody() override;
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -122,6 +122,7 @@
     call.begin = Clock::now();
     const auto &idField = d->options.headerNames.requestId;
     call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
+    connection.setRequestId(call.id.value());
     if (!call.view || !call.view->config) {
         d->reportUnrouted(call, 0, "no configuration");
         co_return notRunResponse(http::status::service_unavailable, "no-configuration", "this node has no configuration yet; retry later or use another node");
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -66,8 +66,9 @@
     std::uint32_t unusedReplacements = 0;
     // Whether this is a nested call of a call that the local target was running.
     bool hasRunningParent = false;
-    // IP address of the caller.
+    // IP address and port of the caller.
     std::string caller;
+    std::uint16_t callerPort = 0;
     std::string reason;
 };
 
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -41,6 +41,7 @@
         .unusedReplacements = call.unusedReplacements,
         .hasRunningParent = call.hasRunningParent,
         .caller = call.connection.peerAddress(),
+        .callerPort = call.connection.peerPort(),
         .reason = call.reason});
 }
 
@@ -52,6 +53,7 @@
             .result = CallResult::NotRun,
             .status = status,
             .caller = call.connection.peerAddress(),
+            .callerPort = call.connection.peerPort(),
             .reason = std::move(reason)});
     }
 }
--- a/src/daemon/calls/sidecar.cpp
+++ b/src/daemon/calls/sidecar.cpp
@@ -200,6 +200,7 @@
     SlotCall call;
     call.arrived = Clock::now();
     call.id = keep->callIdOf(request);
+    connection.setRequestId(call.id);
     call.route = RouteName(std::string(request[CallHeaders::Route]));
     call.deadline = call.arrived + Milliseconds(timeoutHeader(request).value_or(0));
     call.terms = termsHeader(request);
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -225,8 +225,8 @@
         {"replacements_rejected", static_cast<double>(ingress.replacementsRejected())},
         {"replacements_unused", static_cast<double>(ingress.replacementsUnused())},
         {"responses_ended_early", static_cast<double>(ingress.responsesEndedEarly())},
-        {"connections_ended_unacknowledged", static_cast<double>(endedUnacknowledged)},
-        {"connections_ended_unread", static_cast<double>(endedUnread)},
+        {"connections_ended_unacknowledged", static_cast<double>(connectionLog.endedUnacknowledged())},
+        {"connections_ended_unread", static_cast<double>(connectionLog.endedUnread())},
         {"load_targets_known", static_cast<double>(loads.knownTargets())},
         {"load_oldest_ms", static_cast<double>(loads.oldestTargetAge(Clock::now()).count())},
         {"load_reports_dropped", static_cast<double>(loads.dropped())},
@@ -302,6 +302,7 @@
             {"replacements_rejected", call.rejectedReplacements},
             {"replacements_unused", call.unusedReplacements},
             {"caller", call.caller},
+            {"caller_port", call.callerPort},
             {"reason", call.reason}});
 }
 
@@ -317,37 +318,6 @@
     return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests();
 }
 
-// A planned stop leaves a line for each connection; at other times only one that lost something does.
-void PlatformNode::Private::connectionEnded(const char *server, const ConnectionEnd &end)
-{
-    const bool byServer = end.closer == ConnectionEnd::Closer::Server;
-    endedUnacknowledged += byServer && end.unacknowledgedBytes > 0 ? 1 : 0;
-    endedUnread += byServer && end.unreadBytes > 0 ? 1 : 0;
-    const bool lossy = byServer && !end.isClean();
-    if (stopping || lossy) {
-        log(lossy ? LogLevel::Warning : LogLevel::Info,
-            "connection-ended",
-            {{"server", server},
-                {"peer", end.peer},
-                {"closed_first_by", byServer ? "this node" : "the peer"},
-                {"requests_read", end.requestsRead},
-                {"requests_answered", end.requestsAnswered},
-                {"unacknowledged_bytes", end.unacknowledgedBytes},
-                {"unread_bytes", end.unreadBytes}});
-    }
-}
-
-// The process ends right after this, so the kernel ends these connections.
-void PlatformNode::Private::logOpenConnections()
-{
-    for (const auto &[name, server] : {std::pair("ingress", &ingressServer), std::pair("sidecar", &sidecarServer)}) {
-        const auto open = server->openConnections();
-        log(open.unacknowledgedBytes > 0 || open.unreadBytes > 0 ? LogLevel::Warning : LogLevel::Info,
-            "connections-left-open",
-            {{"server", name}, {"count", open.count}, {"unacknowledged_bytes", open.unacknowledgedBytes}, {"unread_bytes", open.unreadBytes}});
-    }
-}
-
 void PlatformNode::stop()
 {
     if (!d->stopping) {
@@ -372,6 +342,7 @@
     const auto signalled = lastTick;
     const auto end = signalled + settings.stopTimeout - StopMargin;
     stopping = true;
+    connectionLog.logAll();
     log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}, {"late_at_most_ms", std::chrono::duration_cast<Milliseconds>(begin - signalled).count()}});
     ingress.prepareToStop();
     ingressServer.closeAfterResponses();
@@ -394,7 +365,8 @@
         log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
     }
     co_await endConnections(end);
-    logOpenConnections();
+    connectionLog.leftOpen("ingress", ingressServer.openConnections());
+    connectionLog.leftOpen("sidecar", sidecarServer.openConnections());
     log(inFlight() > 0 ? LogLevel::Error : LogLevel::Info, "stopped", {{"in_flight", inFlight()}});
     context.stop();
 }
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -9,6 +9,7 @@
 #include "daemon/calls/customerlimits.h"
 #include "daemon/calls/ingress.h"
 #include "daemon/calls/sidecar.h"
+#include "daemon/connectionlog.h"
 #include "daemon/customertext.h"
 #include "daemon/fleetcontrol.h"
 #include "daemon/memberdirectory.h"
@@ -30,6 +31,7 @@
     Options options;
     PlatformNodeSettings settings;
     Logger log;
+    ConnectionLog connectionLog;
     MemberRecord self;
     std::uint64_t seed;
     const TimePoint startTime = Clock::now();
@@ -68,10 +70,6 @@
     HttpServer peerServer;
     HttpServer metricsServer;
     asio::steady_timer ticker;
-    // Connections of callers and other nodes that this node ended while the peer's kernel had not
-    // acknowledged a response, or while bytes of the peer were unread.
-    std::size_t endedUnacknowledged = 0;
-    std::size_t endedUnread = 0;
 
     HttpClient::Options clientOptions() const;
     HttpServer::Options callServerOptions(const Endpoint &endpoint, HttpServer::Handler handler) const;
@@ -111,8 +109,6 @@
     asio::awaitable<void> stopGracefully();
     asio::awaitable<void> endConnections(TimePoint until);
     std::size_t inFlight() const;
-    void connectionEnded(const char *server, const ConnectionEnd &end);
-    void logOpenConnections();
 };
 
 }
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -117,6 +117,7 @@
     , options(std::move(given))
     , settings(options.settings)
     , log(options.log)
+    , connectionLog(log)
     , self(selfRecord(settings))
     , seed(self.incarnation ^ std::hash<std::string>{}(self.address))
     , client(context, clientOptions())
@@ -171,7 +172,7 @@
     serverOptions.bufferedBodyBytes = BufferedBodyBytes;
     serverOptions.totalBufferedBytes = AllBufferedBodiesBytes;
     serverOptions.mayPipeline = [this](const HttpRequest &request) { return ingress.mayPipeline(request); };
-    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionEnded("ingress", end); };
+    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionLog.ended("ingress", end); };
     return serverOptions;
 }
 
@@ -179,7 +180,7 @@
 {
     auto serverOptions = callServerOptions(settings.sidecar, [this](auto request, auto &connection) { return sidecar.handle(std::move(request), connection); });
     serverOptions.peersWaitForContinue = true;
-    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionEnded("sidecar", end); };
+    serverOptions.connectionEnded = [this](const ConnectionEnd &end) { connectionLog.ended("sidecar", end); };
     return serverOptions;
 }
 
