autotests: Require a warning for a response that a stop did not deliver

The node's log must have connection-ended or connections-left-open as a warning, with unacknowledged_bytes above 0.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <future>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
 
@@ -206,6 +207,20 @@
         BOOST_TEST(log.str().find("\"stopped\"") != std::string::npos);
     }
 
+    // Warnings of these events in the node's log.
+    std::vector<nlohmann::json> warningsOf(std::size_t node, const std::set<std::string> &events) const
+    {
+        std::vector<nlohmann::json> warnings;
+        std::ifstream log(fleet.nodeLog(node));
+        for (std::string text; std::getline(log, text);) {
+            const auto line = nlohmann::json::parse(text, nullptr, false);
+            if (line.is_object() && line.value("level", "") == "warning" && events.count(line.value("event", "")) > 0) {
+                warnings.push_back(line);
+            }
+        }
+        return warnings;
+    }
+
     PlatformFleet fleet;
     std::vector<std::future<std::vector<Answer>>> held;
     TimePoint signalledAt;
@@ -315,6 +330,19 @@
     }
 }
 
+// Guards against a log that says nothing of a response that its caller did not receive.
+BOOST_FIXTURE_TEST_CASE(StopLogsAResponseThatWasNotReceived, Fixture)
+{
+    setServiceTime(Milliseconds(100));
+    RawClient caller(fleet.ingress(Ingress), SmallReceiveBuffer);
+    caller.send(requestText("GET", fmt::format("/bajada/1?bytes={}", PieceBytes), "unread"));
+    std::this_thread::sleep_for(Milliseconds(600));
+    signal(Ingress);
+    checkEnd(Ingress);
+    const auto warnings = warningsOf(Ingress, {"connection-ended", "connections-left-open"});
+    BOOST_TEST(std::any_of(warnings.begin(), warnings.end(), [](const auto &warning) { return warning.value("unacknowledged_bytes", std::int64_t(0)) > 0; }));
+}
+
 // Guards against a process that ends while a request body still arrives.
 BOOST_FIXTURE_TEST_CASE(StopWaitsForAnUploadThatArrives, Fixture)
 {
