--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -122,6 +122,7 @@
     call.begin = Clock::now();
     const auto &idField = d->options.headerNames.requestId;
     call.id = idField.empty() ? CallId(fmt::format("{}-{}", d->options.node.value(), d->nextCall++)) : CallId(std::string(request[idField]));
+    connection.setRequestId(call.id.value());
     if (d->callsEnded) {
         d->reportUnrouted(call, 0, "the node is stopping");
         co_return notRunResponse(http::status::service_unavailable, "stopping", "this node is stopping; send the request to another one");
