daemon: Answer uploads that pause, and count a stop from before a late signal

Shortly before the end, requests of which a part has not arrived are rejected as if their time limits had passed, and the stop is counted from the periodic work before the last one. The wait for the peers looks at least once.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -301,6 +301,36 @@
     BOOST_TEST(!(answer.notRun && hasRun));
 }
 
+// Guards against an upload that the end of the stop cuts, because its caller has paused.
+BOOST_FIXTURE_TEST_CASE(StopAnswersAnUploadThatPauses, Fixture)
+{
+    const auto header = requestText("POST", "/orden/1", "pausing", UploadPieces * PieceBytes);
+    auto running = hold({header + std::string((UploadPieces - 1) * PieceBytes, 'x')}, {"pausing"});
+    std::this_thread::sleep_for(SignalAfter);
+    signal(Ingress);
+    checkEnd(Ingress);
+    const auto answer = running.get().front();
+    BOOST_TEST(answer.status != 0);
+    BOOST_TEST(answer.complete);
+}
+
+// Guards against a stop that takes its full time from the moment at which a node without a processor reads the signal.
+BOOST_FIXTURE_TEST_CASE(StopCountsTheTimeBeforeTheSignalIsRead, Fixture)
+{
+    constexpr Milliseconds Pause{2000};
+    setServiceTime(2 * GraceTime);
+    auto running = hold({requestText("POST", "/orden/1", "running")}, {"running"});
+    std::this_thread::sleep_for(SignalAfter);
+    fleet.nodeProcess(Ingress).signal(SIGSTOP);
+    signal(Ingress);
+    std::this_thread::sleep_for(Pause);
+    fleet.nodeProcess(Ingress).signal(SIGCONT);
+    checkEnd(Ingress);
+    const auto answer = running.get().front();
+    BOOST_TEST(answer.status != 0);
+    BOOST_TEST(answer.complete);
+}
+
 // Guards against a response that the end of the stop destroys, because its caller reads slowly and has sent more.
 BOOST_FIXTURE_TEST_CASE(StopDeliversAResponseToASlowReaderThatPipelines, Fixture)
 {
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -191,6 +191,13 @@
     return d->connections.size();
 }
 
+void HttpServer::expireArriving()
+{
+    for (const auto &connection : d->connections) {
+        connection->expireArriving();
+    }
+}
+
 std::size_t HttpServer::requestsInFlight() const
 {
     return d->state->inFlight;
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -73,6 +73,10 @@
     // are still open.
     std::size_t closeIdle();
 
+    // Rejects the requests of which a part has not arrived yet, as if their time limits had passed. A handler that reads
+    // such a body gets an error.
+    void expireArriving();
+
     // Requests being handled.
     std::size_t requestsInFlight() const;
 
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -51,6 +51,9 @@
     // that stops: a peer that sends on without a pause would never see the end of its connection.
     void answerArrivedOnly();
 
+    // Ends the wait for the rest of a request of which a part has arrived.
+    void expireArriving();
+
     // How the connection ended, or how it would if the process ended now.
     ConnectionEnd end();
 
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -104,6 +104,16 @@
     m_answerUpTo = m_channel.received - m_channel.buffer.size() + m_channel.unreadBytes();
 }
 
+void HttpServerConnection::expireArriving()
+{
+    const bool arrives = m_reading == Reading::Request || (!m_pipeline.empty() && !m_pipeline.back()->noBytesPending());
+    if (arrives && !m_ending) {
+        m_watching = false;
+        m_limitsSending = false;
+        m_channel.deadline.set(Clock::now());
+    }
+}
+
 bool HttpServerConnection::ending() const
 {
     return m_ending;
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -6,6 +6,7 @@
 #include "daemon/platformnode_p.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Galenahill {
 
@@ -82,7 +83,7 @@
 asio::awaitable<void> PlatformNode::Private::tick()
 {
     for (;;) {
-        lastTick = Clock::now();
+        previousTick = std::exchange(lastTick, Clock::now());
         checkClock();
         trimConnections();
         fleet.tick();
@@ -330,17 +331,18 @@
 asio::awaitable<void> PlatformNode::Private::endConnections(TimePoint end)
 {
     sidecarServer.drain();
-    while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < end) {
+    do {
         // Requests may still arrive on connections that were not idle when the server was drained.
         if (Clock::now() >= end - FinalAnswerTime) {
             endCalls();
         }
         co_await sleepFor(context, StopCheckInterval);
-    }
+    } while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < end);
 }
 
 void PlatformNode::Private::endCalls()
 {
+    ingressServer.expireArriving();
     const auto ended = ingress.endCalls();
     if (ended > 0) {
         log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
@@ -350,8 +352,9 @@
 asio::awaitable<void> PlatformNode::Private::stopGracefully()
 {
     const auto begin = Clock::now();
-    // On a busy VM the signal may have waited since the node last had the processor.
-    const auto signalled = lastTick;
+    // On a busy VM the signal may have waited since the node last had the processor; the periodic work that was
+    // due then may have come first.
+    const auto signalled = previousTick;
     const auto end = signalled + settings.stopTimeout - StopMargin;
     stopping = true;
     connectionLog.logAll();
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -39,8 +39,9 @@
     bool wasReady = false;
     ClockStepDetector clockStepDetector;
     TimePoint lastTrim;
-    // When the node last handled its periodic work.
+    // When the node handled its periodic work, the last time and the time before.
     TimePoint lastTick = Clock::now();
+    TimePoint previousTick = lastTick;
     std::shared_ptr<NodeState> state = std::make_shared<NodeState>();
     ServiceLevelMetrics metrics;
     CustomerCounters customers;
