node: Log the ends of connections in the INI node

galenahilld logged nothing when a connection ended, so that a response that a stop did not deliver left no trace. It now uses ConnectionLog as galenahillnode does: all ends from the drain on, and what is open when the stop is over.

--- a/autotests/processes/nodestoptest.cpp
+++ b/autotests/processes/nodestoptest.cpp
@@ -6,6 +6,9 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 using namespace Galenahill;
@@ -78,3 +81,17 @@
     BOOST_TEST(caller.readTo("\r\n").find("200 OK") != std::string::npos);
     BOOST_TEST(fleet.nodeProcess(0)->wait() == 0);
 }
+
+// Guards against a log that doesn't tell what a connection carried that ended in a stop.
+BOOST_FIXTURE_TEST_CASE(StopLogsTheEndsOfConnections, Fixture)
+{
+    RawClient caller(fleet.ingress(0));
+    caller.send(requestHeader(1) + "x");
+    BOOST_TEST(caller.readTo("\r\n").find("200 OK") != std::string::npos);
+    fleet.nodeProcess(0)->signal(SIGTERM);
+    BOOST_TEST(fleet.nodeProcess(0)->wait() == 0);
+    std::ifstream file(programs() + "/nodestop/rosario-a-0.log");
+    const std::string log(std::istreambuf_iterator<char>(file), {});
+    BOOST_TEST(log.find(R"("event":"connection-ended","server":"ingress")") != std::string::npos);
+    BOOST_TEST(log.find(R"("event":"connections-left-open","server":"ingress","count":0)") != std::string::npos);
+}
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -6,9 +6,11 @@
 #include "adapters/http/httpserver.h"
 #include "adapters/platform/budgetedstore.h"
 #include "adapters/udp/datagramsocket.h"
+#include "daemon/actorsystemconfig.h"
 #include "daemon/calls/customerlimits.h"
 #include "daemon/calls/ingress.h"
 #include "daemon/calls/sidecar.h"
+#include "daemon/connectionlog.h"
 #include "daemon/contactmaintainer.h"
 #include "daemon/controlactor.h"
 #include "daemon/controlmessages.h"
@@ -21,7 +23,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 #include <caf/actor_system.hpp>
-#include <caf/actor_system_config.hpp>
 #include <caf/blocking_actor.hpp>
 #include <caf/send.hpp>
 #include <future>
@@ -74,19 +75,6 @@
     return static_cast<std::uint64_t>(header.tellp()) + message.body().size();
 }
 
-class ActorSystemConfig : public caf::actor_system_config
-{
-public:
-    ActorSystemConfig()
-    {
-        // The default scheduler wakes up hundreds of times a second when idle; the
-        // budget of the control plane is 2% of a core.
-        set("scheduler.policy", caf::atom("sharing"));
-        set("scheduler.max-threads", 2);
-        set("logger.verbosity", caf::atom("quiet"));
-    }
-};
-
 }
 
 class Node::Private
@@ -95,6 +83,7 @@
     explicit Private(Options options)
         : settings(std::move(options.settings))
         , log(std::move(options.log))
+        , connectionLog(log)
         , state(std::make_shared<NodeState>())
         , self(selfRecord())
         , store(std::move(options.openStore))
@@ -160,18 +149,22 @@
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return ingress.handle(std::move(request), connection); },
                   .limits = {.bodyBytes = MaxCallBodyBytes},
                   .streamBodies = true,
-                  .mayPipeline = [this](const HttpRequest &request) { return ingress.mayPipeline(request); }})
+                  .mayPipeline = [this](const HttpRequest &request) { return ingress.mayPipeline(request); },
+                  .connectionEnded = [this](const ConnectionEnd &end) { connectionLog.ended("ingress", end); }})
         , sidecarServer(dataContext,
               {.endpoint = self.sidecar(),
                   .handler = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
                   .limits = {.bodyBytes = MaxCallBodyBytes},
                   .streamBodies = true,
-                  .peersWaitForContinue = true})
+                  .peersWaitForContinue = true,
+                  .connectionEnded = [this](const ConnectionEnd &end) { connectionLog.ended("sidecar", end); }})
     {
     }
 
     NodeSettings settings;
     Logger log;
+    // Used on the data thread.
+    ConnectionLog connectionLog;
     std::shared_ptr<NodeState> state;
     MemberRecord self;
     ServiceLevelMetrics metrics;
@@ -472,6 +465,7 @@
     d->sendToControl(LeaveFleet{});
     std::this_thread::sleep_for(AnnounceTime);
     d->onDataThread([this] {
+        d->connectionLog.logAll();
         d->sidecar.drain();
         d->ingressServer.drain();
         return 0;
@@ -484,6 +478,11 @@
     });
     d->waitForCalls();
     d->waitForNone(DeliveryTime, [this] { return d->ingressServer.closeIdle() + d->sidecarServer.closeIdle(); });
+    d->onDataThread([this] {
+        d->connectionLog.leftOpen("ingress", d->ingressServer.openConnections());
+        d->connectionLog.leftOpen("sidecar", d->sidecarServer.openConnections());
+        return 0;
+    });
     d->state->stopping = true;
     d->store.stop();
     d->controlService.stop();
