http, daemon: Mend what a review of the planned stop found

A reviewer who had not seen the work found, each shown by a test or by reading: ends of idle connections that discarded a request were reported as clean, and a caller that left in the middle of a response as left by the server; a shortage of descriptors dropped the rest of the backlog; an idle time limit that passed while an idle connection was being ended closed it at once; and nothing failed without the bound on what is still answered (answerArrivedOnly) or without the wait for the peers at the end of the process.

The report on a connection's end says whether the close was announced and how many bytes were discarded; a failed connection counts as ended by the peer; the backlog is accepted after an eviction. AnswersOnlyWhatHasArrivedOnceItStops and a check of connections-left-open cover the two gaps. CallServers holds what both nodes do with their servers in a stop.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -201,10 +201,15 @@
     {
         BOOST_TEST(fleet.nodeProcess(node).wait() == 0);
         BOOST_TEST((Clock::now() - signalledAt < GraceTime));
+        BOOST_TEST(logOf(node).find("\"stopped\"") != std::string::npos);
+    }
+
+    std::string logOf(std::size_t node) const
+    {
         std::ifstream file(fleet.nodeLog(node));
         std::stringstream log;
         log << file.rdbuf();
-        BOOST_TEST(log.str().find("\"stopped\"") != std::string::npos);
+        return log.str();
     }
 
     // Warnings of these events in the node's log.
@@ -346,6 +351,7 @@
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(answer.complete);
     checkEnd(Ingress);
+    BOOST_TEST(logOf(Ingress).find("\"connections-left-open\",\"server\":\"ingress\",\"count\":0,") != std::string::npos);
 }
 
 // Guards against a caller that keeps its pipeline filled: it must see an orderly end of its connection, and an answer
--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -198,7 +198,7 @@
         it.drain();
         return 0;
     });
-    BOOST_TEST(!caller->readTo("\r\n\r\n").empty());
+    BOOST_TEST(receives(*caller, SmallBody));
 }
 
 // Guards against a connection that the server has accepted, and drops because it has stopped listening before the accept
@@ -222,3 +222,63 @@
     const auto answered = std::count_if(callers.begin(), callers.end(), [](const auto &caller) { return receives(*caller, SmallBody); });
     BOOST_TEST(answered == Callers);
 }
+
+// Guards against a stop that a caller prolongs by sending on: it answers what has arrived when it begins, and no more.
+BOOST_FIXTURE_TEST_CASE(AnswersOnlyWhatHasArrivedOnceItStops, Fixture)
+{
+    RawClient caller(ServerEndpoint);
+    caller.send(get(1) + get(1) + get(1));
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.requestsInFlight() == 3; }));
+    server.invoke([&](HttpServer &it) {
+        it.drain();
+        caller.send(get(1) + get(1));
+        return 0;
+    });
+    const auto responses = caller.readToEnd();
+    BOOST_REQUIRE(responses.has_value());
+    std::size_t count = 0;
+    for (auto at = responses->find("HTTP/1.1 "); at != std::string::npos; at = responses->find("HTTP/1.1 ", at + 1)) {
+        ++count;
+    }
+    BOOST_TEST(count == 3U);
+    BOOST_TEST(responses->find("Connection: close") != std::string::npos);
+}
+
+// Guards against an end that is reported as clean although a request had no answer.
+BOOST_AUTO_TEST_CASE(ReportsARequestThatTheEndOfAnIdleConnectionDiscards)
+{
+    std::vector<ConnectionEnd> ends;
+    RunningServer server(HttpServer::Options{.endpoint = ServerEndpoint,
+        .handler = [](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> { co_return makeResponse(http::status::ok, "text/plain", "x"); },
+        .connectionEnded = [&](const ConnectionEnd &end) { ends.push_back(end); }});
+    RawClient caller(ServerEndpoint);
+    caller.send(get(1));
+    BOOST_TEST(Fixture::receives(caller, 1));
+    server.invoke([](HttpServer &it) { return it.closeIdle(); });
+    std::this_thread::sleep_for(Milliseconds(20));
+    caller.send(get(1));
+    BOOST_TEST(caller.readTo("\r\n\r\n").empty());
+    caller.close();
+    BOOST_TEST(server.waitUntil([&](HttpServer &) { return !ends.empty(); }));
+    BOOST_REQUIRE(!ends.empty());
+    BOOST_TEST(!ends.front().isClean());
+}
+
+// Guards against a caller that leaves in the middle of a response and is reported as left by the server.
+BOOST_AUTO_TEST_CASE(ReportsThatThePeerClosedInTheMiddleOfAResponse)
+{
+    std::vector<ConnectionEnd> ends;
+    RunningServer server(HttpServer::Options{.endpoint = ServerEndpoint,
+        .handler = [](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> {
+            co_return makeResponse(http::status::ok, "text/plain", std::string(32 * 1024 * 1024, 'x'));
+        },
+        .connectionEnded = [&](const ConnectionEnd &end) { ends.push_back(end); }});
+    {
+        RawClient caller(ServerEndpoint, SmallReceiveBuffer);
+        caller.send(get(1));
+        std::this_thread::sleep_for(Milliseconds(200));
+    }
+    BOOST_TEST(server.waitUntil([&](HttpServer &) { return !ends.empty(); }));
+    BOOST_REQUIRE(!ends.empty());
+    BOOST_TEST((ends.front().closer == ConnectionEnd::Closer::Peer));
+}
--- a/src/adapters/http/connectionend.h
+++ b/src/adapters/http/connectionend.h
@@ -29,16 +29,18 @@
     std::size_t unacknowledgedBytes = 0;
     // Bytes of the peer that nothing has read. The kernel resets a connection that is closed with such bytes.
     std::size_t unreadBytes = 0;
-    // Bytes of the peer that were discarded after the last response, such as further requests. The peer was informed by
-    // Connection: close, or by the end of an idle connection, that they have no effect.
+    // Bytes of the peer that were discarded after the server had half-closed the connection, such as further requests.
     std::size_t discardedBytes = 0;
+    // Whether the last response said Connection: close, so that the peer knows that further requests have no effect.
+    bool closeAnnounced = false;
     // Whether the connection is still open, and is ended by the end of the process.
     bool leftOpen = false;
 
-    // Whether every response was acknowledged and nothing was left unread.
+    // Whether every response was acknowledged, and no request was left without one unannounced.
     bool isClean() const
     {
-        return unacknowledgedBytes == 0 && unreadBytes == 0 && requestsAnswered == requestsRead;
+        const bool noneDiscarded = discardedBytes == 0 || closeAnnounced;
+        return unacknowledgedBytes == 0 && unreadBytes == 0 && noneDiscarded && requestsAnswered == requestsRead;
     }
 };
 
--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -116,11 +116,13 @@
 {
     ErrorCode error;
     acceptor.non_blocking(true, error);
-    while (!error) {
+    for (;;) {
         Tcp::socket socket(context);
         acceptor.accept(socket, error);
         if (!error) {
             admit(std::move(socket));
+        } else if (error == asio::error::would_block || !evictWaitingConnection()) {
+            return;
         }
     }
 }
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -208,7 +208,7 @@
 // Whether the error ends a wait for a request in which nothing has arrived, as opposed to the connection.
 bool HttpServerConnection::endsIdle(const ErrorCode &error) const
 {
-    return m_pipeline.empty() && error == (m_endsIfIdle ? asio::error::operation_aborted : asio::error::timed_out);
+    return m_pipeline.empty() && (error == asio::error::timed_out || (m_endsIfIdle && error == asio::error::operation_aborted));
 }
 
 asio::awaitable<bool> HttpServerConnection::serveRequest()
@@ -323,6 +323,7 @@
 void HttpServerConnection::closeAfterResponse()
 {
     m_closesAfterResponse = true;
+    m_closeAnnounced = true;
 }
 
 void HttpServerConnection::resetAfterResponse()
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -151,6 +151,8 @@
     SendTimeLimit m_sendLimit;
     bool m_peerDisconnected = false;
     bool m_closesAfterResponse = false;
+    // Whether a response said Connection: close.
+    bool m_closeAnnounced = false;
     // Whether requests that are read from now on are answered without being handled.
     bool m_rejectsRequests = false;
     bool m_endsWithReset = false;
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -12,6 +12,9 @@
     if (m_closed) {
         co_return;
     }
+    if (!m_ending && m_channel.hasFailed()) {
+        peerDisconnected();
+    }
     if (m_endsWithReset || (m_peerDisconnected && (m_channel.unacknowledgedBytes() == 0 || m_channel.hasFailed()))) {
         close();
         co_return;
--- a/src/daemon/connectionlog.cpp
+++ b/src/daemon/connectionlog.cpp
@@ -52,7 +52,9 @@
             {"requests_answered", end.requestsAnswered},
             {"last_answered_id", end.lastAnsweredId},
             {"unacknowledged_bytes", end.unacknowledgedBytes},
-            {"unread_bytes", end.unreadBytes}});
+            {"unread_bytes", end.unreadBytes},
+            {"discarded_bytes", end.discardedBytes},
+            {"close_announced", end.closeAnnounced}});
 }
 
 std::size_t ConnectionLog::endedUnacknowledged() const
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,7 +10,7 @@
 #include "daemon/calls/customerlimits.h"
 #include "daemon/calls/ingress.h"
 #include "daemon/calls/sidecar.h"
-#include "daemon/connectionlog.h"
+#include "daemon/callservers.h"
 #include "daemon/contactmaintainer.h"
 #include "daemon/controlactor.h"
 #include "daemon/controlmessages.h"
@@ -83,7 +83,6 @@
     explicit Private(Options options)
         : settings(std::move(options.settings))
         , log(std::move(options.log))
-        , connectionLog(log)
         , state(std::make_shared<NodeState>())
         , self(selfRecord())
         , store(std::move(options.openStore))
@@ -164,7 +163,7 @@
     NodeSettings settings;
     Logger log;
     // Used on the data thread.
-    ConnectionLog connectionLog;
+    ConnectionLog connectionLog{log};
     std::shared_ptr<NodeState> state;
     MemberRecord self;
     ServiceLevelMetrics metrics;
@@ -190,6 +189,7 @@
     Sidecar sidecar;
     HttpServer ingressServer;
     HttpServer sidecarServer;
+    CallServers callServers{ingressServer, sidecarServer, ingress, connectionLog};
 
     ActorSystemConfig systemConfig;
     std::unique_ptr<caf::actor_system> system;
@@ -452,10 +452,10 @@
 
 void Node::Private::waitForCalls()
 {
-    const auto left = waitForNone(settings.drainTimeout, [this] { return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests(); });
+    const auto left = waitForNone(settings.drainTimeout, [this] { return callServers.unansweredRequests(); });
     if (left > 0) {
         log(LogLevel::Error, "drain-timeout", {{"in_flight", left}});
-        onDataThread([this] { return ingress.endCalls(); });
+        onDataThread([this] { return callServers.endCalls(); });
     }
 }
 
@@ -474,23 +474,16 @@
     d->waitForCalls();
     d->onDataThread([this] {
         d->sidecarServer.drain();
-        return d->ingressServer.closeIdle();
+        return d->callServers.closeIdle();
     });
     d->waitForCalls();
-    const auto endConnections = [this] { return d->ingressServer.closeIdle() + d->sidecarServer.closeIdle(); };
+    const auto endConnections = [this] { return d->callServers.closeIdle(); };
     if (d->waitForNone(DeliveryTime, endConnections) > 0) {
         // Requests may have arrived since on connections that were not idle when the server was drained.
-        d->onDataThread([this] {
-            d->ingressServer.expireArriving();
-            return d->ingress.endCalls();
-        });
+        d->onDataThread([this] { return d->callServers.endCalls(); });
         d->waitForNone(LingerTime, endConnections);
     }
-    d->onDataThread([this] {
-        d->connectionLog.leftOpen("ingress", d->ingressServer.openConnections());
-        d->connectionLog.leftOpen("sidecar", d->sidecarServer.openConnections());
-        return 0;
-    });
+    d->onDataThread([this] { return d->callServers.logOpenConnections(); });
     d->state->stopping = true;
     d->store.stop();
     d->controlService.stop();
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -316,7 +316,7 @@
 
 std::size_t PlatformNode::Private::inFlight() const
 {
-    return ingressServer.unansweredRequests() + sidecarServer.unansweredRequests();
+    return callServers.unansweredRequests();
 }
 
 void PlatformNode::stop()
@@ -337,13 +337,12 @@
             endCalls();
         }
         co_await sleepFor(context, StopCheckInterval);
-    } while (ingressServer.closeIdle() + sidecarServer.closeIdle() > 0 && Clock::now() < end);
+    } while (callServers.closeIdle() > 0 && Clock::now() < end);
 }
 
 void PlatformNode::Private::endCalls()
 {
-    ingressServer.expireArriving();
-    const auto ended = ingress.endCalls();
+    const auto ended = callServers.endCalls();
     if (ended > 0) {
         log(LogLevel::Warning, "calls-ended", {{"count", ended}, {"in_flight", inFlight()}});
     }
@@ -376,8 +375,7 @@
         co_await sleepFor(context, StopCheckInterval);
     }
     co_await endConnections(end);
-    connectionLog.leftOpen("ingress", ingressServer.openConnections());
-    connectionLog.leftOpen("sidecar", sidecarServer.openConnections());
+    callServers.logOpenConnections();
     log(inFlight() > 0 ? LogLevel::Error : LogLevel::Info, "stopped", {{"in_flight", inFlight()}});
     context.stop();
 }
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -9,7 +9,7 @@
 #include "daemon/calls/customerlimits.h"
 #include "daemon/calls/ingress.h"
 #include "daemon/calls/sidecar.h"
-#include "daemon/connectionlog.h"
+#include "daemon/callservers.h"
 #include "daemon/customertext.h"
 #include "daemon/fleetcontrol.h"
 #include "daemon/memberdirectory.h"
@@ -66,6 +66,7 @@
     MemberDirectory directory;
     HttpServer ingressServer;
     HttpServer sidecarServer;
+    CallServers callServers{ingressServer, sidecarServer, ingress, connectionLog};
     HttpServer registrationServer;
     HttpServer readinessServer;
     HttpServer peerServer;
