ingress: Don't access the ingress when its context destroys a call

A call removed itself from the running calls of its ingress when its coroutine was destroyed. A context that still holds calls outlives the ingress in tests and when the INI node ends, so that this wrote to freed memory.

The set of running calls is shared by the ingress and its calls now.

--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -20,27 +20,27 @@
     return std::any_of(targets.begin(), targets.end(), [](const MemberRecord &target) { return target.linkMbps > 0; });
 }
 
-// Lists the call among the running ones while in scope.
+// Lists the call among the running ones while in scope. The context of a call may outlive its ingress.
 class RunningEntry
 {
 public:
-    RunningEntry(std::unordered_set<IngressCall *> &running, IngressCall &call)
-        : m_running(running)
+    RunningEntry(std::shared_ptr<RunningCallSet> running, IngressCall &call)
+        : m_running(std::move(running))
         , m_call(call)
     {
-        m_running.insert(&m_call);
+        m_running->insert(&m_call);
     }
 
     ~RunningEntry()
     {
-        m_running.erase(&m_call);
+        m_running->erase(&m_call);
     }
 
     RunningEntry(const RunningEntry &) = delete;
     RunningEntry &operator=(const RunningEntry &) = delete;
 
 private:
-    std::unordered_set<IngressCall *> &m_running;
+    std::shared_ptr<RunningCallSet> m_running;
     IngressCall &m_call;
 };
 
@@ -190,7 +190,7 @@
 std::size_t Ingress::endCalls()
 {
     d->callsEnded = true;
-    const auto calls = std::vector(d->running.begin(), d->running.end());
+    const auto calls = std::vector(d->running->begin(), d->running->end());
     return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [this](auto *call) { return d->endForStop(*call); }));
 }
 
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -16,6 +16,8 @@
 
 namespace Galenahill {
 
+using RunningCallSet = std::unordered_set<IngressCall *>;
+
 // The steps of a call in the ingress: ingress.cpp accepts it, ingressidentify.cpp
 // identifies the caller, ingressadmission.cpp admits it,
 // ingressrouting.cpp selects targets, ingressattempt.cpp sends it to one of them,
@@ -67,7 +69,7 @@
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
     // Calls that have a route and are not answered yet.
-    std::unordered_set<IngressCall *> running;
+    std::shared_ptr<RunningCallSet> running = std::make_shared<RunningCallSet>();
     bool callsEnded = false;
 
     void assignVersion(IngressCall &call);
