--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -282,3 +282,18 @@
     BOOST_REQUIRE(!ends.empty());
     BOOST_TEST((ends.front().closer == ConnectionEnd::Closer::Peer));
 }
+
+// Guards against a caller that has just connected, and whose request meets the end of its connection.
+BOOST_FIXTURE_TEST_CASE(AnswersTheFirstRequestOfANewConnectionWhileItStops, Fixture)
+{
+    RawClient caller(ServerEndpoint);
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.connections() == 1; }));
+    server.invoke([](HttpServer &it) {
+        it.drain();
+        return it.closeIdle();
+    });
+    std::this_thread::sleep_for(Milliseconds(20));
+    caller.send(get(SmallBody));
+    BOOST_TEST(receives(caller, SmallBody));
+    BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.closeIdle() == 0; }));
+}
--- a/src/adapters/http/httpserver.h
+++ b/src/adapters/http/httpserver.h
@@ -69,8 +69,8 @@
     // other requests is discarded. Connections without a request stay open until closeIdle() is called.
     void drain();
 
-    // Ends the connections on which no part of a request has arrived. Returns the number of connections that
-    // are still open.
+    // Ends the connections on which no part of a request has arrived, but for those that were accepted less than 300 ms
+    // ago and have carried no request. Returns the number of connections that are still open.
     std::size_t closeIdle();
 
     // Rejects the requests of which a part has not arrived yet, as if their time limits had passed. A handler that reads
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -5,6 +5,13 @@
 
 namespace Galenahill {
 
+namespace {
+
+// Time for the first request to arrive on a new connection, whose caller is about to send it.
+constexpr Milliseconds NewConnectionTime{300};
+
+}
+
 // Ends the connection so that the peer gets all that was sent. If another coroutine is reading, that one
 // reads until the peer closes. A peer that has half-closed the connection may still receive.
 asio::awaitable<void> HttpServerConnection::finish()
@@ -100,7 +107,8 @@
 
 void HttpServerConnection::endIfIdle()
 {
-    if (m_pipeline.empty() && m_reading == Reading::Idle && !m_ending) {
+    const bool isNew = m_requestsRead == 0 && Clock::now() - m_waitingSince < NewConnectionTime;
+    if (m_pipeline.empty() && m_reading == Reading::Idle && !m_ending && !isNew) {
         m_endsIfIdle = true;
         m_channel.abort();
     }
