node: Reject calls that arrive while the INI node waits for its peers

The INI node ended calls only after the time for the delivery, and then waited once more. Calls have ended by themselves or have been ended when that time begins, so that it rejects or ends what arrives from then on, in each step.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -483,12 +483,7 @@
         return d->ingressServer.closeIdle();
     });
     d->waitForCalls();
-    const auto endConnections = [this] { return d->ingressServer.closeIdle() + d->sidecarServer.closeIdle(); };
-    if (d->waitForNone(DeliveryTime, endConnections) > 0) {
-        // Requests may have arrived since on connections that were not idle when the server was drained.
-        d->onDataThread([this] { return d->ingress.endCalls(); });
-        d->waitForNone(LingerTime, endConnections);
-    }
+    d->waitForNone(DeliveryTime, [this] { return d->ingress.endCalls() + d->ingressServer.closeIdle() + d->sidecarServer.closeIdle(); });
     d->state->stopping = true;
     d->store.stop();
     d->controlService.stop();
