--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -477,12 +477,7 @@
         return d->callServers.closeIdle();
     });
     d->waitForCalls();
-    const auto endConnections = [this] { return d->callServers.closeIdle(); };
-    if (d->waitForNone(DeliveryTime, endConnections) > 0) {
-        // Requests may have arrived since on connections that were not idle when the server was drained.
-        d->onDataThread([this] { return d->callServers.endCalls(); });
-        d->waitForNone(LingerTime, endConnections);
-    }
+    d->waitForNone(DeliveryTime, [this] { return d->callServers.endCalls() + d->callServers.closeIdle(); });
     d->onDataThread([this] { return d->callServers.logOpenConnections(); });
     d->state->stopping = true;
     d->store.stop();
