--- a/autotests/unit/peersilencetest.cpp
+++ b/autotests/unit/peersilencetest.cpp
@@ -88,9 +88,8 @@
 // Guards against taking the time in which this process had no processor for silence of the peer.
 BOOST_AUTO_TEST_CASE(TimeBeforeALateCheckIsNoLoss)
 {
-    const auto snapshot = [](int time) {
-        return TcpSnapshot{.at = at(time), .unackedSegments = 1, .retransmissions = 1, .lastSent = at(200), .lastReceived = at(-5)};
-    };
+    const auto snapshot
+        = [](int time) { return TcpSnapshot{.at = at(time), .unackedSegments = 1, .retransmissions = 1, .lastSent = at(200), .lastReceived = at(-5)}; };
     PeerSilence silence;
     silence.update(snapshot(300));
     silence.update(snapshot(2300));
@@ -104,7 +103,8 @@
 // Guards against ending a connection before the answer to a second probe or retransmission can have arrived.
 BOOST_AUTO_TEST_CASE(RepetitionThatWasJustSentIsNoLoss)
 {
-    BOOST_TEST(lostAt(1000, [](int time) { return TcpSnapshot{.unansweredProbes = time < 1000 ? 1U : 2U, .lastSent = at(-10), .lastReceived = at(-5)}; }) == -1);
+    BOOST_TEST(
+        lostAt(1000, [](int time) { return TcpSnapshot{.unansweredProbes = time < 1000 ? 1U : 2U, .lastSent = at(-10), .lastReceived = at(-5)}; }) == -1);
     BOOST_TEST(lostAt(700, [](int time) {
         const auto retransmissions = time < 200 ? 0U : time < 700 ? 1U : 2U;
         return TcpSnapshot{.unackedSegments = 1, .retransmissions = retransmissions, .lastSent = at(time < 700 ? 200 : 690), .lastReceived = at(-5)};
