http: Let a pausing upload's time limit pass once

The report of a connection's end lacked whether the close was announced: ReportsDiscardedRequestsBehindAnAnnouncedEndAsClean.

--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -297,3 +297,22 @@
     BOOST_TEST(receives(caller, SmallBody));
     BOOST_TEST(server.waitUntil([](HttpServer &it) { return it.closeIdle() == 0; }));
 }
+
+// Guards against warnings about requests that a caller sends behind a response with Connection: close.
+BOOST_AUTO_TEST_CASE(ReportsDiscardedRequestsBehindAnAnnouncedEndAsClean)
+{
+    std::vector<ConnectionEnd> ends;
+    RunningServer server(HttpServer::Options{.endpoint = ServerEndpoint,
+        .handler = [](HttpRequest, ServerConnection &) -> asio::awaitable<HttpResponse> { co_return makeResponse(http::status::ok, "text/plain", "x"); },
+        .connectionEnded = [&](const ConnectionEnd &end) { ends.push_back(end); }});
+    RawClient caller(ServerEndpoint);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(Fixture::receives(caller, 1));
+    caller.send(get(1));
+    std::this_thread::sleep_for(Milliseconds(20));
+    caller.close();
+    BOOST_TEST(server.waitUntil([&](HttpServer &) { return !ends.empty(); }));
+    BOOST_REQUIRE(!ends.empty());
+    BOOST_TEST(ends.front().discardedBytes == get(1).size());
+    BOOST_TEST(ends.front().isClean());
+}
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -161,6 +161,7 @@
     // Whether a coroutine discards what the peer sends after the half-close.
     bool m_discarding = false;
     bool m_endsIfIdle = false;
+    bool m_arrivalExpired = false;
     std::size_t m_discarded = 0;
     // Number of the received byte from which on requests are not answered; no limit if not set.
     std::optional<std::uint64_t> m_answerUpTo;
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -102,7 +102,8 @@
         .lastAnsweredId = m_lastAnsweredId,
         .unacknowledgedBytes = m_channel.unacknowledgedBytes(),
         .unreadBytes = m_channel.unreadBytes(),
-        .discardedBytes = m_discarded};
+        .discardedBytes = m_discarded,
+        .closeAnnounced = m_closeAnnounced};
 }
 
 void HttpServerConnection::endIfIdle()
@@ -122,7 +123,8 @@
 void HttpServerConnection::expireArriving()
 {
     const bool arrives = m_reading == Reading::Request || (!m_pipeline.empty() && !m_pipeline.back()->noBytesPending());
-    if (arrives && !m_ending) {
+    // Setting the deadline again would hide that it has passed from the read that it ends.
+    if (arrives && !m_ending && !std::exchange(m_arrivalExpired, true)) {
         m_watching = false;
         m_limitsSending = false;
         m_channel.deadline.set(Clock::now());
