http: Name the steps of a connection's end apart

A reader met three meanings of end: the half-close, the report, and the whole. halfClose(), endGracefully() and limitToArrivedRequests() say which; an unused accessor goes. No change of behaviour; orderlyclosetest, pipeliningtest and httpservertest pass.

--- a/src/adapters/http/httpserver.cpp
+++ b/src/adapters/http/httpserver.cpp
@@ -105,7 +105,7 @@
     connections.insert(connection);
     sweeper.watch(connection->deadline());
     if (state->stopped) {
-        connection->answerArrivedOnly();
+        connection->limitToArrivedRequests();
     }
     asio::co_spawn(context, serve(std::move(connection)), asio::detached);
 }
@@ -181,7 +181,7 @@
     ErrorCode ignored;
     d->acceptor.close(ignored);
     for (const auto &connection : d->connections) {
-        connection->answerArrivedOnly();
+        connection->limitToArrivedRequests();
     }
 }
 
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -106,7 +106,7 @@
             open = co_await waitForRequest();
         }
     }
-    co_await finish();
+    co_await endGracefully();
 }
 
 Deadline &HttpServerConnection::deadline()
@@ -192,17 +192,17 @@
     m_channel.releaseBuffer();
     auto error = co_await m_channel.readMore();
     // A request may have arrived in the meantime.
-    while (endsIdle(error) && !m_ending && m_channel.readable()) {
+    while (endsIdle(error) && !m_halfClosed && m_channel.readable()) {
         m_endsIfIdle = false;
         setTimeLimit(m_state->options.limits.idleTimeout);
         error = co_await m_channel.readMore();
     }
     m_reading = Reading::Nothing;
-    if (error && !m_ending && !endsIdle(error)) {
+    if (error && !m_halfClosed && !endsIdle(error)) {
         peerDisconnected();
     }
     m_endsIfIdle = false;
-    co_return !error && !m_ending;
+    co_return !error && !m_halfClosed;
 }
 
 // Whether the error ends a wait for a request in which nothing has arrived, as opposed to the connection.
@@ -223,7 +223,7 @@
     auto requestError = co_await exchange.readHeader(request);
     m_reading = Reading::Nothing;
     if (m_closesAfterResponse) {
-        co_return !m_ending;
+        co_return !m_halfClosed;
     }
     if (requestError && requestError->status == http::status::unknown) {
         peerDisconnected();
@@ -307,17 +307,17 @@
 
 bool HttpServerConnection::isFirst(const ServerExchange &exchange) const
 {
-    return !m_closed && !m_ending && m_pipeline.front() == &exchange;
+    return !m_closed && !m_halfClosed && m_pipeline.front() == &exchange;
 }
 
 asio::awaitable<bool> HttpServerConnection::waitTurn(ServerExchange &exchange)
 {
-    while (m_pipeline.front() != &exchange && !m_closed && !m_ending) {
+    while (m_pipeline.front() != &exchange && !m_closed && !m_halfClosed) {
         exchange.turn.emplace(co_await asio::this_coro::executor, TimePoint::max());
         ErrorCode ignored;
         co_await exchange.turn->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return !m_closed && !m_ending;
+    co_return !m_closed && !m_halfClosed;
 }
 
 void HttpServerConnection::closeAfterResponse()
@@ -347,7 +347,7 @@
 void HttpServerConnection::removeFromPipeline(ServerExchange &exchange)
 {
     m_pipeline.erase(std::find(m_pipeline.begin(), m_pipeline.end(), &exchange));
-    if (m_closed || m_ending) {
+    if (m_closed || m_halfClosed) {
         return;
     }
     if (!m_pipeline.empty()) {
--- a/src/adapters/http/httpserverconnection.h
+++ b/src/adapters/http/httpserverconnection.h
@@ -49,7 +49,7 @@
 
     // Bounds the requests that are still answered to those of which anything has arrived. For a server
     // that stops: a peer that sends on without a pause would never see the end of its connection.
-    void answerArrivedOnly();
+    void limitToArrivedRequests();
 
     // Ends the wait for the rest of a request of which a part has arrived.
     void expireArriving();
@@ -57,9 +57,6 @@
     // How the connection ended, or how it would if the process ended now.
     ConnectionEnd end();
 
-    // Whether the connection has been half-closed, and is only open until the peer has received everything.
-    bool ending() const;
-
     Deadline &deadline();
 
     // Whether a request is being read or handled.
@@ -120,8 +117,8 @@
     bool mayPipeline(const ServerExchange &exchange, const HttpRequest &request) const;
     asio::awaitable<HttpResponse> handle(ServerExchange &exchange, HttpRequest request);
     asio::awaitable<void> reject(ServerExchange &exchange, RequestError requestError);
-    asio::awaitable<void> finish();
-    void beginEnding();
+    asio::awaitable<void> endGracefully();
+    void halfClose();
     asio::awaitable<void> discardUntilClosed();
     bool endsIdle(const ErrorCode &error) const;
     bool hasUnansweredBytes();
@@ -155,12 +152,16 @@
     bool m_closeAnnounced = false;
     // Whether requests that are read from now on are answered without being handled.
     bool m_rejectsRequests = false;
+    // Whether the peer must not take what it has received for complete.
     bool m_endsWithReset = false;
     bool m_closed = false;
-    bool m_ending = false;
+    // Whether nothing more is sent, and the connection is open only until the peer has received everything.
+    bool m_halfClosed = false;
     // Whether a coroutine discards what the peer sends after the half-close.
     bool m_discarding = false;
+    // Whether the wait for a request has been aborted by endIfIdle().
     bool m_endsIfIdle = false;
+    // Whether expireArriving() has ended the wait for the rest of a request.
     bool m_arrivalExpired = false;
     std::size_t m_discarded = 0;
     // Number of the received byte from which on requests are not answered; no limit if not set.
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -14,20 +14,20 @@
 
 // Ends the connection so that the peer gets all that was sent. If another coroutine is reading, that one
 // reads until the peer closes. A peer that has half-closed the connection may still receive.
-asio::awaitable<void> HttpServerConnection::finish()
+asio::awaitable<void> HttpServerConnection::endGracefully()
 {
     if (m_closed) {
         co_return;
     }
-    if (!m_ending && m_channel.hasFailed()) {
+    if (!m_halfClosed && m_channel.hasFailed()) {
         peerDisconnected();
     }
     if (m_endsWithReset || (m_peerDisconnected && (m_channel.unacknowledgedBytes() == 0 || m_channel.hasFailed()))) {
         close();
         co_return;
     }
-    if (!m_ending) {
-        beginEnding();
+    if (!m_halfClosed) {
+        halfClose();
     }
     if (!m_discarding && m_reading == Reading::Nothing) {
         m_discarding = true;
@@ -36,9 +36,9 @@
     }
 }
 
-void HttpServerConnection::beginEnding()
+void HttpServerConnection::halfClose()
 {
-    m_ending = true;
+    m_halfClosed = true;
     m_closesAfterResponse = true;
     ErrorCode ignored;
     m_channel.socket.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -96,7 +96,7 @@
 ConnectionEnd HttpServerConnection::end()
 {
     return {.peer = m_peer,
-        .closer = (m_peerDisconnected || !m_ending) && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
+        .closer = (m_peerDisconnected || !m_halfClosed) && peerClosed() ? ConnectionEnd::Closer::Peer : ConnectionEnd::Closer::Server,
         .requestsRead = m_requestsRead,
         .requestsAnswered = m_requestsAnswered,
         .lastAnsweredId = m_lastAnsweredId,
@@ -109,13 +109,13 @@
 void HttpServerConnection::endIfIdle()
 {
     const bool isNew = m_requestsRead == 0 && Clock::now() - m_waitingSince < NewConnectionTime;
-    if (m_pipeline.empty() && m_reading == Reading::Idle && !m_ending && !isNew) {
+    if (m_pipeline.empty() && m_reading == Reading::Idle && !m_halfClosed && !isNew) {
         m_endsIfIdle = true;
         m_channel.abort();
     }
 }
 
-void HttpServerConnection::answerArrivedOnly()
+void HttpServerConnection::limitToArrivedRequests()
 {
     m_answerUpTo = m_channel.received - m_channel.buffer.size() + m_channel.unreadBytes();
 }
@@ -124,18 +124,13 @@
 {
     const bool arrives = m_reading == Reading::Request || (!m_pipeline.empty() && !m_pipeline.back()->noBytesPending());
     // Setting the deadline again would hide that it has passed from the read that it ends.
-    if (arrives && !m_ending && !std::exchange(m_arrivalExpired, true)) {
+    if (arrives && !m_halfClosed && !std::exchange(m_arrivalExpired, true)) {
         m_watching = false;
         m_limitsSending = false;
         m_channel.deadline.set(Clock::now());
     }
 }
 
-bool HttpServerConnection::ending() const
-{
-    return m_ending;
-}
-
 void HttpServerConnection::peerDisconnected()
 {
     m_peerDisconnected = true;
