--- a/autotests/unit/pipeliningcallerstest.cpp
+++ b/autotests/unit/pipeliningcallerstest.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-const Endpoint ServerEndpoint{testAddress(62), 18162};
-const Endpoint ProxyEndpoint{testAddress(62), 18163};
+const Endpoint ServerEndpoint{testAddress(63), 18162};
+const Endpoint ProxyEndpoint{testAddress(63), 18163};
 constexpr std::size_t BodyBytes = 1000;
 
 // Long enough for the further requests of the callers to be sent.
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -20,30 +20,6 @@
     return std::any_of(targets.begin(), targets.end(), [](const MemberRecord &target) { return target.linkMbps > 0; });
 }
 
-// Lists the call among the running ones while in scope. The context of a call may outlive its ingress.
-class RunningEntry
-{
-public:
-    RunningEntry(std::shared_ptr<RunningCallSet> running, IngressCall &call)
-        : m_running(std::move(running))
-        , m_call(call)
-    {
-        m_running->insert(&m_call);
-    }
-
-    ~RunningEntry()
-    {
-        m_running->erase(&m_call);
-    }
-
-    RunningEntry(const RunningEntry &) = delete;
-    RunningEntry &operator=(const RunningEntry &) = delete;
-
-private:
-    std::shared_ptr<RunningCallSet> m_running;
-    IngressCall &m_call;
-};
-
 }
 
 Ingress::Ingress(Options options)
@@ -166,7 +142,7 @@
     stripFields(request, d->options.headerNames);
     request.keep_alive(true);
     call.request = std::move(request);
-    const RunningEntry entry(d->running, call);
+    d->running.push_back(call);
     auto response = co_await d->admit(call);
     d->options.callEnded(*call.route, callResultOf(response), std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - call.begin));
     d->reportCustomer(call, response);
@@ -191,7 +167,10 @@
 std::size_t Ingress::endCalls()
 {
     d->callsEnded = true;
-    const auto calls = std::vector(d->running->begin(), d->running->end());
+    std::vector<IngressCall *> calls;
+    for (auto &call : d->running) {
+        calls.push_back(&call);
+    }
     return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [this](auto *call) { return d->endForStop(*call); }));
 }
 
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -12,11 +12,12 @@
 #include "daemon/calls/ingresscall.h"
 
 #include <atomic>
-#include <unordered_set>
 
 namespace Galenahill {
 
-using RunningCallSet = std::unordered_set<IngressCall *>;
+using RunningCallList = boost::intrusive::list<IngressCall,
+    boost::intrusive::member_hook<IngressCall, decltype(IngressCall::runningHook), &IngressCall::runningHook>,
+    boost::intrusive::constant_time_size<false>>;
 
 // The steps of a call in the ingress: ingress.cpp accepts it, ingressidentify.cpp
 // identifies the caller, ingressadmission.cpp admits it,
@@ -69,7 +70,7 @@
     std::shared_ptr<const RoutingView> view;
     std::uint64_t nextCall = 1;
     // Calls that have a route and are not answered yet.
-    std::shared_ptr<RunningCallSet> running = std::make_shared<RunningCallSet>();
+    RunningCallList running;
     bool callsEnded = false;
 
     void assignVersion(IngressCall &call);
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -9,6 +9,7 @@
 #include "daemon/calls/attemptconnection.h"
 #include "daemon/calls/callmessages.h"
 
+#include <boost/intrusive/list.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -91,6 +92,8 @@
     bool isResponding = false;
     // Whether this node answers the call because the time for its stop is over.
     bool endedByStop = false;
+    // Links the calls that have a route and are not answered yet. The list may end before the call.
+    boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> runningHook;
 };
 
 // Result of one attempt.
