sidecar, metrics: Log the unplanned ends of targets and the digests of their calls

Cause: a target that ends and a target that loses one response left the same line, target-gave-no-answer with 'End of file'. Nothing said under how many calls a target ended, whether the same request was among them each time, or which client attempts repeat one request. Retry tokens were not counted by service.

Change: each call has a digest of its content (XXH3 of method, host, path with query and body; of a streamed body only the stated length), which the ingress passes to the sidecar in the call's terms. When a connection to the target ends without a response, the sidecar asks whether the target still listens; a refused connection, or the announcement of another start without a notice of departure, is an unplanned end. The calls that were running are suspects. Ends are told to the other nodes at once and compared with a random member each second; a response clears a request. Nothing is decided on this yet. New lines target-ended and request-standing, the digest in the lines of calls, metrics of ends, suspects and retry tokens.

RetryBudgetShare and CallOrigin are moved out of the platform node and the ingress without a change of what they do, so that the sum over nodes can be tested.

--- a/src/adapters/codec/binarycodec.cpp
+++ b/src/adapters/codec/binarycodec.cpp
@@ -12,6 +12,7 @@
 constexpr char LoadReportType = 'L';
 constexpr char RolloutReportType = 'R';
 constexpr char LeaseMessageType = 'T';
+constexpr char QuarantineMessageType = 'Q';
 
 bool hasType(const std::string &bytes, char type)
 {
@@ -113,6 +114,24 @@
     return decodeValue<LeaseMessage>(bytes.substr(1), "lease message");
 }
 
+std::string encode(const QuarantineMessage &message)
+{
+    return QuarantineMessageType + encodeValue(message);
+}
+
+bool isQuarantineMessage(const std::string &bytes)
+{
+    return hasType(bytes, QuarantineMessageType);
+}
+
+Result<QuarantineMessage> decodeQuarantineMessage(const std::string &bytes)
+{
+    if (!isQuarantineMessage(bytes)) {
+        return failure(ErrorKind::Corrupt, "quarantine message has an unexpected type byte; check that all nodes run the same version");
+    }
+    return decodeValue<QuarantineMessage>(bytes.substr(1), "quarantine message");
+}
+
 std::string encode(const std::vector<MemberRecord> &records)
 {
     return encodeValue(records);
--- a/src/adapters/codec/binarycodec.h
+++ b/src/adapters/codec/binarycodec.h
@@ -5,6 +5,7 @@
 #include "core/config/configbundle.h"
 #include "core/customers/leasemessages.h"
 #include "core/fleet/gossipmessage.h"
+#include "core/quarantine/targetend.h"
 #include "core/rollouts/versioncounts.h"
 
 #include <string>
@@ -32,6 +33,11 @@
 bool isLeaseMessage(const std::string &bytes);
 Result<LeaseMessage> decodeLeaseMessage(const std::string &bytes);
 
+// So are the messages about requests under which targets ended.
+std::string encode(const QuarantineMessage &message);
+bool isQuarantineMessage(const std::string &bytes);
+Result<QuarantineMessage> decodeQuarantineMessage(const std::string &bytes);
+
 std::string encode(const std::vector<MemberRecord> &records);
 Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes);
 
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -123,6 +123,7 @@
     if (cancellation != nullptr) {
         cancellation->setHook(nullptr);
     }
+    connections->connectResult = error;
     if (error) {
         const auto reason = channel.deadline.passed() ? "timed out" : error.message();
         co_return failure(ErrorKind::Unavailable, fmt::format("{}: can't connect: {}", address, reason));
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -20,6 +20,8 @@
     bool valid = false;
     std::size_t open = 0;
     std::size_t limit = 0;
+    // Result of the last attempt to connect.
+    ErrorCode connectResult;
     std::vector<std::unique_ptr<class ClientConnection>> idle;
 };
 
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -2,13 +2,24 @@
 
 #include "adapters/http/clientexchange.h"
 
+#include "adapters/http/sleep.h"
+
 namespace Galenahill {
 
+namespace {
+
+// A process that ends may close its connections before its listening socket.
+constexpr Milliseconds ListenCheckInterval{2};
+constexpr int ListenChecks = 3;
+
+}
+
 class HttpClient::Private
 {
 public:
     Private(asio::io_context &context, Options given)
-        : options(std::move(given))
+        : context(context)
+        , options(std::move(given))
         , pool(std::make_shared<ConnectionPool>(context,
               ConnectionPool::Options{.maxIdlePerEndpoint = options.maxIdlePerEndpoint,
                   .maxPerEndpoint = options.maxPerEndpoint,
@@ -19,6 +30,7 @@
     {
     }
 
+    asio::io_context &context;
     Options options;
     std::shared_ptr<ConnectionPool> pool;
 };
@@ -85,6 +97,24 @@
     }
 }
 
+asio::awaitable<bool> HttpClient::refusesConnections(Endpoint endpoint, TimePoint deadline)
+{
+    const auto self = d;
+    const auto connections = self->pool->connectionsTo(endpoint);
+    for (int check = 0; check < ListenChecks; ++check) {
+        auto connected = co_await self->pool->connect(connections, deadline);
+        if (!connected) {
+            co_return connections->connectResult == asio::error::connection_refused;
+        }
+        co_await sleepFor(self->context, ListenCheckInterval);
+        if (!(*connected)->channel.readable()) {
+            self->pool->release(std::move(*connected));
+            co_return false;
+        }
+    }
+    co_return false;
+}
+
 void HttpClient::limitConnections(const Endpoint &endpoint, std::size_t limit)
 {
     d->pool->connectionsTo(endpoint)->limit = limit;
--- a/src/core/calls/retrybudget.cpp
+++ b/src/core/calls/retrybudget.cpp
@@ -16,8 +16,12 @@
     m_tokens = std::min(m_tokens, m_options.maxTokens);
 }
 
-void RetryBudget::recordCall()
+void RetryBudget::recordCall(CallOrigin origin, TimePoint)
 {
+    if (origin == CallOrigin::RetryAtTarget) {
+        m_tokens -= 1;
+        return;
+    }
     m_tokens = std::min(m_options.maxTokens, m_tokens + m_options.tokensPerCall);
 }
 
@@ -33,19 +37,22 @@
         m_lastNestedRetry = now;
     }
     if (!hasToken(isNested, now)) {
+        ++m_counts.refused;
         return false;
     }
+    ++m_counts.taken;
     m_tokens -= 1;
     return true;
 }
 
-void RetryBudget::chargeRetry()
+const RetryBudget::Counts &RetryBudget::counts() const
 {
-    m_tokens -= 1;
+    return m_counts;
 }
 
 void RetryBudget::returnToken()
 {
+    ++m_counts.returned;
     m_tokens = std::min(m_options.maxTokens, m_tokens + 1);
 }
 
--- a/src/core/fleet/rendezvous.cpp
+++ b/src/core/fleet/rendezvous.cpp
@@ -9,10 +9,15 @@
 
 std::uint64_t weight(const std::string &role, const MemberRecord &record)
 {
-    const auto text = role + "/" + record.name.value();
-    return XXH3_64bits(text.data(), text.size());
+    return rendezvousWeight(role, record.name);
+}
+
 }
 
+std::uint64_t rendezvousWeight(const std::string &role, const NodeName &member)
+{
+    const auto text = role + "/" + member.value();
+    return XXH3_64bits(text.data(), text.size());
 }
 
 bool holdsRole(const std::string &role, std::size_t count, const MemberRecord &self, const std::vector<MemberRecord> &live)
--- a/src/core/fleet/rendezvous.h
+++ b/src/core/fleet/rendezvous.h
@@ -6,6 +6,9 @@
 
 namespace Galenahill {
 
+// Weight of the member in the rendezvous-hash order of the role; the highest is first.
+std::uint64_t rendezvousWeight(const std::string &role, const NodeName &member);
+
 // Whether `self` is among the first `count` live members of its data centre in the rendezvous-hash
 // order of the role. Members with different views may disagree, so a role must be harmless when
 // more members hold it.
--- a/src/daemon/calls/callmessages.cpp
+++ b/src/daemon/calls/callmessages.cpp
@@ -17,9 +17,9 @@
 
 // Seconds after which a caller should check a call that may have run.
 constexpr const char *UnknownRetryAfter = "1";
-constexpr std::size_t TermsFields = 7;
-// The last parts may be missing: the time waited before, which older nodes do not send, and the mark of a
-// retry.
+constexpr std::size_t TermsFields = 8;
+// The last parts may be missing: the digest and the time waited before, which older nodes do not send, and the mark
+// of a retry.
 constexpr std::size_t MinTermsFields = 5;
 constexpr const char *NoWait = "no-wait";
 constexpr const char *NestedCall = "inner";
@@ -142,12 +142,15 @@
     }
     terms.isRetry = parts[5] == Retry;
     terms.waitedBefore = Milliseconds(std::max<std::int64_t>(parseNumber<std::int64_t>(parts[6]).value_or(0), 0));
+    terms.digest = parseDigest(parts[7]);
     return terms;
 }
 
 std::string formatTerms(const CallTerms &terms)
 {
     const auto text = [](const std::optional<Milliseconds> &time) { return time ? std::to_string(time->count()) : std::string(); };
+    const auto waitedBefore = terms.waitedBefore.count() > 0 ? std::to_string(terms.waitedBefore.count()) : std::string();
+    const auto lastParts = terms.digest ? fmt::format(";{};{}", waitedBefore, toString(*terms.digest)) : (waitedBefore.empty() ? "" : ";" + waitedBefore);
     return fmt::format("{};{};{};{};{};{}{}",
         terms.priority,
         text(terms.objectiveLeft),
@@ -155,7 +158,7 @@
         terms.hasRunningParent ? NestedCall : "",
         text(terms.waitLeft),
         terms.isRetry ? Retry : "",
-        terms.waitedBefore.count() > 0 ? fmt::format(";{}", terms.waitedBefore.count()) : "");
+        lastParts);
 }
 
 std::optional<Milliseconds> waitHeader(const HttpResponse &response)
@@ -165,6 +168,12 @@
     return wait ? std::optional(Milliseconds(*wait)) : std::nullopt;
 }
 
+std::size_t targetEndsHeader(const HttpResponse &response)
+{
+    const auto field = response[CallHeaders::TargetEnds];
+    return parseNumber<std::size_t>({field.data(), field.size()}).value_or(0);
+}
+
 Milliseconds queuedHeader(const HttpResponse &response)
 {
     const auto field = response[CallHeaders::QueuedMs];
--- a/src/daemon/calls/callmessages.h
+++ b/src/daemon/calls/callmessages.h
@@ -5,6 +5,7 @@
 #include "core/calls/callheadernames.h"
 #include "core/calls/targetload.h"
 #include "core/customers/calleridentity.h"
+#include "core/quarantine/requestdigest.h"
 
 #include <optional>
 #include <string>
@@ -33,6 +34,8 @@
     bool hasRunningParent = false;
     // Whether the call or one of the calls that it is nested in is a retry of a call that may have run.
     bool isRetry = false;
+    // Digest of the call's content; empty if the ingress sends none.
+    std::optional<RequestDigest> digest;
 
     friend bool operator==(const CallTerms &, const CallTerms &) = default;
 };
@@ -65,6 +68,10 @@
 // Parses the expected wait for a slot from a sidecar's response, if it reports one.
 std::optional<Milliseconds> waitHeader(const HttpResponse &response);
 
+// Parses the number of targets that have ended under the call's content from a sidecar's response; zero if it reports
+// none.
+std::size_t targetEndsHeader(const HttpResponse &response);
+
 // Parses the time that the call waited for a slot from a sidecar's response; zero if it reports none.
 Milliseconds queuedHeader(const HttpResponse &response);
 
--- a/src/daemon/calls/callrouter.cpp
+++ b/src/daemon/calls/callrouter.cpp
@@ -38,6 +38,15 @@
     }
 }
 
+std::map<ServiceName, RetryBudget::Counts> CallRouter::retryCounts() const
+{
+    std::map<ServiceName, RetryBudget::Counts> counts;
+    for (const auto &[service, budget] : m_retryBudgets) {
+        counts.emplace(service, budget.counts());
+    }
+    return counts;
+}
+
 void CallRouter::prepareToStop()
 {
     m_stopping = true;
@@ -45,8 +54,7 @@
 
 void CallRouter::callStarted(const IngressCall &call)
 {
-    auto &budget = budgetOf(call.service);
-    call.parentIsRetry ? budget.chargeRetry() : budget.recordCall();
+    budgetOf(call.service).recordCall(call.origin, Clock::now());
 }
 
 // A retried call makes its nested calls again, and these count as retries at the services that they
--- a/src/daemon/calls/callrouter.h
+++ b/src/daemon/calls/callrouter.h
@@ -8,6 +8,7 @@
 #include "daemon/calls/ingresscall.h"
 
 #include <functional>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,9 @@
     // Changes the retry budget of each service.
     void setRetryBudget(RetryBudget::Options options);
 
+    // The use of the retry budget by service.
+    std::map<ServiceName, RetryBudget::Counts> retryCounts() const;
+
     // Prepares for the node's shutdown: no further replacements are offered for slow attempts.
     void prepareToStop();
 
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -14,6 +14,17 @@
 // A longer body takes more time on a slow link than a round trip between data centres.
 constexpr std::size_t LargeBodyBytes = 4096;
 
+RequestDigest contentDigest(const HttpRequest &request, const BodySource *streamedBody)
+{
+    const auto method = request.method_string();
+    const auto target = request.target();
+    return digestOf({.method = {method.data(), method.size()},
+        .host = hostOf(request),
+        .target = {target.data(), target.size()},
+        .body = request.body(),
+        .streamedLength = streamedBody == nullptr ? std::nullopt : std::optional(streamedBody->length().value_or(0))});
+}
+
 // Whether any of the targets is on a VM whose node knows the speed of its link.
 bool anyLinkKnown(const std::vector<MemberRecord> &targets)
 {
@@ -129,7 +140,9 @@
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     // A call that an abandoned one makes runs like any other: nobody waits for its parent, so it does not go first.
     call.hasRunningParent = parent && !parent->isAbandoned;
-    call.parentIsRetry = call.hasRunningParent && parent->isRetry;
+    if (call.hasRunningParent) {
+        call.origin = parent->isRetry ? CallOrigin::RetryAtTarget : CallOrigin::Target;
+    }
     d->recogniseReturn(call);
     call.priority = call.hasRunningParent    ? parent->priority
         : call.customerDefinition != nullptr ? call.customerDefinition->priority.value_or(call.route->priority)
@@ -139,6 +152,7 @@
     }
     call.hasLargeBody = connection.requestBody() != nullptr || request.body().size() > LargeBodyBytes;
     call.hasLargeResponse = call.route->type == CallType::LargeResponse && anyLinkKnown(call.view->targetsOf(call.service));
+    call.digest = contentDigest(request, connection.requestBody());
     stripFields(request, d->options.headerNames);
     request.keep_alive(true);
     call.request = std::move(request);
@@ -174,6 +188,11 @@
     return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [this](auto *call) { return d->endForStop(*call); }));
 }
 
+std::map<ServiceName, RetryBudget::Counts> Ingress::retryCounts() const
+{
+    return d->router.retryCounts();
+}
+
 std::uint64_t Ingress::shedCalls() const
 {
     return d->shedCalls;
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -13,9 +13,11 @@
 #include "core/calls/targetpicker.h"
 #include "core/customers/customercounts.h"
 #include "core/customers/tokenlessee.h"
+#include "core/quarantine/requestdigest.h"
 #include "ports/logger.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -66,6 +68,9 @@
     std::uint32_t unusedReplacements = 0;
     // Whether this is a nested call of a call that the local target was running.
     bool hasRunningParent = false;
+    // Digest of the call's content, and the number of targets known to have ended under it.
+    RequestDigest digest;
+    std::size_t targetEnds = 0;
     // IP address and port of the caller.
     std::string caller;
     std::uint16_t callerPort = 0;
@@ -142,6 +147,9 @@
     // that arrive later are rejected. Returns the number of calls ended.
     std::size_t endCalls();
 
+    // The use of the retry budget by service.
+    std::map<ServiceName, RetryBudget::Counts> retryCounts() const;
+
     // Number of attempts after the first attempt of a call.
     std::uint64_t retries() const;
 
--- a/src/daemon/calls/ingressattempt.cpp
+++ b/src/daemon/calls/ingressattempt.cpp
@@ -23,7 +23,8 @@
         .waitLeft = router.waitLeft(call),
         .waitedBefore = call.waitCounts ? call.waitedBefore : Milliseconds(0),
         .hasRunningParent = call.hasRunningParent,
-        .isRetry = call.parentIsRetry || attemptTerms.isRetry};
+        .isRetry = call.origin == CallOrigin::RetryAtTarget || attemptTerms.isRetry,
+        .digest = call.digest};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin - terms.waitedBefore + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
@@ -131,6 +132,7 @@
     if (auto services = calledServicesHeader(response); !services.empty()) {
         guard.setCalledServices(call.route->name, std::move(services));
     }
+    call.targetEnds = std::max(call.targetEnds, targetEndsHeader(response));
     const auto wait = waitHeader(response);
     if (wait || loadHeader(response)) {
         router.updateExpectedWait(call, target.name, wait.value_or(Milliseconds(0)));
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -3,9 +3,11 @@
 #include "adapters/http/bodysource.h"
 #include "adapters/http/serverconnection.h"
 #include "core/calls/offerorder.h"
+#include "core/calls/retrybudget.h"
 #include "core/calls/routingview.h"
 #include "core/calls/servicelevelmetrics.h"
 #include "core/customers/calleridentity.h"
+#include "core/quarantine/requestdigest.h"
 #include "daemon/calls/attemptconnection.h"
 #include "daemon/calls/callmessages.h"
 
@@ -66,6 +68,9 @@
     std::optional<Milliseconds> backlog;
     std::optional<Milliseconds> retryAfter;
     std::string reason;
+    // Digest of the content, and the number of targets known to have ended under it.
+    RequestDigest digest;
+    std::size_t targetEnds = 0;
     // Number of slow attempts whose replacement at another target responded, and when the last one did;
     // of replacements that were rejected; and of those that reached a target, but did not respond first.
     std::uint32_t replacedAttempts = 0;
@@ -86,8 +91,7 @@
     const CustomerDefinition *customerDefinition = nullptr;
     // Whether this is a nested call of a call that the local target is running.
     bool hasRunningParent = false;
-    // Whether that parent call is a retry, which makes its nested calls again.
-    bool parentIsRetry = false;
+    CallOrigin origin = CallOrigin::Caller;
     // Whether the response that an attempt has got is being sent to the caller.
     bool isResponding = false;
     // Whether this node answers the call because the time for its stop is over.
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -40,6 +40,8 @@
         .rejectedReplacements = call.rejectedReplacements,
         .unusedReplacements = call.unusedReplacements,
         .hasRunningParent = call.hasRunningParent,
+        .digest = call.digest,
+        .targetEnds = call.targetEnds,
         .caller = call.connection.peerAddress(),
         .callerPort = call.connection.peerPort(),
         .reason = call.reason});
--- a/src/daemon/calls/sidecar.cpp
+++ b/src/daemon/calls/sidecar.cpp
@@ -106,6 +106,10 @@
 void Sidecar::targetAnnounced(const TargetAnnouncement &target, MemberState state)
 {
     if (d->targetId != target.id || d->targetStartedAt != target.startedAt) {
+        // Without a notice of its departure, the former process has ended by itself.
+        if (d->state != MemberState::Draining) {
+            d->targetEnded("announcement of another start");
+        }
         // Idle connections lead to the target process that was there before.
         d->options.client.closeIdle(d->options.target);
         d->setState(MemberState::Starting);
@@ -114,6 +118,7 @@
     d->targetId = target.id;
     d->targetStartedAt = target.startedAt;
     d->announcedSlots = target.slots;
+    d->targetVersion = target.version;
     d->guard.setVersion(target.version);
     d->slots->setSlots(target.slots);
     d->setState(state);
--- a/src/daemon/calls/sidecar.h
+++ b/src/daemon/calls/sidecar.h
@@ -11,6 +11,7 @@
 #include "core/fleet/loadexchange.h"
 #include "core/fleet/memberrecord.h"
 #include "core/fleet/targetregistration.h"
+#include "core/quarantine/quarantine.h"
 #include "core/rollouts/versioncounts.h"
 #include "core/rollouts/versionrule.h"
 #include "ports/logger.h"
@@ -61,6 +62,8 @@
         std::function<std::uint64_t()> sentBytes;
         // Called when the target cannot be reached, so that it may have exited. May be null.
         std::function<void()> targetUnreachable;
+        // Requests under which targets ended, with the end of the local target reported to it. May be null.
+        Quarantine *quarantine = nullptr;
         // Called when the target with that id and start time states in a response that it is leaving. May be null.
         std::function<void(const std::string &id, std::int64_t startedAt)> targetLeaving;
         // Called when a call of the route ends at the target, with its duration there. May be null.
--- a/src/daemon/calls/sidecar_p.h
+++ b/src/daemon/calls/sidecar_p.h
@@ -2,6 +2,7 @@
 
 #include "core/calls/calledservices.h"
 #include "core/calls/runningcalls.h"
+#include "core/quarantine/targetenddetector.h"
 #include "core/rollouts/versionguard.h"
 #include "daemon/calls/bodyreceiver.h"
 #include "daemon/calls/responsesender.h"
@@ -21,7 +22,7 @@
 }
 
 // sidecar.cpp follows the target's state and admits calls, sidecarforward.cpp sends them to the
-// target, sidecarresponse.cpp schedules their large responses, and sidecarrejection.cpp rejects those
+// target, sidecartargetend.cpp recognises that it has ended, sidecarresponse.cpp schedules their large responses, and sidecarrejection.cpp rejects those
 // that the target cannot run.
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
 {
@@ -52,8 +53,10 @@
     std::string targetId;
     std::int64_t targetStartedAt = 0;
     std::uint32_t announcedSlots = 0;
+    TargetVersion targetVersion;
     VersionGuard guard;
     RunningCalls running;
+    TargetEndDetector endDetector;
     // Services that calls of each route make nested calls to.
     CalledServices calledServices;
     // How the nested calls of each route have ended lately.
@@ -82,6 +85,9 @@
         HttpResponse response, std::unique_ptr<BodySource> rest, const SlotCall &call, AdmissionController::ReleaseReason reason, ServerConnection &connection);
     HttpResponse rejectBody(const SlotCall &call, TimePoint arrival) const;
     void logEarlyEnd(const SlotCall &call, const StreamResult &result, ServerConnection &connection) const;
+    asio::awaitable<void> checkForTargetEnd(TargetEndDetector::Ticket ticket, const SlotCall &call);
+    void targetEnded(const char *recognisedBy);
+    void reportTargetEnds(HttpResponse &response, const SlotCall &call) const;
     asio::awaitable<HttpResponse> forward(HttpRequest request, SlotCall call, ServerConnection &connection);
 };
 
--- a/src/daemon/calls/sidecarforward.cpp
+++ b/src/daemon/calls/sidecarforward.cpp
@@ -57,6 +57,7 @@
     running.started(
         call.id, RunningCall{.route = call.route, .priority = call.terms.priority, .isRetry = call.terms.isRetry, .customer = call.customer}, begin);
     const auto sentTo = std::pair(targetId, targetStartedAt);
+    const auto ticket = call.terms.digest ? endDetector.started(*call.terms.digest) : TargetEndDetector::NoTicket;
     ++callsSent;
     auto response = co_await options.client.exchange(options.target, forwarded, call.deadline, exchangeOptions);
     response ? running.answered(call.id) : running.unanswered(call.id, call.deadline);
@@ -66,6 +67,7 @@
         options.stageEnded(CallStage::Target, time);
     }
     if (response) {
+        endDetector.answered(ticket, Clock::now());
         const auto responseClass = classOf(*response, headerNames);
         const auto reason = releaseReasonOf(*response, responseClass, headerNames);
         const bool isCurrentTarget = sentTo == std::pair(targetId, targetStartedAt);
@@ -76,6 +78,9 @@
             options.callEnded(call.route, responseClass == ResponseClass::Failed ? TargetResult::Failed : TargetResult::Answered, time);
         }
         const bool isResponse = responseClass == ResponseClass::Answered || responseClass == ResponseClass::Failed;
+        if (isResponse && options.quarantine != nullptr && call.terms.digest) {
+            options.quarantine->answered(*call.terms.digest, Clock::now());
+        }
         const bool streamed = remainingBody && isResponse;
         auto answer = ingressResponse(std::move(*response), responseClass, headerNames);
         if (const auto *services = calledServices.servicesOf(call.route)) {
@@ -106,6 +111,7 @@
         co_return answer;
     }
     if (response.error().kind == ErrorKind::Unavailable) {
+        endDetector.notSent(ticket);
         slots->release(call, Reason::NotSent);
         if (options.targetUnreachable && !connection.cancellation().cancelled()) {
             options.targetUnreachable();
@@ -114,6 +120,11 @@
     }
     const bool late = Clock::now() >= call.deadline;
     const bool cancelled = connection.cancellation().cancelled();
+    if (late || cancelled) {
+        endDetector.abandoned(ticket, Clock::now());
+    } else {
+        co_await checkForTargetEnd(ticket, call);
+    }
     if (options.callEnded) {
         options.callEnded(call.route, late || cancelled ? TargetResult::Abandoned : TargetResult::Answered, time);
     }
@@ -121,7 +132,8 @@
         "target-gave-no-answer",
         {{"id", call.id},
             {"route", call.route.value()},
-            {"target", targetId},
+            {"target", sentTo.first},
+            {"digest", call.terms.digest ? toString(*call.terms.digest) : std::string()},
             {"late", late},
             {"cancelled", cancelled},
             {"ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - begin).count()},
@@ -129,6 +141,7 @@
     slots->release(call, cancelled ? Reason::Cancelled : late ? Reason::TimedOut : Reason::ConnectionLost);
     auto unknown = outcomeUnknownResponse(response.error().message, late ? http::status::gateway_timeout : http::status::bad_gateway);
     reportLoad(unknown);
+    reportTargetEnds(unknown, call);
     co_return unknown;
 }
 
--- a/src/daemon/metricstext.cpp
+++ b/src/daemon/metricstext.cpp
@@ -34,6 +34,17 @@
 
 }
 
+std::string retryMetricsText(const std::map<ServiceName, RetryBudget::Counts> &counts)
+{
+    std::string text = "# TYPE galenahill_retry_tokens_total counter\n";
+    for (const auto &[service, budget] : counts) {
+        for (const auto &[event, count] : {std::pair("taken", budget.taken), std::pair("returned", budget.returned), std::pair("refused", budget.refused)}) {
+            text += fmt::format("galenahill_retry_tokens_total{{service=\"{}\",event=\"{}\"}} {}\n", service.value(), event, count);
+        }
+    }
+    return text;
+}
+
 std::string metricsText(const NodeGauges &gauges, const std::vector<RouteReport> &routes)
 {
     std::string text;
--- a/src/daemon/metricstext.h
+++ b/src/daemon/metricstext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/calls/retrybudget.h"
 #include "core/calls/servicelevelmetrics.h"
 
 #include <map>
@@ -11,6 +12,9 @@
 // Gauges of the node by metric name, without the prefix galenahill_.
 using NodeGauges = std::map<std::string, double>;
 
+// Formats the use of the retry budget by service.
+std::string retryMetricsText(const std::map<ServiceName, RetryBudget::Counts> &counts);
+
 // Formats the metrics in the Prometheus text format, version 0.0.4.
 std::string metricsText(const NodeGauges &gauges, const std::vector<RouteReport> &routes);
 
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -6,6 +6,8 @@
 #include "daemon/platformnode_p.h"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace Galenahill {
@@ -89,6 +91,7 @@
         fleet.tick();
         loads.tick(Clock::now());
         limits.tick();
+        quarantine.tick(Clock::now());
         targetService.tick();
         rollouts.tick();
         publishWithheldTarget();
@@ -155,6 +158,9 @@
     } else if (isLeaseMessage(bytes)) {
         const auto message = decodeLeaseMessage(bytes);
         message ? limits.messageReceived(from, *message) : logRejection(message.error());
+    } else if (isQuarantineMessage(bytes)) {
+        const auto message = decodeQuarantineMessage(bytes);
+        message ? quarantine.messageReceived(from, *message, Clock::now()) : logRejection(message.error());
     } else if (isRolloutReport(bytes)) {
         const auto report = decodeRolloutReport(bytes);
         report ? rollouts.reportReceived(from, *report) : logRejection(report.error());
@@ -231,6 +237,13 @@
         {"load_targets_known", static_cast<double>(loads.knownTargets())},
         {"load_oldest_ms", static_cast<double>(loads.oldestTargetAge(Clock::now()).count())},
         {"load_reports_dropped", static_cast<double>(loads.dropped())},
+        {"target_ends_seen", static_cast<double>(quarantine.counts().endsSeen)},
+        {"target_ends_reported", static_cast<double>(quarantine.counts().endsReported)},
+        {"requests_suspected", static_cast<double>(quarantine.table().suspects(Clock::now()))},
+        {"requests_quarantined", static_cast<double>(quarantine.table().quarantined(Clock::now()))},
+        {"requests_cleared", static_cast<double>(quarantine.counts().requestsCleared)},
+        {"quarantine_messages_dropped", static_cast<double>(quarantine.counts().messagesDropped)},
+        {"retry_share_members", static_cast<double>(retryShare.members(Clock::now()))},
         {"clock_steps", static_cast<double>(clockStepDetector.steps())},
         {"datagram_bytes", static_cast<double>(datagrams.bytes())},
         {"client_bytes", static_cast<double>(client.bytes())}});
@@ -250,7 +263,8 @@
     if (request.method() == http::verb::get && target == "/metrics") {
         co_return makeResponse(http::status::ok,
             "text/plain; version=0.0.4",
-            metricsText(gauges(), metrics.report(Clock::now())) + stageMetricsText() + rollouts.metricsText() + customerMetricsText(customers.report()));
+            metricsText(gauges(), metrics.report(Clock::now())) + stageMetricsText() + rollouts.metricsText() + customerMetricsText(customers.report())
+                + retryMetricsText(ingress.retryCounts()));
     }
     co_return makeErrorResponse(http::status::not_found, "not-found", "unknown method or path; this address serves /config, /members and /metrics");
 }
@@ -298,6 +312,8 @@
             {"waited_before_ms", call.waitedBefore.count()},
             {"wait_counts", call.waitCounts},
             {"for_running_call", call.hasRunningParent},
+            {"digest", toString(call.digest)},
+            {"target_ends", call.targetEnds},
             {"replaced_attempts", call.replacedAttempts},
             {"replaced_after_ms", call.replacedAfter.count()},
             {"replacements_rejected", call.rejectedReplacements},
@@ -307,6 +323,18 @@
             {"reason", call.reason}});
 }
 
+void PlatformNode::Private::logQuarantine(const QuarantineChange &change)
+{
+    std::vector<std::string> nodes;
+    std::transform(change.nodes.begin(), change.nodes.end(), std::back_inserter(nodes), [](const auto &node) { return node.value(); });
+    log(change.standing == RequestStanding::Quarantined ? LogLevel::Warning : LogLevel::Info,
+        "request-standing",
+        {{"digest", toString(change.digest)},
+            {"standing", toString(change.standing)},
+            {"ended_beside", fmt::format("{}", fmt::join(nodes, ","))},
+            {"seen_here", change.seenHere}});
+}
+
 void PlatformNode::reload(const PlatformNodeSettings &settings)
 {
     d->settings.seeds = settings.seeds;
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -4,8 +4,10 @@
 #include "adapters/http/httpserver.h"
 #include "adapters/udp/datagramsocket.h"
 #include "core/calls/latencyhistogram.h"
+#include "core/calls/retrybudgetshare.h"
 #include "core/customers/customercounters.h"
 #include "core/fleet/clockstepdetector.h"
+#include "core/quarantine/quarantine.h"
 #include "daemon/calls/customerlimits.h"
 #include "daemon/calls/ingress.h"
 #include "daemon/calls/sidecar.h"
@@ -51,6 +53,8 @@
     std::unique_ptr<DocumentStore> store;
     RevisionExchange exchange;
     DatagramSocket datagrams;
+    Quarantine quarantine;
+    RetryBudgetShare retryShare;
     CustomerLimits limits;
     Ingress ingress;
     Sidecar sidecar;
@@ -80,6 +84,7 @@
     RevisionExchange::Options exchangeOptions();
     DatagramSocket::Options datagramOptions();
     std::uint64_t bytesSentOnLink() const;
+    Quarantine::Options quarantineOptions();
     CustomerLimits::Options limitOptions();
     Ingress::Options ingressOptions();
     Sidecar::Options sidecarOptions();
@@ -93,8 +98,6 @@
     void applyCallerLimits(const CallerLimits &limits);
     ConfigWatcher::Options configWatcherOptions();
     MemberDirectory::Options directoryOptions();
-    RetryBudget::Options retryBudget(std::size_t members) const;
-
     asio::awaitable<void> tick();
     void checkClock();
     void trimConnections();
@@ -107,6 +110,7 @@
     void stageEnded(CallStage stage, std::chrono::microseconds time);
     std::string healthPath() const;
     void logCall(const CallReport &call);
+    void logQuarantine(const QuarantineChange &change);
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
     asio::awaitable<void> endConnections(TimePoint end);
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -74,11 +74,6 @@
 constexpr int MissedHeartbeats = 4;
 constexpr Milliseconds HeartbeatMargin{2000};
 
-// Share of the fleet's retry budget that its nodes use, and the minimum slack of one node.
-// The nodes do not coordinate every call, so each of them stays below its part.
-constexpr double RetryBudgetShare = 0.65;
-constexpr double MinRetrySlack = 1.5;
-
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -124,6 +119,8 @@
     , store(options.openStore(client))
     , exchange(exchangeOptions())
     , datagrams(context, datagramOptions())
+    , quarantine(quarantineOptions())
+    , retryShare({.retriesPerCall = settings.retryShare, .slack = settings.retrySlack, .started = startTime, .firstStart = settings.firstStart})
     , limits(limitOptions())
     , ingress(ingressOptions())
     , sidecar(sidecarOptions())
@@ -207,10 +204,12 @@
         .maxDatagramBytes = MaxDatagramBytes};
 }
 
-RetryBudget::Options PlatformNode::Private::retryBudget(std::size_t members) const
+Quarantine::Options PlatformNode::Private::quarantineOptions()
 {
-    const auto slack = settings.retrySlack * RetryBudgetShare / static_cast<double>(std::max<std::size_t>(members, 1));
-    return {.tokensPerCall = settings.retryShare * RetryBudgetShare, .maxTokens = std::max(MinRetrySlack, slack)};
+    return {.self = self,
+        .seed = seed,
+        .send = [this](const Endpoint &to, const QuarantineMessage &message) { datagrams.send(to, encode(message)); },
+        .changed = [this](const QuarantineChange &change) { logQuarantine(change); }};
 }
 
 CustomerLimits::Options PlatformNode::Private::limitOptions()
@@ -232,7 +231,7 @@
         .policy = callPolicy(),
         .headerNames = options.headerNames,
         .callerService = settings.service,
-        .retryBudget = retryBudget(1),
+        .retryBudget = retryShare.budget(Clock::now()),
         .localSidecar = settings.sidecar,
         .callLocalSidecar = [this](HttpRequest request, ServerConnection &connection) { return sidecar.handle(std::move(request), connection); },
         .runningCall = [this](std::string_view id) { return sidecar.running(id); },
@@ -269,6 +268,7 @@
         .stateChanged = [](MemberState) {},
         .sentBytes = [this] { return bytesSentOnLink(); },
         .targetUnreachable = [this] { targetService.targetUnreachable(); },
+        .quarantine = &quarantine,
         .targetLeaving = [this](const std::string &id, std::int64_t startedAt) { targetService.targetLeaving(id, startedAt); },
         .callEnded = [this](const RouteName &route, TargetResult end, std::chrono::microseconds time) { rollouts.callEnded(route, end, time); },
         .stageEnded = [this](CallStage stage, std::chrono::microseconds time) { stageEnded(stage, time); }};
@@ -318,10 +318,12 @@
     fleetOptions.log = log;
     fleetOptions.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
     fleetOptions.publishView = [this](std::shared_ptr<const RoutingView> view) {
-        ingress.setRetryBudget(retryBudget(state->members().size()));
+        retryShare.setMembers(state->members().size(), Clock::now());
+        ingress.setRetryBudget(retryShare.budget(Clock::now()));
         limits.setConfig(view->config);
         ingress.setView(view);
         loads.setMembers(state->members());
+        quarantine.setMembers(state->members());
         rollouts.setMembers(state->members());
         sidecar.setView(view);
         // The store may not hold a configuration yet.
