--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -100,6 +100,7 @@
         {"ran", &history.executions},
         {"answered", &history.responses},
         {"cut", &history.cuts},
+        {"ended-by", &history.fatalCalls},
         {"leaked", &history.leaks},
         {"stated rate-limit", &history.rateLimits},
         {"stated leaving", &history.departures}};
@@ -307,6 +308,7 @@
         fmt::format("--late-factor={}", d->options.lateFactor),
         fmt::format("--seed={}", d->options.seed * 1000 + node),
         "--key-marker=" + d->options.keyMarker,
+        "--fatal-marker=" + d->options.fatalMarker,
         "--log-runs"};
     if (d->options.nestedShare > 0) {
         command.push_back("--nested-through=" + toString(ingress(node)));
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -40,6 +40,8 @@
     // closed by then.
     std::vector<Event> responses;
     std::vector<Event> cuts;
+    // Id of the call that ended the process; empty if none did.
+    std::vector<Event> fatalCalls;
     // Rate limits that it stated, as text; "none" if it lifted its limit.
     std::vector<Event> rateLimits;
     // When it stated that it is leaving.
@@ -89,6 +91,8 @@
         std::string nestedPath;
         std::string nestedHost;
         double nestedShare = 0;
+        // Text in the path of calls that end the target that runs them; empty: none do.
+        std::string fatalMarker;
     };
 
     explicit PlatformFleet(Options options);
--- a/standins/targetoptions.cpp
+++ b/standins/targetoptions.cpp
@@ -29,6 +29,7 @@
     char *nestedHost = nullptr;
     char *nestedPath = nullptr;
     double nestedShare = 0;
+    char *fatalMarker = nullptr;
     const poptOption table[] = {
         {"address", 'a', POPT_ARG_STRING, &address, 0, "IP address to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &port, 0, "Port to listen on", "PORT"},
@@ -51,6 +52,7 @@
         {"nested-host", 0, POPT_ARG_STRING, &nestedHost, 0, "Host of nested calls", "NAME"},
         {"nested-path", 0, POPT_ARG_STRING, &nestedPath, 0, "Path of nested calls", "PATH"},
         {"nested-share", 0, POPT_ARG_DOUBLE, &nestedShare, 0, "Share of the calls that make a nested one", "SHARE"},
+        {"fatal-marker", 0, POPT_ARG_STRING, &fatalMarker, 0, "Text in the path of calls that end the process", "TEXT"},
         {"log-runs", 0, POPT_ARG_NONE, &logRuns, 0, "Write each call that runs to standard error", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -83,6 +85,7 @@
     options.nestedHost = text(nestedHost);
     options.nestedPath = text(nestedPath);
     options.nestedShare = nestedShare;
+    options.fatalMarker = text(fatalMarker);
     return options;
 }
 
--- a/standins/targetoptions.h
+++ b/standins/targetoptions.h
@@ -41,6 +41,8 @@
     std::string nestedPath;
     // Share of the calls that make a nested one.
     double nestedShare = 0;
+    // Text in the path of calls that end the process; empty: none do.
+    std::string fatalMarker;
 
     bool announces() const
     {
--- a/standins/targetstandin.cpp
+++ b/standins/targetstandin.cpp
@@ -16,6 +16,8 @@
 // field contains the text of --key-marker, which is part of every key.
 // With --nested-through, a share of the calls makes a nested call in the middle of its service time, and then logs what
 // NestedCaller::call() describes. Nested calls make none.
+// With --fatal-marker, a call whose path contains the text ends the process in the middle of its service time, as
+// fataleffect.h describes.
 // A call that finds no free slot counts as an overrun. It waits in the backlog and then runs, even
 // if its caller has disconnected; if the backlog is full, the target rejects the call with 503.
 // The run of a call goes on when its connection is closed. "slow_ms" makes the calls that start in
@@ -29,6 +31,7 @@
 
 #include "adapters/http/httpserver.h"
 #include "announcer.h"
+#include "fataleffect.h"
 #include "nestedcaller.h"
 #include "platform/callheadernames.h"
 #include "responsebody.h"
@@ -303,6 +306,14 @@
     const auto id = requestIdOf(request);
     m_ledger += id + "\n";
     logEvent("ran " + id);
+    const bool isFatal = !m_options.fatalMarker.empty() && request.target().find(m_options.fatalMarker) != boost::beast::string_view::npos;
+    if (isFatal) {
+        asio::steady_timer timer(m_context, m_serviceTimes.next(Clock::now()) / 2);
+        ErrorCode ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        logEvent("ended-by " + id);
+        endProcess(fatalEffectOf({request.target().data(), request.target().size()}));
+    }
     co_await serve(id);
     asio::steady_timer timer(m_context);
     ErrorCode ignored;
