calls: Keep the sum of the nodes' retry budgets below the fleet's

Cause: a limit of the whole fleet is kept by parts that do not know the whole. A part grew when the node knew fewer members (all of it at start and when cut off), a restart began with a full bucket whatever its predecessor had spent, nested calls earned tokens although the bound counts the calls of callers only (also those of an abandoned retry, which count as retries), and no node had less than 1.5 tokens, however many there were.

Ruled out: the parts of a fleet without restarts and nested calls, also partitioned, stay below the bound; nested calls of retries are charged.

Change: a node's part is counted over the window (calls of callers and retries of the last 10 s, in steps of half a second) instead of a bucket. The slack is divided by the most members known in the last ten minutes; a process has none in its first window or while it knows no other member; where there are more nodes than slack, the first nodes in rendezvous order have one retry each. Calls that name a parent earn nothing, and those of an abandoned retry count as retries. The window's length is a setting (repeat-window-s).

--- a/autotests/unit/attemptreplacementtest.cpp
+++ b/autotests/unit/attemptreplacementtest.cpp
@@ -218,7 +218,7 @@
 // Guards against replacements beyond the retry budget, and against cancelling an attempt without one.
 BOOST_AUTO_TEST_CASE(OffersNothingWithoutRetryBudget)
 {
-    onDataThread([this] { ingress.setRetryBudget({.tokensPerCall = 0, .maxTokens = 0}); });
+    onDataThread([this] { ingress.setRetryBudget({.retriesPerCall = 0, .slack = 0}); });
     std::atomic<int> offered = 0;
     setOther(Milliseconds(0), [&offered](ServerConnection &) -> asio::awaitable<HttpResponse> {
         ++offered;
--- a/autotests/unit/ingressretrybudgettest.cpp
+++ b/autotests/unit/ingressretrybudgettest.cpp
@@ -38,7 +38,7 @@
             .node = NodeName("n"),
             .dataCentre = DataCentre("rosario-a"),
             .headerNames = headerNames,
-            .retryBudget = {.tokensPerCall = 0, .maxTokens = 1},
+            .retryBudget = {.retriesPerCall = 0, .slack = 1},
             .runningCall =
                 [](std::string_view) {
                     return std::optional(RunningCall{RouteName("cola"), 0, true});
--- a/autotests/unit/retrybudgetsumtest.cpp
+++ b/autotests/unit/retrybudgetsumtest.cpp
@@ -53,8 +53,8 @@
         , m_random(seed)
     {
         for (std::size_t node = 0; node < scenario.nodes; ++node) {
-            m_nodes.emplace_back(RetryBudgetShare({.retriesPerCall = RetriesPerCall, .slack = Slack, .started = Begin - Window, .firstStart = true}), Begin);
-            m_nodes.back().share.setMembers(scenario.nodes, Begin - Window);
+            m_nodes.emplace_back(RetryBudgetShare({.retriesPerCall = RetriesPerCall, .slack = Slack, .started = Begin - Window}), Begin);
+            m_nodes.back().share.setMembers(scenario.nodes, node, Begin - Window);
         }
     }
 
@@ -66,7 +66,8 @@
             m_retries.push_back(0);
             const bool trouble = std::fmod(static_cast<double>((now - Begin).count()) / 8e9, 1) < m_scenario.troubleShare;
             for (auto &node : m_nodes) {
-                node.share.setMembers(membersKnown(node, now), now);
+                const auto known = membersKnown(node, now);
+                node.share.setMembers(known, std::min<std::size_t>(known - 1, static_cast<std::size_t>(&node - m_nodes.data())), now);
                 node.budget.setOptions(node.share.budget(now));
                 send(node, m_scenario.callerRate, CallOrigin::Caller, trouble, now);
                 send(node, m_scenario.nestedRate * (1 - m_scenario.retriedParents), CallOrigin::Target, trouble, now);
--- a/autotests/unit/retrybudgettest.cpp
+++ b/autotests/unit/retrybudgettest.cpp
@@ -13,7 +13,7 @@
 // Guards against a change where no nested call needs a retry.
 BOOST_AUTO_TEST_CASE(TopLevelCallsGetAllTokensWithoutNestedRetries)
 {
-    RetryBudget budget({.tokensPerCall = 0, .maxTokens = 20});
+    RetryBudget budget({.retriesPerCall = 0, .slack = 20});
     for (int i = 0; i < 20; ++i) {
         BOOST_TEST(budget.tryTakeToken(false, Start));
     }
@@ -24,7 +24,7 @@
 // whose work is lost because searches used the last token.
 BOOST_AUTO_TEST_CASE(NestedCallsHaveTheFirstClaim)
 {
-    RetryBudget budget({.tokensPerCall = 0, .maxTokens = 20});
+    RetryBudget budget({.retriesPerCall = 0, .slack = 20});
     BOOST_TEST(budget.tryTakeToken(true, Start));
     int topLevel = 0;
     while (budget.tryTakeToken(false, Start)) {
--- a/src/core/calls/retrybudget.h
+++ b/src/core/calls/retrybudget.h
@@ -3,6 +3,7 @@
 #include "common/identifiers.h"
 
 #include <cstdint>
+#include <deque>
 
 namespace Galenahill {
 
@@ -17,24 +18,24 @@
 };
 
 // Limits retries to a fraction of the calls, so that retries cannot multiply the load on a service
-// that is already failing. While nested calls need retries, top-level calls leave a part of the tokens
+// that is already failing. While nested calls need retries, top-level calls leave a part of the retries
 // to them: the work of a parent call is lost with its nested call.
 class RetryBudget
 {
 public:
     struct Options
     {
-        // Tokens that one call adds; a retry takes one token.
-        double tokensPerCall = 0.1;
-        // Maximum number of accumulated tokens; also the number at start.
-        double maxTokens = 20;
-        // Share of the maximum that top-level calls leave to nested calls, and for how long after a nested
+        // Retries in each window: for each call that a caller sent in it, and beside those.
+        double retriesPerCall = 0.1;
+        double slack = 20;
+        Milliseconds window{10000};
+        // Share of the retries that top-level calls leave to nested calls, and for how long after a nested
         // call last needed a retry.
         double nestedShare = 0.5;
         Milliseconds nestedClaim{5000};
     };
 
-    // Tokens that retries took, that were returned since the retry was not made, and retries that found none.
+    // Retries that were allowed, that were returned since they were not made, and that were refused.
     struct Counts
     {
         std::uint64_t taken = 0;
@@ -44,17 +45,17 @@
 
     explicit RetryBudget(Options options);
 
-    // Changes the limits; accumulated tokens are kept up to the new maximum.
+    // Changes the limits.
     void setOptions(Options options);
 
-    // A call has started. Its first attempt cannot be held back, also if it counts as a retry; the balance may then become
-    // negative, which delays later retries.
+    // A call has started. Its first attempt cannot be held back, also if it counts as a retry, and then delays later
+    // retries.
     void recordCall(CallOrigin origin, TimePoint now);
 
-    // Whether a token is left for a retry of a nested or a top-level call.
+    // Whether a retry of a nested or a top-level call is allowed now.
     bool hasToken(bool isNested, TimePoint now) const;
 
-    // Takes a token; false if none is left.
+    // Counts a retry if it is allowed; false if it is not.
     bool tryTakeToken(bool isNested, TimePoint now);
 
     // Returns the token of a retry that was not made.
@@ -63,9 +64,20 @@
     const Counts &counts() const;
 
 private:
+    struct Bucket
+    {
+        std::int64_t step = 0;
+        double calls = 0;
+        double retries = 0;
+    };
+
+    Bucket &bucketAt(TimePoint now);
+    std::int64_t stepOf(TimePoint time) const;
+
     Options m_options;
     Counts m_counts;
-    double m_tokens = 0;
+    // Ordered by time; only those with calls or retries.
+    std::deque<Bucket> m_buckets;
     // When a nested call last needed a retry.
     TimePoint m_lastNestedRetry;
 };
--- a/src/core/calls/retrybudgetshare.h
+++ b/src/core/calls/retrybudgetshare.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/calls/recentmaximum.h"
 #include "core/calls/retrybudget.h"
 
 #include <cstddef>
@@ -7,7 +8,7 @@
 namespace Galenahill {
 
 // The part of a fleet's retry budget that one node uses. The nodes do not coordinate every retry, so the parts together
-// have to stay below the whole.
+// have to stay below the whole, also while nodes restart or cannot reach each other.
 class RetryBudgetShare
 {
 public:
@@ -16,15 +17,15 @@
         // Budget of the fleet for each service: retries for each call, and a fixed number for each window.
         double retriesPerCall = 0.1;
         double slack = 20;
-        // When this process started, and whether the whole fleet was started for the first time.
+        Milliseconds window{10000};
+        // When this process started.
         TimePoint started;
-        bool firstStart = false;
     };
 
     explicit RetryBudgetShare(Options options);
 
-    // Sets the number of live members that the node knows, with itself.
-    void setMembers(std::size_t members, TimePoint now);
+    // Sets the number of live members that the node knows, with itself, and the node's place in an order of theirs.
+    void setMembers(std::size_t members, std::size_t rank, TimePoint now);
 
     // Number of members that the share is computed from.
     std::size_t members(TimePoint now) const;
@@ -32,8 +33,11 @@
     RetryBudget::Options budget(TimePoint now) const;
 
 private:
+    double slack(TimePoint now) const;
+
     Options m_options;
-    std::size_t m_members = 1;
+    RecentMaximum m_members;
+    RecentMaximum m_rank;
 };
 
 }
--- a/src/core/config/platformnodesettings.cpp
+++ b/src/core/config/platformnodesettings.cpp
@@ -81,6 +81,7 @@
                 {"seeds", {false, [](S &s, const std::string &value) { return readEndpoints(s.seeds, value); }}},
                 {"repeat-share", {false, fraction<S>([](S &s) -> double & { return s.retryShare; }, 1)}},
                 {"repeat-slack", {false, fraction<S>([](S &s) -> double & { return s.retrySlack; }, MaxRetrySlack)}},
+                {"repeat-window-s", {false, seconds<S>([](S &s) -> Milliseconds & { return s.retryWindow; }, MaxSeconds)}},
                 {"load-report-interval-s", {false, seconds<S>([](S &s) -> Milliseconds & { return s.loadReportInterval; }, MaxSeconds)}},
             }},
     };
--- a/src/core/config/platformnodesettings.h
+++ b/src/core/config/platformnodesettings.h
@@ -48,6 +48,7 @@
     // window.
     double retryShare = 0.1;
     double retrySlack = 20;
+    Milliseconds retryWindow{10000};
     // Largest share of a service's calls that a bad version may get during its rollout.
     double rolloutExposure = 0.1;
     // Interval of the reports of the targets' load to other nodes; zero: no reports.
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -140,9 +140,7 @@
     call.retriedAbove = request.find(CallHeaders::RetriedAbove) != request.end();
     // A call that an abandoned one makes runs like any other: nobody waits for its parent, so it does not go first.
     call.hasRunningParent = parent && !parent->isAbandoned;
-    if (call.hasRunningParent) {
-        call.origin = parent->isRetry ? CallOrigin::RetryAtTarget : CallOrigin::Target;
-    }
+    call.origin = d->originOf(call, parent);
     d->recogniseReturn(call);
     call.priority = call.hasRunningParent    ? parent->priority
         : call.customerDefinition != nullptr ? call.customerDefinition->priority.value_or(call.route->priority)
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -78,6 +78,7 @@
     void recogniseReturn(IngressCall &call);
     std::optional<RunningCall> parentOf(const CallId &id) const;
     CallerIdentity::Status identify(IngressCall &call, HttpRequest &request, const std::optional<RunningCall> &parent) const;
+    CallOrigin originOf(const IngressCall &call, const std::optional<RunningCall> &parent) const;
     bool mayHaveUnknownParent(const IngressCall &call) const;
     HttpResponse rejectCaller(const IngressCall &call, CallerIdentity::Status status) const;
     void reportCustomer(const IngressCall &call, const HttpResponse &response) const;
--- a/src/daemon/calls/ingressidentify.cpp
+++ b/src/daemon/calls/ingressidentify.cpp
@@ -47,6 +47,17 @@
     return identity.status;
 }
 
+// A call that names a parent is no caller's, also if the parent was abandoned or was sent to the target before this process
+// started.
+CallOrigin Ingress::Private::originOf(const IngressCall &call, const std::optional<RunningCall> &parent) const
+{
+    if (parent) {
+        return parent->isRetry ? CallOrigin::RetryAtTarget : CallOrigin::Target;
+    }
+    const auto &parentOf = options.headerNames.parentOf;
+    return parentOf && !parentOf(call.id.value()).empty() ? CallOrigin::Target : CallOrigin::Caller;
+}
+
 // The target may be executing calls that were sent to it before this process started, and their nested
 // calls cannot be told from those of callers without a key.
 bool Ingress::Private::mayHaveUnknownParent(const IngressCall &call) const
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -92,6 +92,7 @@
         loads.tick(Clock::now());
         limits.tick();
         quarantine.tick(Clock::now());
+        ingress.setRetryBudget(retryShare.budget(Clock::now()));
         targetService.tick();
         rollouts.tick();
         publishWithheldTarget();
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/binarycodec.h"
 #include "core/config/configlimits.h"
+#include "core/fleet/rendezvous.h"
 #include "daemon/platformnode_p.h"
 
 #include <algorithm>
@@ -74,6 +75,9 @@
 constexpr int MissedHeartbeats = 4;
 constexpr Milliseconds HeartbeatMargin{2000};
 
+// Orders the members where only some of them have a part of the slack for retries.
+constexpr const char *RetryRole = "retries";
+
 std::uint64_t wallClockIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -120,7 +124,7 @@
     , exchange(exchangeOptions())
     , datagrams(context, datagramOptions())
     , quarantine(quarantineOptions())
-    , retryShare({.retriesPerCall = settings.retryShare, .slack = settings.retrySlack, .started = startTime, .firstStart = settings.firstStart})
+    , retryShare({.retriesPerCall = settings.retryShare, .slack = settings.retrySlack, .window = settings.retryWindow, .started = startTime})
     , limits(limitOptions())
     , ingress(ingressOptions())
     , sidecar(sidecarOptions())
@@ -318,7 +322,8 @@
     fleetOptions.log = log;
     fleetOptions.send = [this](const Endpoint &to, const GossipMessage &message) { datagrams.send(to, encode(message)); };
     fleetOptions.publishView = [this](std::shared_ptr<const RoutingView> view) {
-        retryShare.setMembers(state->members().size(), Clock::now());
+        const auto members = state->members();
+        retryShare.setMembers(members.size(), rendezvousRank(RetryRole, self, members), Clock::now());
         ingress.setRetryBudget(retryShare.budget(Clock::now()));
         limits.setConfig(view->config);
         ingress.setView(view);
