calls: Keep requests under which targets end away from further targets

Cause: a retry was judged by what it costs the nodes (tokens, attempts), not by what the attempt before did to its target, and nothing joined the repeats of a caller, which have ids of their own and come through other nodes.

Ruled out: more targets in one client attempt than the route allows.

Change: requests are known by a digest of their content. Those that were running when a target ended are suspects, but for contents that the same target answered in the last two seconds. A suspect goes to one target only, the same for all nodes, which runs one suspect at a time. After the second end (the third while three or more other targets of the service have ended in ten minutes) no target gets the request: ingress and sidecar reject it as not run, without Retry-After, until a target responds to it, or for ten minutes. Before a call is retried because its target ended, the ingress waits 50 ms for reports of other ends; it retries only while two other targets are left and few targets of the service have ended lately. Slow attempts of suspects are not replaced. A target that is given up on is watched for 5 s, since a watchdog may end it later. The sidecar marks a target that refuses connections as not ready.

Why it works: the sidecar is the only way to a target and outlives it, so each end is seen and each copy is checked, whatever the ingress knows; reports reach 300 nodes in three hops.

Measured: queryofdeathtest passes: 2 ends for repeats in sequence (exit, abort, non-idempotent), 3 at most for copies at once, none after restarts of nodes and targets; ordinary calls while 6 targets are killed are answered.

--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/connectionpool.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace Galenahill {
@@ -152,6 +153,11 @@
     }
 }
 
+bool ConnectionPool::hasOpenIdle(const EndpointConnections &connections)
+{
+    return std::any_of(connections.idle.begin(), connections.idle.end(), [](const auto &connection) { return !connection->channel.readable(); });
+}
+
 void ConnectionPool::release(std::unique_ptr<ClientConnection> connection, Milliseconds serverKeepAlive)
 {
     auto &idle = connection->owner->idle;
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -75,6 +75,9 @@
     asio::awaitable<Result<std::unique_ptr<ClientConnection>>> connect(
         std::shared_ptr<EndpointConnections> connections, TimePoint deadline, Cancellation *cancellation = nullptr);
 
+    // Whether an idle connection to the endpoint is still open at both ends.
+    static bool hasOpenIdle(const EndpointConnections &connections);
+
     // Returns a connection for reuse, limited by the server's keep-alive time. Closes it if there
     // are enough idle ones.
     void release(std::unique_ptr<ClientConnection> connection, Milliseconds serverKeepAlive = Milliseconds::max());
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -102,6 +102,12 @@
     const auto self = d;
     const auto connections = self->pool->connectionsTo(endpoint);
     for (int check = 0; check < ListenChecks; ++check) {
+        if (ConnectionPool::hasOpenIdle(*connections)) {
+            co_await sleepFor(self->context, ListenCheckInterval);
+            if (ConnectionPool::hasOpenIdle(*connections)) {
+                co_return false;
+            }
+        }
         auto connected = co_await self->pool->connect(connections, deadline);
         if (!connected) {
             co_return connections->connectResult == asio::error::connection_refused;
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -83,7 +83,7 @@
     asio::awaitable<void> warm(Endpoint endpoint, std::size_t count, TimePoint deadline);
 
     // Whether the endpoint refuses connections, since no process listens there; false if that is not known by the
-    // deadline. A connection that is made on the way is kept for the next exchange.
+    // deadline. An idle connection that is open tells the contrary; otherwise one is made, and kept for the next exchange.
     asio::awaitable<bool> refusesConnections(Endpoint endpoint, TimePoint deadline);
 
     // Limits the open connections to the endpoint. An exchange that would need another one fails
--- a/src/core/calls/callheaders.h
+++ b/src/core/calls/callheaders.h
@@ -44,7 +44,7 @@
 // until it should be answered (empty: no objective), whether it may wait for a slot, whether it is
 // a nested call, the milliseconds that it may wait (empty: no limit), whether it is a retry, the
 // milliseconds that its caller waited before it returned (missing or empty: none), and the digest of
-// its content (missing: unknown).
+// its content (missing: the call has no body).
 inline constexpr const char *Terms = "Galenahill-Terms";
 
 // On a sidecar's responses: milliseconds after which it expects a free slot for a further call;
@@ -55,8 +55,10 @@
 // target; missing if less than one.
 inline constexpr const char *QueuedMs = "Galenahill-Queued-Ms";
 
-// On a sidecar's responses: number of targets that have ended under the call's content; missing if none.
+// On a sidecar's responses: number of targets that have ended under the call's content; missing if none. Followed by
+// a semicolon and "quarantined" if no further target gets it.
 inline constexpr const char *TargetEnds = "Galenahill-Target-Ends";
+inline constexpr const char *Quarantined = "quarantined";
 
 // On a sidecar's responses: the services that targets call while they execute calls of this
 // route, separated by commas.
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -69,6 +69,11 @@
 
 Quarantine::~Quarantine() = default;
 
+const NodeName &Quarantine::node() const
+{
+    return d->options.self.name;
+}
+
 const QuarantineTable &Quarantine::table() const
 {
     return d->table;
--- a/src/core/quarantine/quarantine.h
+++ b/src/core/quarantine/quarantine.h
@@ -50,6 +50,9 @@
     explicit Quarantine(Options options);
     ~Quarantine();
 
+    // The node that this object belongs to.
+    const NodeName &node() const;
+
     // Sets the live members. Messages from other nodes are dropped.
     void setMembers(const std::vector<MemberRecord> &members);
 
--- a/src/core/quarantine/quarantinetable.cpp
+++ b/src/core/quarantine/quarantinetable.cpp
@@ -101,6 +101,17 @@
     return endedNodes(digest, now).size();
 }
 
+bool QuarantineTable::hasManyOtherEnds(RequestDigest digest, TimePoint now) const
+{
+    const auto &own = m_byDigest.at(digest);
+    const auto &service = m_ends.at(own.back()).end.service;
+    const auto others = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto &entry) {
+        const bool isOwn = std::find(own.begin(), own.end(), entry.first) != own.end();
+        return !isOwn && entry.second.end.service == service && now - entry.second.observed < m_options.holdTime;
+    });
+    return static_cast<std::size_t>(others) >= m_options.otherEnds;
+}
+
 RequestStanding QuarantineTable::standing(RequestDigest digest, TimePoint now) const
 {
     if (m_byDigest.empty()) {
@@ -110,7 +121,8 @@
     if (count == 0) {
         return RequestStanding::Clear;
     }
-    return count >= m_options.maxEnds ? RequestStanding::Quarantined : RequestStanding::Suspect;
+    const bool isLimit = count > m_options.maxEnds || (count == m_options.maxEnds && !hasManyOtherEnds(digest, now));
+    return isLimit ? RequestStanding::Quarantined : RequestStanding::Suspect;
 }
 
 std::size_t QuarantineTable::recentEnds(const ServiceName &service, Milliseconds window, TimePoint now) const
--- a/src/core/quarantine/quarantinetable.h
+++ b/src/core/quarantine/quarantinetable.h
@@ -30,8 +30,10 @@
 public:
     struct Options
     {
-        // Number of targets that may end under one request.
+        // Number of targets that may end under one request, and one more while so many others of the service have ended that two
+        // ends under one request may be chance.
         std::size_t maxEnds = 2;
+        std::size_t otherEnds = 3;
         // How long an end counts, and how many ends are kept.
         Milliseconds holdTime{600'000};
         std::size_t capacity = 512;
@@ -77,6 +79,7 @@
     TargetEnd withAge(const KnownEnd &known, TimePoint now) const;
     void removeOldest();
     void removeFromIndex(const TargetEnd &end);
+    bool hasManyOtherEnds(RequestDigest digest, TimePoint now) const;
     const KnownEnd *countedEnd(TargetEndId id, RequestDigest digest, TimePoint now) const;
 
     Options m_options;
--- a/src/core/quarantine/targetenddetector.h
+++ b/src/core/quarantine/targetenddetector.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <unordered_map>
 #include <vector>
 
 namespace Galenahill {
@@ -39,32 +38,46 @@
     // Whether the request is not part of an end yet.
     bool isPending(Ticket ticket) const;
 
+    // Whether the target may go on with a request that was given up.
+    bool hasAbandoned(TimePoint now) const;
+
     // Number of requests that wait for a response.
     std::size_t running() const;
 
-    // The target has ended: returns the requests that may have been running, each once, and forgets them. Empty if none
-    // was.
+    // The target has ended: returns the requests that may have ended it, each once, and forgets all. Requests with the
+    // content of one that the target has just answered are left out: many callers send them, so they are running whenever a
+    // target ends.
     std::vector<RequestDigest> takeSuspects(TimePoint now);
 
 private:
     struct Request
     {
+        Ticket ticket = NoTicket;
         RequestDigest digest;
         // When its connection was lost; the end of time while a response is expected.
         TimePoint lostAt = TimePoint::max();
     };
 
-    struct Abandoned
+    struct EndedRequest
     {
         RequestDigest digest;
         TimePoint at;
     };
 
     void removeLostBefore(TimePoint time);
+    void recordAnswer(RequestDigest digest, TimePoint now);
+    bool wasJustAnswered(RequestDigest digest, TimePoint now) const;
+
+    Request *find(Ticket ticket);
+    void erase(Ticket ticket);
 
-    std::unordered_map<Ticket, Request> m_requests;
+    // As many as the target runs at a time, and a few whose connections were lost.
+    std::vector<Request> m_requests;
     std::size_t m_lost = 0;
-    std::deque<Abandoned> m_abandoned;
+    std::deque<EndedRequest> m_abandoned;
+    // The last answers of the target; the next one replaces the oldest.
+    std::vector<EndedRequest> m_answers;
+    std::size_t m_nextAnswer = 0;
     Ticket m_nextTicket = 1;
 };
 
--- a/src/daemon/calls/callmessages.cpp
+++ b/src/daemon/calls/callmessages.cpp
@@ -80,6 +80,30 @@
     }
 }
 
+std::string_view pathOf(const HttpRequest &request)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view hostOf(const HttpRequest &request)
+{
+    const auto field = request[http::field::host];
+    const std::string_view host(field.data(), field.size());
+    return host.substr(0, host.find(':'));
+}
+
+RequestDigest contentDigest(const HttpRequest &request, const BodySource *streamedBody)
+{
+    const auto method = request.method_string();
+    const auto target = request.target();
+    return digestOf({.method = {method.data(), method.size()},
+        .host = hostOf(request),
+        .target = {target.data(), target.size()},
+        .body = request.body(),
+        .streamedLength = streamedBody == nullptr ? std::nullopt : std::optional(streamedBody->length().value_or(0))});
+}
+
 HttpResponse notRunResponse(http::status status, const std::string &kind, const std::string &message, Milliseconds retryAfter)
 {
     auto response = makeErrorResponse(status, kind, message);
@@ -149,16 +173,17 @@
 std::string formatTerms(const CallTerms &terms)
 {
     const auto text = [](const std::optional<Milliseconds> &time) { return time ? std::to_string(time->count()) : std::string(); };
-    const auto waitedBefore = terms.waitedBefore.count() > 0 ? std::to_string(terms.waitedBefore.count()) : std::string();
-    const auto lastParts = terms.digest ? fmt::format(";{};{}", waitedBefore, toString(*terms.digest)) : (waitedBefore.empty() ? "" : ";" + waitedBefore);
-    return fmt::format("{};{};{};{};{};{}{}",
+    const auto waitedBefore = terms.waitedBefore.count() > 0 ? std::optional(terms.waitedBefore) : std::nullopt;
+    return fmt::format("{};{};{};{};{};{}{}{}{}",
         terms.priority,
         text(terms.objectiveLeft),
         terms.mayWait ? "wait" : NoWait,
         terms.hasRunningParent ? NestedCall : "",
         text(terms.waitLeft),
         terms.isRetry ? Retry : "",
-        lastParts);
+        waitedBefore || terms.digest ? ";" : "",
+        text(waitedBefore),
+        terms.digest ? fmt::format(";{}", toString(*terms.digest)) : std::string());
 }
 
 std::optional<Milliseconds> waitHeader(const HttpResponse &response)
@@ -168,10 +193,18 @@
     return wait ? std::optional(Milliseconds(*wait)) : std::nullopt;
 }
 
-std::size_t targetEndsHeader(const HttpResponse &response)
+StatedEnds targetEndsHeader(const HttpResponse &response)
 {
     const auto field = response[CallHeaders::TargetEnds];
-    return parseNumber<std::size_t>({field.data(), field.size()}).value_or(0);
+    const std::string_view text(field.data(), field.size());
+    const auto separator = std::min(text.find(';'), text.size());
+    return {.ends = parseNumber<std::size_t>(text.substr(0, separator)).value_or(0),
+        .isQuarantined = separator < text.size() && text.substr(separator + 1) == CallHeaders::Quarantined};
+}
+
+std::string formatTargetEnds(const StatedEnds &stated)
+{
+    return fmt::format("{}{}", stated.ends, stated.isQuarantined ? std::string(";") + CallHeaders::Quarantined : std::string());
 }
 
 Milliseconds queuedHeader(const HttpResponse &response)
--- a/src/daemon/calls/callmessages.h
+++ b/src/daemon/calls/callmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/bodysource.h"
 #include "adapters/http/httpmessage.h"
 #include "common/identifiers.h"
 #include "core/calls/callheadernames.h"
@@ -9,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Galenahill {
@@ -34,7 +36,7 @@
     bool hasRunningParent = false;
     // Whether the call or one of the calls that it is nested in is a retry of a call that may have run.
     bool isRetry = false;
-    // Digest of the call's content; empty if the ingress sends none.
+    // Digest of the content of a call with a body, which the sidecar may receive in parts; empty for other calls.
     std::optional<RequestDigest> digest;
 
     friend bool operator==(const CallTerms &, const CallTerms &) = default;
@@ -44,6 +46,13 @@
 // nor a target can forge them. Keeps the platform's end-to-end fields.
 void stripFields(http::fields &fields, const CallHeaderNames &headerNames = {});
 
+// The request's path without the query, and its host without the port.
+std::string_view pathOf(const HttpRequest &request);
+std::string_view hostOf(const HttpRequest &request);
+
+// Digest of the request's content. The body is the one that was read with the header, or is streamed.
+RequestDigest contentDigest(const HttpRequest &request, const BodySource *streamedBody);
+
 // Response for a call that certainly did not run, with the time after which to retry it.
 HttpResponse notRunResponse(http::status status, const std::string &kind, const std::string &message, Milliseconds retryAfter = Milliseconds(1000));
 
@@ -68,9 +77,17 @@
 // Parses the expected wait for a slot from a sidecar's response, if it reports one.
 std::optional<Milliseconds> waitHeader(const HttpResponse &response);
 
-// Parses the number of targets that have ended under the call's content from a sidecar's response; zero if it reports
-// none.
-std::size_t targetEndsHeader(const HttpResponse &response);
+// What a sidecar's response states of the targets that have ended under the call's content.
+struct StatedEnds
+{
+    std::size_t ends = 0;
+    // Whether no further target gets the call.
+    bool isQuarantined = false;
+};
+
+// Parses and formats that statement; no ends if there is none.
+StatedEnds targetEndsHeader(const HttpResponse &response);
+std::string formatTargetEnds(const StatedEnds &stated);
 
 // Parses the time that the call waited for a slot from a sidecar's response; zero if it reports none.
 Milliseconds queuedHeader(const HttpResponse &response);
--- a/src/daemon/calls/callrouter.cpp
+++ b/src/daemon/calls/callrouter.cpp
@@ -156,6 +156,9 @@
     if (Clock::now() >= call.deadline) {
         return false;
     }
+    if (isQuarantined(call) || (call.endedTarget && !mayRetryAfterEnd(call))) {
+        return false;
+    }
     if (result == AttemptResult::KeyRevoked) {
         return false;
     }
@@ -202,6 +205,9 @@
 
 Offer CallRouter::choose(IngressCall &call)
 {
+    if (isSuspect(call)) {
+        return chooseForSuspect(call);
+    }
     if (call.unknownOutcomes > 0) {
         return chooseForRetry(call);
     }
@@ -296,7 +302,7 @@
 // to finish.
 const MemberRecord *CallRouter::chooseReplacement(IngressCall &call)
 {
-    const bool allowed = !m_stopping && call.connection.requestBody() == nullptr && call.attemptsSent + 1 < call.route->maxTargets
+    const bool allowed = !m_stopping && !isSuspect(call) && call.connection.requestBody() == nullptr && call.attemptsSent + 1 < call.route->maxTargets
         && call.replacementOffers < MaxReplacementOffers && nestedCallsHaveBudget(call);
     if (!allowed) {
         return nullptr;
--- a/src/daemon/calls/callrouter.h
+++ b/src/daemon/calls/callrouter.h
@@ -5,6 +5,7 @@
 #include "core/calls/offerorder.h"
 #include "core/calls/retrybudget.h"
 #include "core/calls/targetpicker.h"
+#include "core/quarantine/quarantine.h"
 #include "daemon/calls/ingresscall.h"
 
 #include <functional>
@@ -29,6 +30,8 @@
         RetryBudget::Options retryBudget;
         // Returns the services that calls of the route make nested calls to. May be null.
         std::function<const std::vector<ServiceName> &(const RouteName &route)> calledServices;
+        // Requests under which targets ended. May be null.
+        const Quarantine *quarantine = nullptr;
     };
 
     explicit CallRouter(Options options);
@@ -64,6 +67,9 @@
     // limit the wait.
     std::optional<Milliseconds> waitLeft(const IngressCall &call) const;
 
+    // Whether no target may get the call, since targets have ended under its content.
+    bool isQuarantined(const IngressCall &call) const;
+
     // Whether the call may be sent again even if an earlier attempt may have run it.
     bool isRetryable(const IngressCall &call) const;
 
@@ -110,6 +116,9 @@
     RetryBudget &budgetOf(const ServiceName &service);
     bool hasRetryToken(const IngressCall &call, const ServiceName &service);
     bool nestedCallsHaveBudget(const IngressCall &call);
+    bool isSuspect(const IngressCall &call) const;
+    bool mayRetryAfterEnd(const IngressCall &call) const;
+    Offer chooseForSuspect(IngressCall &call) const;
     Offer chooseForRetry(IngressCall &call);
     Offer chooseCanary(IngressCall &call);
     const MemberRecord *localTarget(const IngressCall &call) const;
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -14,17 +14,6 @@
 // A longer body takes more time on a slow link than a round trip between data centres.
 constexpr std::size_t LargeBodyBytes = 4096;
 
-RequestDigest contentDigest(const HttpRequest &request, const BodySource *streamedBody)
-{
-    const auto method = request.method_string();
-    const auto target = request.target();
-    return digestOf({.method = {method.data(), method.size()},
-        .host = hostOf(request),
-        .target = {target.data(), target.size()},
-        .body = request.body(),
-        .streamedLength = streamedBody == nullptr ? std::nullopt : std::optional(streamedBody->length().value_or(0))});
-}
-
 // Whether any of the targets is on a VM whose node knows the speed of its link.
 bool anyLinkKnown(const std::vector<MemberRecord> &targets)
 {
@@ -191,6 +180,11 @@
     return d->router.retryCounts();
 }
 
+std::uint64_t Ingress::quarantinedCalls() const
+{
+    return d->quarantinedCalls;
+}
+
 std::uint64_t Ingress::shedCalls() const
 {
     return d->shedCalls;
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -13,7 +13,7 @@
 #include "core/calls/targetpicker.h"
 #include "core/customers/customercounts.h"
 #include "core/customers/tokenlessee.h"
-#include "core/quarantine/requestdigest.h"
+#include "core/quarantine/quarantine.h"
 #include "ports/logger.h"
 
 #include <functional>
@@ -110,6 +110,8 @@
         // be null: then customers have no limit.
         std::function<asio::awaitable<TokenDecision>(const CustomerName &customer)> acquireToken;
         std::function<void(const CustomerName &customer, const TokenDecision &granted)> releaseToken;
+        // Requests under which targets ended. May be null.
+        const Quarantine *quarantine = nullptr;
         // Called with the result of each call when its final response is ready.
         std::function<void(const RouteDefinition &route, CallResult result, std::chrono::microseconds latency)> callEnded;
         // Called with what became of each call that was identified by the key of a customer, and with an
@@ -162,6 +164,9 @@
     // Number of responses that ended early although their callers had not left.
     std::uint64_t responsesEndedEarly() const;
 
+    // Number of calls rejected because targets had ended under their content.
+    std::uint64_t quarantinedCalls() const;
+
     // Number of calls shed in favour of calls of higher priority.
     std::uint64_t shedCalls() const;
 
--- a/src/daemon/calls/ingress_p.h
+++ b/src/daemon/calls/ingress_p.h
@@ -34,7 +34,8 @@
               .seed = options.seed,
               .policy = options.policy,
               .retryBudget = options.retryBudget,
-              .calledServices = [this](const RouteName &route) -> const std::vector<ServiceName> & { return guard.calledServices(route); }})
+              .calledServices = [this](const RouteName &route) -> const std::vector<ServiceName> & { return guard.calledServices(route); },
+              .quarantine = options.quarantine})
         , versions(options.seed)
         , retryAfter(options.seed)
         , guard({.seed = options.seed})
@@ -61,6 +62,7 @@
     RouteLimiter routeLimiter{{}};
     std::atomic<std::uint64_t> retriesMade = 0;
     std::atomic<std::uint64_t> shedCalls = 0;
+    std::atomic<std::uint64_t> quarantinedCalls = 0;
     std::atomic<std::uint64_t> returnedCalls = 0;
     std::atomic<std::uint64_t> callsWithoutTime = 0;
     std::atomic<std::uint64_t> attemptsReplaced = 0;
@@ -85,6 +87,7 @@
     asio::awaitable<HttpResponse> admit(IngressCall &call);
     asio::awaitable<HttpResponse> admitWithinLimit(IngressCall &call);
     HttpResponse overLimit(IngressCall &call, const TokenDecision &denied) const;
+    asio::awaitable<void> waitForEndReports(IngressCall &call);
     asio::awaitable<HttpResponse> route(IngressCall &call);
     asio::awaitable<Attempt> attempt(IngressCall &call, Offer offer);
     asio::awaitable<Attempt> attemptWithReplacement(IngressCall &call, const MemberRecord &target);
@@ -101,6 +104,7 @@
     bool isShed(IngressCall &call);
     bool endForStop(IngressCall &call);
     HttpResponse rejection(IngressCall &call);
+    HttpResponse quarantineRejection(IngressCall &call);
     HttpResponse finalResponse(IngressCall &call, Attempt last);
     void recordEarlyEnd(IngressCall &call, const StreamResult &result, HttpResponse &response);
     void report(const IngressCall &call, const HttpResponse &response) const;
--- a/src/daemon/calls/ingressadmission.cpp
+++ b/src/daemon/calls/ingressadmission.cpp
@@ -38,6 +38,9 @@
 // The customer's limit comes first: a call over it takes no capacity from others while it waits.
 asio::awaitable<HttpResponse> Ingress::Private::admit(IngressCall &call)
 {
+    if (router.isQuarantined(call)) {
+        co_return quarantineRejection(call);
+    }
     const auto *customer = call.customerDefinition;
     if (!options.acquireToken || customer == nullptr || !customer->limit.limited() || call.hasRunningParent) {
         co_return co_await admitWithinLimit(call);
--- a/src/daemon/calls/ingressattempt.cpp
+++ b/src/daemon/calls/ingressattempt.cpp
@@ -17,6 +17,7 @@
 void Ingress::Private::setSidecarFields(const IngressCall &call, HttpRequest &request, const AttemptTerms &attemptTerms) const
 {
     const auto now = Clock::now();
+    const bool hasBody = !request.body().empty() || call.connection.requestBody() != nullptr;
     CallTerms terms{.priority = call.priority,
         .objectiveLeft = std::nullopt,
         .mayWait = attemptTerms.mayWait,
@@ -24,7 +25,7 @@
         .waitedBefore = call.waitCounts ? call.waitedBefore : Milliseconds(0),
         .hasRunningParent = call.hasRunningParent,
         .isRetry = call.origin == CallOrigin::RetryAtTarget || attemptTerms.isRetry,
-        .digest = call.digest};
+        .digest = hasBody ? std::optional(call.digest) : std::nullopt};
     if (call.route->sloLatency.count() > 0) {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.begin - terms.waitedBefore + call.route->sloLatency - now);
         terms.objectiveLeft = std::max(left, Milliseconds(0));
@@ -132,7 +133,10 @@
     if (auto services = calledServicesHeader(response); !services.empty()) {
         guard.setCalledServices(call.route->name, std::move(services));
     }
-    call.targetEnds = std::max(call.targetEnds, targetEndsHeader(response));
+    const auto stated = targetEndsHeader(response);
+    call.targetEnds = std::max(call.targetEnds, stated.ends);
+    call.statedQuarantined = call.statedQuarantined || stated.isQuarantined;
+    call.endedTarget = stated.ends > 0 && result == AttemptResult::OutcomeUnknown;
     const auto wait = waitHeader(response);
     if (wait || loadHeader(response)) {
         router.updateExpectedWait(call, target.name, wait.value_or(Milliseconds(0)));
--- a/src/daemon/calls/ingresscall.cpp
+++ b/src/daemon/calls/ingresscall.cpp
@@ -13,19 +13,6 @@
     return response.result_int() >= 500 ? CallResult::TargetFailed : CallResult::Answered;
 }
 
-std::string_view pathOf(const HttpRequest &request)
-{
-    const std::string_view target(request.target().data(), request.target().size());
-    return target.substr(0, target.find('?'));
-}
-
-std::string_view hostOf(const HttpRequest &request)
-{
-    const auto field = request[http::field::host];
-    const std::string_view host(field.data(), field.size());
-    return host.substr(0, host.find(':'));
-}
-
 bool isSent(AttemptResult result)
 {
     return result != AttemptResult::NotRun && result != AttemptResult::KeyRevoked;
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -71,6 +71,12 @@
     // Digest of the content, and the number of targets known to have ended under it.
     RequestDigest digest;
     std::size_t targetEnds = 0;
+    // Whether a sidecar has stated that no further target gets it.
+    bool statedQuarantined = false;
+    // Whether the target of the last attempt ended, and whether the call has been offered to the one target that may run it
+    // as a suspect.
+    bool endedTarget = false;
+    bool suspectOffered = false;
     // Number of slow attempts whose replacement at another target responded, and when the last one did;
     // of replacements that were rejected; and of those that reached a target, but did not respond first.
     std::uint32_t replacedAttempts = 0;
@@ -141,8 +147,4 @@
 bool isSent(AttemptResult result);
 bool mayHaveRun(AttemptResult result);
 
-// The request's path without the query, and its host without the port.
-std::string_view pathOf(const HttpRequest &request);
-std::string_view hostOf(const HttpRequest &request);
-
 }
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -101,13 +101,36 @@
     if (call.unknownOutcomes > 0 || mayHaveRun(last.result)) {
         // The sidecar's deadline is stated in whole milliseconds, and passes up to one before this one.
         const bool late = !call.endedByStop && call.deadline - Clock::now() < Milliseconds(1);
-        return outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
+        auto response = outcomeUnknownResponse(fmt::format("call {} may have run; check its effect before retrying it", call.id.value()),
             late ? http::status::gateway_timeout : http::status::bad_gateway);
+        if (router.isQuarantined(call)) {
+            response.erase(http::field::retry_after);
+        }
+        return response;
     }
     if (last.result == AttemptResult::KeyRevoked) {
         return unauthorizedResponse(CallerIdentity::Status::UnknownKey);
     }
-    return rejection(call);
+    return router.isQuarantined(call) ? quarantineRejection(call) : rejection(call);
+}
+
+// Says nothing of when to return: no repeat of the request will be run.
+HttpResponse Ingress::Private::quarantineRejection(IngressCall &call)
+{
+    ++quarantinedCalls;
+    if (options.quarantine != nullptr) {
+        call.targetEnds = std::max(call.targetEnds, options.quarantine->table().endsOf(call.digest, Clock::now()));
+    }
+    call.reason = fmt::format("quarantined: {} targets have ended while they executed requests with this content", call.targetEnds);
+    auto response = notRunResponse(http::status::service_unavailable,
+        "quarantined",
+        fmt::format("call {} was not run: targets of {} have ended while they executed requests with the same content; do not repeat it, and ask the operators "
+                    "to look for digest {}",
+            call.id.value(),
+            call.service.value(),
+            toString(call.digest)));
+    response.erase(http::field::retry_after);
+    return response;
 }
 
 // The wait that sidecars reported stands in for an unknown backlog. A caller that has returned before does
--- a/src/daemon/calls/ingressrouting.cpp
+++ b/src/daemon/calls/ingressrouting.cpp
@@ -4,6 +4,27 @@
 
 namespace Galenahill {
 
+namespace {
+
+// Time in which nodes learn of the end of a target.
+constexpr Milliseconds EndReportTime{50};
+constexpr Milliseconds EndReportCheckInterval{10};
+
+}
+
+// Copies of the request may have ended other targets at the same time; reports of that take a few round trips.
+asio::awaitable<void> Ingress::Private::waitForEndReports(IngressCall &call)
+{
+    const auto until = Clock::now() + EndReportTime;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (Clock::now() < std::min<TimePoint>(until, call.deadline) && !call.connection.cancellation().cancelled() && !call.endedByStop
+        && !router.isQuarantined(call)) {
+        ErrorCode ignored;
+        timer.expires_after(EndReportCheckInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<HttpResponse> Ingress::Private::route(IngressCall &call)
 {
     router.callStarted(call);
@@ -15,6 +36,9 @@
         last = co_await attempt(call, offer);
         const auto result = last.result;
         router.attemptEnded(call, result);
+        if (call.endedTarget) {
+            co_await waitForEndReports(call);
+        }
         const auto *connection = respondingConnection(call);
         const bool responseStarted = connection != nullptr && connection->responseStarted();
         if (responseStarted || result == AttemptResult::Answered || !router.mayRetry(call, result)) {
--- a/src/daemon/calls/sidecar.cpp
+++ b/src/daemon/calls/sidecar.cpp
@@ -209,6 +209,9 @@
     call.route = RouteName(std::string(request[CallHeaders::Route]));
     call.deadline = call.arrived + Milliseconds(timeoutHeader(request).value_or(0));
     call.terms = termsHeader(request);
+    if (!call.terms.digest && request.body().empty() && connection.requestBody() == nullptr) {
+        call.terms.digest = contentDigest(request, nullptr);
+    }
     call.customer = customerHeader(request);
     call.callerService = std::string(request[CallHeaders::CallerService]);
     if (call.terms.objectiveLeft) {
@@ -218,6 +221,9 @@
         keep->logRejection(call, reason);
         co_return keep->reject(reason);
     }
+    if (const auto reason = keep->quarantineReason(call)) {
+        co_return keep->rejectForQuarantine(call, *reason);
+    }
     // Releases the memory of the buffered body, and the response's place on the link, however the call ends.
     const auto release = [&keep](SlotCall *ended) {
         keep->bodyReceiver.release(ended->bufferedBytes);
@@ -236,6 +242,14 @@
             co_return std::move(*rejected);
         }
     }
+    const auto endSuspect = [&keep](SlotCall *ended) { keep->suspectRunning = keep->suspectRunning && !ended->runsAsSuspect; };
+    const std::unique_ptr<SlotCall, decltype(endSuspect)> suspectGuard(&call, endSuspect);
+    if (keep->isSuspect(call)) {
+        auto rejected = co_await keep->waitForSuspects(call, connection);
+        if (rejected) {
+            co_return std::move(*rejected);
+        }
+    }
     const bool acquired = co_await keep->slots->acquire(call, connection);
     if (!acquired) {
         co_return keep->rejectFull(call);
@@ -255,6 +269,12 @@
         keep->logRejection(call, rejectionText(CallerIdentity::Status::UnknownKey));
         co_return unauthorizedResponse(CallerIdentity::Status::UnknownKey);
     }
+    // Other targets may have ended under the request while this one waited.
+    const auto quarantined = keep->quarantineReason(call);
+    if (quarantined || (keep->isSuspect(call) && !call.runsAsSuspect)) {
+        keep->slots->release(call, AdmissionController::ReleaseReason::NotSent);
+        co_return keep->rejectForQuarantine(call, quarantined.value_or("a target has ended under the request while it waited"));
+    }
     co_return co_await keep->forward(std::move(request), call, connection);
 }
 
--- a/src/daemon/calls/sidecar_p.h
+++ b/src/daemon/calls/sidecar_p.h
@@ -22,8 +22,8 @@
 }
 
 // sidecar.cpp follows the target's state and admits calls, sidecarforward.cpp sends them to the
-// target, sidecartargetend.cpp recognises that it has ended, sidecarresponse.cpp schedules their large responses, and sidecarrejection.cpp rejects those
-// that the target cannot run.
+// target, sidecartargetend.cpp recognises that it has ended, sidecarquarantine.cpp keeps requests from it under which targets ended, sidecarresponse.cpp
+// schedules their large responses, and sidecarrejection.cpp rejects those that the target cannot run.
 class Sidecar::Private : public std::enable_shared_from_this<Sidecar::Private>
 {
 public:
@@ -57,6 +57,10 @@
     VersionGuard guard;
     RunningCalls running;
     TargetEndDetector endDetector;
+    // Whether the target is executing a suspect; it executes one at a time.
+    bool suspectRunning = false;
+    // Whether the target is being watched because of a call that was given up.
+    bool watchesAbandoned = false;
     // Services that calls of each route make nested calls to.
     CalledServices calledServices;
     // How the nested calls of each route have ended lately.
@@ -85,6 +89,13 @@
         HttpResponse response, std::unique_ptr<BodySource> rest, const SlotCall &call, AdmissionController::ReleaseReason reason, ServerConnection &connection);
     HttpResponse rejectBody(const SlotCall &call, TimePoint arrival) const;
     void logEarlyEnd(const SlotCall &call, const StreamResult &result, ServerConnection &connection) const;
+    std::optional<std::string> quarantineReason(const SlotCall &call) const;
+    HttpResponse rejectForQuarantine(const SlotCall &call, const std::string &reason) const;
+    asio::awaitable<std::optional<HttpResponse>> waitForSuspects(SlotCall &call, ServerConnection &connection);
+    bool isSuspect(const SlotCall &call) const;
+    void watchAbandoned();
+    asio::awaitable<void> watchAfterAbandoned();
+    asio::awaitable<void> checkAbandonedEnd();
     asio::awaitable<void> checkForTargetEnd(TargetEndDetector::Ticket ticket, const SlotCall &call);
     void targetEnded(const char *recognisedBy);
     void reportTargetEnds(HttpResponse &response, const SlotCall &call) const;
--- a/src/daemon/calls/sidecarforward.cpp
+++ b/src/daemon/calls/sidecarforward.cpp
@@ -112,6 +112,7 @@
     }
     if (response.error().kind == ErrorKind::Unavailable) {
         endDetector.notSent(ticket);
+        co_await checkAbandonedEnd();
         slots->release(call, Reason::NotSent);
         if (options.targetUnreachable && !connection.cancellation().cancelled()) {
             options.targetUnreachable();
@@ -122,6 +123,7 @@
     const bool cancelled = connection.cancellation().cancelled();
     if (late || cancelled) {
         endDetector.abandoned(ticket, Clock::now());
+        watchAbandoned();
     } else {
         co_await checkForTargetEnd(ticket, call);
     }
--- a/src/daemon/calls/slotqueue.h
+++ b/src/daemon/calls/slotqueue.h
@@ -38,6 +38,8 @@
     std::chrono::microseconds chargedTime{0};
     // Length of the request body, if it was buffered as a whole before; else zero.
     std::uint64_t bufferedBytes = 0;
+    // Whether the call is the one suspect that the target executes.
+    bool runsAsSuspect = false;
     // Set while the response is scheduled on the VM's outbound link.
     ResponseTicket responseTicket;
 };
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -6,8 +6,6 @@
 #include "daemon/platformnode_p.h"
 
 #include <algorithm>
-#include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace Galenahill {
@@ -243,6 +241,7 @@
         {"requests_suspected", static_cast<double>(quarantine.table().suspects(Clock::now()))},
         {"requests_quarantined", static_cast<double>(quarantine.table().quarantined(Clock::now()))},
         {"requests_cleared", static_cast<double>(quarantine.counts().requestsCleared)},
+        {"calls_quarantined", static_cast<double>(ingress.quarantinedCalls())},
         {"quarantine_messages_dropped", static_cast<double>(quarantine.counts().messagesDropped)},
         {"retry_share_members", static_cast<double>(retryShare.members(Clock::now()))},
         {"clock_steps", static_cast<double>(clockStepDetector.steps())},
@@ -324,18 +323,6 @@
             {"reason", call.reason}});
 }
 
-void PlatformNode::Private::logQuarantine(const QuarantineChange &change)
-{
-    std::vector<std::string> nodes;
-    std::transform(change.nodes.begin(), change.nodes.end(), std::back_inserter(nodes), [](const auto &node) { return node.value(); });
-    log(change.standing == RequestStanding::Quarantined ? LogLevel::Warning : LogLevel::Info,
-        "request-standing",
-        {{"digest", toString(change.digest)},
-            {"standing", toString(change.standing)},
-            {"ended_beside", fmt::format("{}", fmt::join(nodes, ","))},
-            {"seen_here", change.seenHere}});
-}
-
 void PlatformNode::reload(const PlatformNodeSettings &settings)
 {
     d->settings.seeds = settings.seeds;
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -110,7 +110,6 @@
     void stageEnded(CallStage stage, std::chrono::microseconds time);
     std::string healthPath() const;
     void logCall(const CallReport &call);
-    void logQuarantine(const QuarantineChange &change);
     asio::awaitable<void> pull(Endpoint peer);
     asio::awaitable<void> stopGracefully();
     asio::awaitable<void> endConnections(TimePoint end);
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -4,6 +4,7 @@
 #include "core/config/configlimits.h"
 #include "core/fleet/rendezvous.h"
 #include "daemon/platformnode_p.h"
+#include "daemon/quarantinelog.h"
 
 #include <algorithm>
 
@@ -213,7 +214,7 @@
     return {.self = self,
         .seed = seed,
         .send = [this](const Endpoint &to, const QuarantineMessage &message) { datagrams.send(to, encode(message)); },
-        .changed = [this](const QuarantineChange &change) { logQuarantine(change); }};
+        .changed = [this](const QuarantineChange &change) { logQuarantineChange(log, change); }};
 }
 
 CustomerLimits::Options PlatformNode::Private::limitOptions()
@@ -243,6 +244,7 @@
         .nestedCallMade = [this](const RouteName &route, const ServiceName &service) { sidecar.nestedCallMade(route, service); },
         .acquireToken = [this](const CustomerName &customer) { return limits.acquire(customer); },
         .releaseToken = [this](const CustomerName &customer, const TokenDecision &granted) { limits.release(customer, granted); },
+        .quarantine = &quarantine,
         .callEnded
         = [this](const RouteDefinition &route, CallResult result, std::chrono::microseconds latency) { metrics.record(route, result, latency, Clock::now()); },
         .customerCallEnded = [this](const CustomerName &customer, CustomerEvent event) { customers.add(customer, event); },
