http: Bound responses that never end in bytes and time

Cause: each read of a streamed body set a new time limit, so the body outlived the deadline for as long as bytes came. Empty lines before a status line, interim responses and responses to other requests were bounded by the deadline only.

Ruled out: letters without a line end, header and trailer fields, a chunk extension are closed at 16 KB; bodies at full speed at the limit of the body.

Change: a stated length tells the two apart. A body without one has until 1 s after the deadline; one with a length ends by itself and has the time that it takes at 64 KB/s, beside the time for a part. At most 16 interim responses, 8 responses to other requests, and empty lines up to the limit of a header are read.

--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -17,6 +17,16 @@
 // 5 Mbit/s, a round trip of a few milliseconds costs less than sending 4 KB in vain.
 constexpr std::size_t ExpectContinueBytes = 4096;
 
+// Messages before the final response that are read: interim responses, and responses to earlier requests. A server that
+// sends more sends no response.
+constexpr int MaxInterimResponses = 16;
+constexpr int MaxMismatchedResponses = 8;
+
+// A body without a stated length may never end, so it has this time after the exchange's deadline. One with a stated length
+// ends, and has the time that it takes at the lowest speed.
+constexpr Milliseconds UnstatedLengthTime{1000};
+constexpr std::uint64_t MinBytesPerSecond = 64 * 1024;
+
 // The time for which the server keeps the connection open when idle, from the Keep-Alive field.
 Milliseconds serverKeepAlive(const HttpResponse &response)
 {
@@ -60,7 +70,7 @@
     {
         m_readStarted = true;
         auto &exchange = *m_exchange;
-        exchange.m_connection->channel.deadline.set(std::max<TimePoint>(Clock::now() + exchange.m_partTimeout, exchange.m_deadline));
+        exchange.m_connection->channel.deadline.set(std::min(std::max<TimePoint>(Clock::now() + exchange.m_partTimeout, exchange.m_deadline), latestEnd()));
         const auto error = co_await exchange.m_reader->readBody(part, limit);
         exchange.m_connection->channel.deadline.clear();
         if (!error && done()) {
@@ -85,6 +95,15 @@
     }
 
 private:
+    // When the body has to be complete.
+    TimePoint latestEnd() const
+    {
+        const auto stated = length();
+        return m_exchange->m_deadline
+            + (stated ? m_exchange->m_partTimeout + Milliseconds(*stated * 1000 / MinBytesPerSecond)
+                      : std::chrono::duration_cast<Milliseconds>(UnstatedLengthTime));
+    }
+
     std::shared_ptr<ClientExchange> m_exchange;
     bool m_readStarted = false;
 };
@@ -142,8 +161,11 @@
     }
     // If a target responds to a request twice, the second response arrives where the next request
     // on the connection expects its own.
-    while (!error && exchangeOptions.matchesRequest && !exchangeOptions.matchesRequest(m_reader->fields())) {
-        error = co_await discardResponse();
+    for (int mismatched = 0; !error && exchangeOptions.matchesRequest && !exchangeOptions.matchesRequest(m_reader->fields()); ++mismatched) {
+        error = mismatched < MaxMismatchedResponses ? ErrorCode() : ErrorCode(http::error::unexpected_body);
+        if (!error) {
+            error = co_await discardResponse();
+        }
         if (!error) {
             error = co_await readHeader(false);
         }
@@ -261,7 +283,11 @@
 asio::awaitable<ErrorCode> ClientExchange::readHeader(bool untilContinue)
 {
     ErrorCode error;
+    int interim = 0;
     do {
+        if (++interim > MaxInterimResponses) {
+            co_return http::error::header_limit;
+        }
         m_reader.emplace(m_connection->channel, MaxResponseHeaderBytes, m_maxBodyBytes);
         if (m_isHead) {
             m_reader->skipBody();
--- a/src/adapters/http/messagereader.h
+++ b/src/adapters/http/messagereader.h
@@ -96,11 +96,16 @@
 asio::awaitable<ErrorCode> MessageReader<IsRequest>::fillHeader()
 {
     auto &buffer = m_channel.buffer;
+    std::size_t skipped = 0;
     for (;;) {
         std::string_view text(static_cast<const char *>(buffer.data().data()), buffer.size());
         while (text.substr(0, 2) == "\r\n") {
             buffer.consume(2);
             text.remove_prefix(2);
+            skipped += 2;
+        }
+        if (skipped > m_maxHeaderBytes) {
+            co_return http::error::header_limit;
         }
         const auto length = headerLength(text);
         if (IsRequest) {
