soak, quarantine: Send requests that end their targets, and count other ends only if no request explains them

Cause: the soak had no request that ends its target. Two ends count as possible chance while three others of the service have ended, and these others were the ends under the soak's earlier fatal requests.

Change: an end of which a suspect has ended other targets as well does not make chance likelier (EndsUnderAnotherFatalRequestAreNoChance fails before). The soak sends series of fatal requests, one and two copies at once through random nodes, beside kills, stops, reloads and cuts, and starts the targets again between the waves; the targets' own records are judged. Its proxies refuse connections while their targets do, as the machines' ports do.

--- a/autotests/processes/queryofdeathtest.cpp
+++ b/autotests/processes/queryofdeathtest.cpp
@@ -96,6 +96,7 @@
     void sendAtOnce(const std::vector<std::size_t> &nodes, const std::string &path)
     {
         std::vector<std::thread> callers;
+        callers.reserve(nodes.size());
         for (const auto node : nodes) {
             callers.emplace_back([=, this] { (void)send(node, path); });
         }
--- a/autotests/unit/quarantinetest.cpp
+++ b/autotests/unit/quarantinetest.cpp
@@ -159,7 +159,7 @@
 {
     QuarantineTable table({});
     for (std::uint64_t id = 10; id < 13; ++id) {
-        table.add(makeEnd(id, "c", {Second}), Now);
+        table.add(makeEnd(id, "c", {RequestDigest(id)}), Now);
     }
     table.add(makeEnd(1, "a", {First}), Now);
     table.add(makeEnd(2, "b", {First}), Now);
@@ -168,6 +168,18 @@
     BOOST_TEST((table.standing(First, Now) == RequestStanding::Quarantined));
 }
 
+// Guards against several fatal requests that each end one more target because of the others.
+BOOST_AUTO_TEST_CASE(EndsUnderAnotherFatalRequestAreNoChance)
+{
+    QuarantineTable table({});
+    for (std::uint64_t id = 10; id < 13; ++id) {
+        table.add(makeEnd(id, "c", {Second}), Now);
+    }
+    table.add(makeEnd(1, "a", {First}), Now);
+    table.add(makeEnd(2, "b", {First}), Now);
+    BOOST_TEST((table.standing(First, Now) == RequestStanding::Quarantined));
+}
+
 BOOST_AUTO_TEST_CASE(IsBoundedInAgeAndSize)
 {
     QuarantineTable table({.holdTime = Milliseconds(1000), .capacity = 3});
--- a/bench/faultproxy.cpp
+++ b/bench/faultproxy.cpp
@@ -18,6 +18,9 @@
 // Interval at which a direction whose data is held back checks whether that still applies.
 constexpr Milliseconds HoldCheckInterval{5};
 
+// Interval at which a proxy that refuses connections checks whether its server listens again.
+constexpr Milliseconds ListenCheckInterval{50};
+
 constexpr std::size_t ChunkBytes = 16 * 1024;
 
 Tcp::endpoint tcpEndpoint(const Endpoint &endpoint)
@@ -57,19 +60,17 @@
         , server(tcpEndpoint(server))
         , receiveBuffer(bytes)
     {
-        const auto local = tcpEndpoint(listen);
-        acceptor.open(local.protocol());
-        acceptor.set_option(Tcp::acceptor::reuse_address(true));
-        limitBuffer(acceptor);
-        acceptor.bind(local);
-        acceptor.listen();
+        this->listen(tcpEndpoint(listen));
     }
 
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
     Tcp::acceptor acceptor;
     Tcp::endpoint server;
+    Tcp::endpoint local;
     int receiveBuffer;
+    bool refusesWithServer = false;
+    bool serverRefuses = false;
     Mode mode = Mode::Pass;
     Milliseconds delay{0};
     std::set<std::shared_ptr<ProxiedConnection>> connections;
@@ -78,6 +79,16 @@
     std::mutex mutex;
     std::set<std::uint16_t> refusedClients;
 
+    void listen(const Tcp::endpoint &endpoint)
+    {
+        local = endpoint;
+        acceptor.open(local.protocol());
+        acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        limitBuffer(acceptor);
+        acceptor.bind(local);
+        acceptor.listen();
+    }
+
     bool isHeld(bool fromServer) const
     {
         return mode == Mode::HoldBoth || mode == (fromServer ? Mode::HoldResponses : Mode::HoldRequests);
@@ -105,6 +116,7 @@
     }
 
     asio::awaitable<void> accept();
+    asio::awaitable<void> refuseUntilServerListens();
     asio::awaitable<void> relay(std::shared_ptr<ProxiedConnection> connection);
     asio::awaitable<void> forward(std::shared_ptr<ProxiedConnection> connection, bool fromServer);
 };
@@ -133,6 +145,11 @@
     });
 }
 
+void FaultProxy::refuseWithServer()
+{
+    asio::post(d->context, [this] { d->refusesWithServer = true; });
+}
+
 bool FaultProxy::takeRefusal(std::uint16_t clientPort)
 {
     const std::lock_guard lock(d->mutex);
@@ -148,7 +165,22 @@
         if (!error) {
             asio::co_spawn(context, relay(connection), asio::detached);
         }
+        if (serverRefuses) {
+            co_await refuseUntilServerListens();
+        }
+    }
+}
+
+asio::awaitable<void> FaultProxy::Private::refuseUntilServerListens()
+{
+    while (serverRefuses) {
+        co_await sleepFor(context, ListenCheckInterval);
+        Tcp::socket probe(context);
+        ErrorCode error;
+        co_await probe.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
+        serverRefuses = error == asio::error::connection_refused;
     }
+    listen(Tcp::endpoint(local));
 }
 
 asio::awaitable<void> FaultProxy::Private::relay(std::shared_ptr<ProxiedConnection> connection)
@@ -160,6 +192,11 @@
         co_await connection->server.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
     }
     recordClient(connection->client, error == asio::error::connection_refused);
+    if (refusesWithServer && error == asio::error::connection_refused && !serverRefuses) {
+        serverRefuses = true;
+        ErrorCode ignored;
+        acceptor.close(ignored);
+    }
     if (error || mode == Mode::Reset) {
         connection->reset();
         co_return;
--- a/bench/faultproxy.h
+++ b/bench/faultproxy.h
@@ -39,6 +39,9 @@
 
     void setMode(Mode mode, Milliseconds delay = Milliseconds(0));
 
+    // From now on, the proxy refuses connections while the server does.
+    void refuseWithServer();
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -92,7 +92,8 @@
           .keyMarker = SoakCustomers::KeyMarker,
           .nestedPath = SoakCustomers::NestedPath,
           .nestedHost = Host,
-          .nestedShare = NestedShare})
+          .nestedShare = NestedShare,
+          .fatalMarker = FatalMarker})
     , m_length(options.quick ? QuickLength : Length)
 {
     m_storeProxy = std::make_unique<FaultProxy>(m_fleet.storeForNodes(), m_fleet.store());
@@ -214,9 +215,11 @@
         series.emplace_back([this, i] { runSeries(m_options.seed * PlannedOnlySeries + i); });
     }
     if (!m_plannedOnly) {
+        series.emplace_back([this] { callFatally(); });
         injectFaults();
     }
     std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
+    restartEndedTargets();
     callers.join();
     busy.reset();
     records.insert(records.end(), m_interruptedCalls.begin(), m_interruptedCalls.end());
@@ -227,6 +230,7 @@
     checkStatements(records);
     checkCustomers(records, {SoakCustomers::UnknownKey});
     checkLost(records);
+    checkFatalCalls();
     printResult(records);
     return m_violations.empty();
 }
@@ -249,6 +253,8 @@
         {"nested_calls", nested},
         {"answered", answered},
         {"unauthorized", unauthorized},
+        {"fatal_requests", m_fatalRequests},
+        {"ended_targets", m_endedTargets},
         {"lost", m_lost.aroundPlannedWork.size()},
         {"lost_large_responses", m_lost.largeResponses.size()},
         {"own_answers_after_run", m_lost.ownAnswers},
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -25,7 +25,8 @@
 
 // One run: soak.cpp starts the fleet and sends the calls, soakchecks.cpp checks the records,
 // soakfaults.cpp injects the faults, soakplans.cpp performs planned work in series of their own, soakpipelining.cpp
-// has the callers that pipeline, the proxies, and the stops during a response.
+// has the callers that pipeline, the proxies, and the stops during a response, soakfatalcalls.cpp sends requests that end
+// their targets.
 class Soak
 {
 public:
@@ -92,6 +93,10 @@
     std::vector<std::size_t> chooseNodes(std::mt19937_64 &random) const;
     void checkCalls(const std::vector<CallRecord> &records);
     void checkStatements(const std::vector<CallRecord> &records);
+    void callFatally();
+    void sendFatalCalls(std::mt19937_64 &random, int content);
+    void restartEndedTargets();
+    void checkFatalCalls();
     void checkLost(const std::vector<CallRecord> &records);
     void printResult(const std::vector<CallRecord> &records) const;
     void checkCustomers(const std::vector<CallRecord> &records, const std::set<std::string> &rejectedKeys);
@@ -109,6 +114,8 @@
     static constexpr std::size_t DataCentres = 3;
     static constexpr Milliseconds CallerTimeout{2500};
     static constexpr const char *Host = "soak.example";
+    // Text in the path and the ids of requests that end the target which runs them.
+    static constexpr const char *FatalMarker = "fatal";
 
     ExperimentOptions m_options;
     std::mt19937_64 m_random;
@@ -140,6 +147,8 @@
     // Calls that the series sent to nodes in order to stop them during the response.
     std::vector<CallRecord> m_interruptedCalls;
     std::size_t m_interruptions = 0;
+    int m_fatalRequests = 0;
+    std::size_t m_endedTargets = 0;
     LostCalls m_lost;
     std::vector<SoakViolation> m_violations;
 };
--- a/bench/soakpipelining.cpp
+++ b/bench/soakpipelining.cpp
@@ -37,6 +37,7 @@
     for (std::size_t node = 0; node < m_nodes; ++node) {
         const int receiveBuffer = m_plannedOnly && node % 2 == 0 ? SmallBufferBytes : 0;
         m_targetProxies.push_back(std::make_unique<FaultProxy>(m_fleet.targetForNode(node), m_fleet.target(node), receiveBuffer));
+        m_targetProxies.back()->refuseWithServer();
         if (m_plannedOnly) {
             m_targetProxies.back()->setMode(FaultProxy::Mode::Delay, Milliseconds(1 + m_random() % MaxDelayMs));
         }
--- a/src/core/quarantine/quarantinetable.cpp
+++ b/src/core/quarantine/quarantinetable.cpp
@@ -101,13 +101,19 @@
     return endedNodes(digest, now).size();
 }
 
+// Whether one of the suspects has ended other targets as well, and so probably this one.
+bool QuarantineTable::isExplained(const TargetEnd &end, TimePoint now) const
+{
+    return std::any_of(end.suspects.begin(), end.suspects.end(), [&](const auto &request) { return endsOf(request.digest, now) >= m_options.maxEnds; });
+}
+
 bool QuarantineTable::hasManyOtherEnds(RequestDigest digest, TimePoint now) const
 {
     const auto &own = m_byDigest.at(digest);
     const auto &service = m_ends.at(own.back()).end.service;
     const auto others = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto &entry) {
         const bool isOwn = std::find(own.begin(), own.end(), entry.first) != own.end();
-        return !isOwn && entry.second.end.service == service && now - entry.second.observed < m_options.holdTime;
+        return !isOwn && entry.second.end.service == service && now - entry.second.observed < m_options.holdTime && !isExplained(entry.second.end, now);
     });
     return static_cast<std::size_t>(others) >= m_options.otherEnds;
 }
--- a/src/core/quarantine/quarantinetable.h
+++ b/src/core/quarantine/quarantinetable.h
@@ -30,8 +30,8 @@
 public:
     struct Options
     {
-        // Number of targets that may end under one request, and one more while so many others of the service have ended that two
-        // ends under one request may be chance.
+        // Number of targets that may end under one request, and one more while so many others of the service have ended, not all under one
+        // request, that two ends under one request may be chance.
         std::size_t maxEnds = 2;
         std::size_t otherEnds = 3;
         // How long an end counts, and how many ends are kept.
@@ -79,6 +79,7 @@
     TargetEnd withAge(const KnownEnd &known, TimePoint now) const;
     void removeOldest();
     void removeFromIndex(const TargetEnd &end);
+    bool isExplained(const TargetEnd &end, TimePoint now) const;
     bool hasManyOtherEnds(RequestDigest digest, TimePoint now) const;
     const KnownEnd *countedEnd(TargetEndId id, RequestDigest digest, TimePoint now) const;
 
