--- a/autotests/processes/queryofdeathtest.cpp
+++ b/autotests/processes/queryofdeathtest.cpp
@@ -1,6 +1,7 @@
 // Requests that end the targets which run them, with real processes. Checks the records that the targets wrote.
 
 #include "adapters/http/blockinghttpclient.h"
+#include "cli/nodeconnection.h"
 #include "fleet.h"
 #include "loadgenerator.h"
 #include "platform/callheadernames.h"
@@ -11,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace Galenahill;
@@ -196,6 +198,49 @@
     BOOST_TEST(endedTargets() <= MaxEndedTargets);
 }
 
+// Guards against nodes of galenahilld, whose targets don't announce themselves, that carry a fatal request on.
+BOOST_AUTO_TEST_CASE(NodesOfGalenahilldEndTwoTargets)
+{
+    constexpr std::size_t FleetNodes = 6;
+    Galenahill::Fleet fleet({.programs = argument(1),
+        .folder = argument(1) + "/queryofdeathini",
+        .network = static_cast<std::uint8_t>(Fleet::defaultNetwork() + 15),
+        .nodes = FleetNodes,
+        .dataCentres = {"rosario-a"},
+        .services = {{.name = "ventas", .slots = 6, .serviceMicroseconds = 20000}},
+        .fatalMarker = "fatal"});
+    BOOST_REQUIRE(fleet.start().has_value());
+    NodeConnection connection(fleet.control(0));
+    const auto apply = [&](const char *file, const char *text) {
+        const auto applied = connection.call("apply", {{"apply", std::string("a-") + file}, {"file", file}, {"text", text}, {"operator", "test"}});
+        BOOST_REQUIRE_MESSAGE(applied.has_value(), applied.error().message);
+        const auto revision = applied->at("revision").get<std::uint64_t>();
+        const auto inForce = [&](const nlohmann::json &status) { return status.value("revision", std::uint64_t(0)) >= revision; };
+        BOOST_REQUIRE(fleet.waitForAll(inForce, StartLimit).has_value());
+    };
+    apply("services.ini", "[service ventas]\ndata-centres = rosario-a\nslots = 6\nconnections = 120\n");
+    apply("routes.ini", "[route cola]\npath = /cola\nmethods = GET\nservice = ventas\nidempotent = yes\nretries = 2\ntimeout-ms = 1500\n");
+    const auto send = [&](std::size_t node, const std::string &path) {
+        HttpRequest request(http::verb::get, path, 11);
+        request.set(http::field::host, "h");
+        return blockingExchange(fleet.ingress(node), std::move(request), CallTimeout);
+    };
+    const auto until = Clock::now() + StartLimit;
+    for (std::size_t node = 0; node < FleetNodes;) {
+        const auto response = send(node, "/cola/1");
+        node += response && response->result() == http::status::ok ? 1 : 0;
+        BOOST_REQUIRE(Clock::now() < until);
+    }
+    for (std::size_t i = 0; i < 2 * FleetNodes; ++i) {
+        (void)send(i % FleetNodes, "/cola/fatal-exit");
+    }
+    std::size_t ended = 0;
+    for (std::size_t node = 0; node < FleetNodes; ++node) {
+        ended += fleet.targetProcess(node)->running() ? 0 : 1;
+    }
+    BOOST_TEST(ended <= MaxEndedInSequence);
+}
+
 // Guards against restarted nodes and targets that don't know which requests are quarantined.
 BOOST_FIXTURE_TEST_CASE(QuarantineOutlivesRestarts, Fixture)
 {
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -177,7 +177,8 @@
         fmt::format("--slots={}", kind.slots),
         fmt::format("--service-us={}", kind.serviceMicroseconds),
         fmt::format("--cold-start-ms={}", kind.coldStartMs),
-        fmt::format("--backlog={}", kind.backlog)};
+        fmt::format("--backlog={}", kind.backlog),
+        "--fatal-marker=" + d->options.fatalMarker};
     if (d->options.logRuns) {
         command.emplace_back("--log-runs");
     }
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -57,6 +57,8 @@
         // Targets write each call that they run to their log, so that the ledger of a killed target
         // isn't lost.
         bool logRuns = false;
+        // Text in the path of calls that end the target that runs them; empty: none do.
+        std::string fatalMarker;
         // Additional lines for each node's settings file.
         std::string settings;
     };
