--- a/autotests/unit/quarantinemodeltest.cpp
+++ b/autotests/unit/quarantinemodeltest.cpp
@@ -303,9 +303,9 @@
         if (const auto suspects = node.detector.takeSuspects(m_now); !suspects.empty()) {
             node.quarantine->targetEnded(TargetVersion("v1"), suspects, m_now);
         }
-        for (const auto &[id, call] : lost) {
-            if (call.attempts < MaxAttempts) {
-                after(EndReportTime, [=, this] { start(call); });
+        for (const auto &entry : lost) {
+            if (entry.second.attempts < MaxAttempts) {
+                after(EndReportTime, [this, call = entry.second] { start(call); });
             }
         }
         after(RestartTime, [this, index] { m_nodes[index].up = true; });
