--- a/autotests/processes/queryofdeathtest.cpp
+++ b/autotests/processes/queryofdeathtest.cpp
@@ -262,7 +262,7 @@
     BOOST_TEST(fatalArrivals() == arrivals);
 }
 
-// Guards against ordinary calls that are taken for fatal ones because targets crash while they run.
+// Guards against the quarantine of ordinary calls that were running when targets crashed.
 BOOST_FIXTURE_TEST_CASE(CrashedTargetsQuarantineNoOrdinaryCall, Fixture)
 {
     std::vector<CallRecord> records;
--- a/autotests/unit/quarantinemodeltest.cpp
+++ b/autotests/unit/quarantinemodeltest.cpp
@@ -270,7 +270,7 @@
         });
     }
 
-    // The sidecar has told the ingress that the call may run at one target only.
+    // Repeats the offer after a rejection that marked the call as suspect.
     void offerAgain(Call call)
     {
         if (++call.offers > 1) {
@@ -352,7 +352,7 @@
     }
 }
 
-// Guards against ordinary requests that are taken for fatal ones because targets crash while they run.
+// Guards against the quarantine of ordinary requests that were running when targets crashed.
 BOOST_AUTO_TEST_CASE(OrdinaryCrashesQuarantineNoRequest)
 {
     std::size_t ends = 0;
--- a/autotests/unit/quarantinetest.cpp
+++ b/autotests/unit/quarantinetest.cpp
@@ -154,7 +154,7 @@
     BOOST_TEST((other.standing(First, Now) == RequestStanding::Suspect));
 }
 
-// Guards against chance that is taken for a fatal request while many targets crash.
+// Guards against the quarantine of a request by coincidence while many targets crash.
 BOOST_AUTO_TEST_CASE(ManyOtherEndsAllowOneMore)
 {
     QuarantineTable table({});
