fleet, calls: Log how each revision became known, and what proves a rejection

revision-learnt (from whom), revision-in-force with its source and the time for which the revision was known, watcher-role, store_age_ms in the line of each call and as a metric, store_version of a refused revision, not_run_by of a rejected call. One line for each revision and change of role; no logic changes.

Told apart by them: a node that never heard of a version (no revision-learnt), one that heard and did not take it (no revision-in-force after it), and one that refused it (stored-revision-invalid).

--- a/autotests/unit/configwatchertest.cpp
+++ b/autotests/unit/configwatchertest.cpp
@@ -33,7 +33,7 @@
             .name = "main",
             .decode = decodeNumber,
             .log = [this](LogLevel, std::string_view event, const std::vector<LogField> &) { events.emplace_back(event); },
-            .revisionFound = [this](const std::shared_ptr<const ConfigRevision> &revision) { found.push_back(revision->revision().value()); },
+            .revisionFound = [this](const std::shared_ptr<const ConfigRevision> &revision, RevisionSource) { found.push_back(revision->revision().value()); },
             .storeAnswered = [](Revision) {},
             .storeFailed = [this] { ++failures; },
             .shouldWatch = [this] { return watches; },
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -43,6 +43,9 @@
     NodeName target;
     std::size_t offerCount = 0;
     std::uint32_t attemptsSent = 0;
+    // What proves that a call did not run: "ingress" if it was offered to no target, "sidecar" or "target"
+    // by the last rejection, "connection" if no sidecar could be reached; empty if there is no such proof.
+    std::string notRunBy;
     std::chrono::microseconds latency{0};
     // Time left until the caller's deadline when the response was ready.
     Milliseconds timeLeft{0};
--- a/src/daemon/calls/ingressattempt.cpp
+++ b/src/daemon/calls/ingressattempt.cpp
@@ -12,6 +12,20 @@
 // Longest part of a failed attempt's response body that is logged.
 constexpr std::size_t MaxReasonBytes = 120;
 
+// See CallReport::notRunBy.
+std::string proofOfRejection(AttemptResult result, bool hasResponse)
+{
+    switch (result) {
+    case AttemptResult::NotRun:
+    case AttemptResult::KeyRevoked:
+        return hasResponse ? "sidecar" : "connection";
+    case AttemptResult::NotRunByTarget:
+        return "target";
+    default:
+        return {};
+    }
+}
+
 }
 
 void Ingress::Private::setSidecarFields(const IngressCall &call, HttpRequest &request, const AttemptTerms &attemptTerms) const
@@ -108,6 +122,9 @@
         co_return attempt;
     }
     router.recordResult(call, target.name, attempt.result, response);
+    if (!connection.isReplacement()) {
+        call.notRunBy = proofOfRejection(attempt.result, response.has_value());
+    }
     const auto time = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin);
     if (attempt.result == AttemptResult::Answered || attempt.result == AttemptResult::OutcomeUnknown) {
         attemptTimeouts.record(call.route->name, time);
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -62,6 +62,8 @@
     // Number of attempts that reached a target, and of those among them that may have run the call.
     std::uint32_t attemptsSent = 0;
     std::uint32_t unknownOutcomes = 0;
+    // What proves that the last attempt did not run the call; see CallReport.
+    std::string notRunBy = "ingress";
     std::optional<Milliseconds> reportedWait;
     // Wait at the service's targets that the caller's delay was derived from, and that delay; set on
     // rejection.
--- a/src/daemon/configwatcher.cpp
+++ b/src/daemon/configwatcher.cpp
@@ -37,7 +37,7 @@
               .log = options.log,
               .firstList = Freshness::Latest,
               .shouldWatch = options.shouldWatch,
-              .received = [this](DocumentSet documents, bool) { return documentsReceived(std::move(documents)); },
+              .received = [this](DocumentSet documents, bool all) { return documentsReceived(std::move(documents), all); },
               .failed = options.storeFailed,
               .stopping = options.stopping})
     {
@@ -46,8 +46,9 @@
     Options options;
     DocumentWatcher watcher;
     std::uint64_t rejected = 0;
+    std::optional<TimePoint> lastResponse;
 
-    bool documentsReceived(DocumentSet documents);
+    bool documentsReceived(DocumentSet documents, bool all);
 };
 
 ConfigWatcher::ConfigWatcher(Options options)
@@ -57,6 +58,11 @@
 
 ConfigWatcher::~ConfigWatcher() = default;
 
+std::optional<Milliseconds> ConfigWatcher::storeAge(TimePoint now) const
+{
+    return d->lastResponse ? std::optional(std::chrono::duration_cast<Milliseconds>(now - *d->lastResponse)) : std::nullopt;
+}
+
 std::uint64_t ConfigWatcher::rejectedRevisions() const
 {
     return d->rejected;
@@ -68,8 +74,9 @@
 }
 
 // Returns whether the documents include the configuration.
-bool ConfigWatcher::Private::documentsReceived(DocumentSet documents)
+bool ConfigWatcher::Private::documentsReceived(DocumentSet documents, bool all)
 {
+    lastResponse = Clock::now();
     auto &items = documents.documents;
     const auto last = std::find_if(items.rbegin(), items.rend(), [&](const StoredDocument &item) { return item.name == options.name && !item.removed; });
     if (last == items.rend()) {
@@ -80,11 +87,12 @@
     auto revision = makeRevision(std::move(last->content), options.decode);
     if (!revision) {
         ++rejected;
-        options.log(LogLevel::Error, "stored-revision-invalid", {{"reason", revision.error().message}, {"bytes", bytes}});
+        options.log(
+            LogLevel::Error, "stored-revision-invalid", {{"reason", revision.error().message}, {"bytes", bytes}, {"store_version", documents.version.value()}});
         return true;
     }
     options.storeAnswered((*revision)->revision());
-    options.revisionFound(std::move(*revision));
+    options.revisionFound(std::move(*revision), all ? RevisionSource::StoreList : RevisionSource::StoreWatch);
     return true;
 }
 
--- a/src/daemon/configwatcher.h
+++ b/src/daemon/configwatcher.h
@@ -2,10 +2,12 @@
 
 #include "adapters/platform/documentstore.h"
 #include "core/config/configbundle.h"
+#include "core/fleet/revisionsource.h"
 #include "ports/logger.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Galenahill {
 
@@ -38,7 +40,7 @@
         std::uint64_t seed = 1;
         Logger log;
         // Called with each valid revision read from the store.
-        std::function<void(std::shared_ptr<const ConfigRevision>)> revisionFound;
+        std::function<void(std::shared_ptr<const ConfigRevision>, RevisionSource)> revisionFound;
         // The store responded; the revision is zero if it has no configuration yet.
         std::function<void(Revision)> storeAnswered;
         std::function<void()> storeFailed;
@@ -52,6 +54,9 @@
 
     void start();
 
+    // Time since the last response of the store; empty if there was none.
+    std::optional<Milliseconds> storeAge(TimePoint now) const;
+
     // Number of revisions in the store that were rejected since the process started.
     std::uint64_t rejectedRevisions() const;
 
--- a/src/daemon/controlactor.cpp
+++ b/src/daemon/controlactor.cpp
@@ -17,7 +17,7 @@
         [=](const DatagramReceived &datagram) { fleet->datagramReceived(datagram.from, datagram.bytes); },
         [=](const TargetStateChanged &change) { fleet->targetStateChanged(change.state); },
         [=](const MembersReceived &received) { fleet->membersReceived(received.members); },
-        [=](const RevisionReceived &received) { fleet->revisionReceived(received.revision); },
+        [=](const RevisionReceived &received) { fleet->revisionReceived(received.revision, received.source); },
         [=](const PullEnded &ended) { fleet->pullEnded(ended.peer); },
         [=](const StoreAnswered &response) { fleet->storeAnswered(response.revision); },
         [=](const StoreFailed &) { fleet->storeFailed(); },
--- a/src/daemon/controlmessages.h
+++ b/src/daemon/controlmessages.h
@@ -33,6 +33,7 @@
 struct RevisionReceived
 {
     std::shared_ptr<const ConfigRevision> revision;
+    RevisionSource source = RevisionSource::Member;
 };
 
 struct PullEnded
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -31,13 +31,18 @@
     bool viewOutdated = true;
     bool watchesAsFallback = false;
     bool storeFailed = false;
+    // The highest revision that this node has heard of, and when it first did.
+    Revision learntRevision;
+    TimePoint learntAt;
     VersionRules versionRules;
 
     Membership::Options membershipOptions();
     void revisionAdvertised(const Endpoint &member, Revision revision);
-    void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision);
+    void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision, RevisionSource source);
+    void recordLearnt(Revision revision, const std::string &from);
     void tick();
     void updateFallbackWatch();
+    void updateWatcherRole(const std::vector<MemberRecord> &live);
     bool readsStore() const;
     void publish();
 };
@@ -75,17 +80,35 @@
 {
     auto &highest = options.state->highestKnownRevision;
     highest = std::max(highest.load(), revision.value());
+    recordLearnt(revision, toString(member));
     gate.revisionAdvertised(member, revision);
     puller.revisionAdvertised(member, revision, Clock::now());
 }
 
-void FleetControl::Private::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision)
+void FleetControl::Private::recordLearnt(Revision revision, const std::string &from)
+{
+    const auto inForce = options.state->revisions.revision();
+    if (revision <= std::max(learntRevision, inForce)) {
+        return;
+    }
+    learntRevision = revision;
+    learntAt = Clock::now();
+    options.log(LogLevel::Info, "revision-learnt", {{"revision", revision.value()}, {"from", from}, {"in_force", inForce.value()}});
+}
+
+void FleetControl::Private::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision, RevisionSource source)
 {
     const auto number = revision->revision().value();
+    recordLearnt(revision->revision(), toString(source));
     switch (options.state->revisions.offer(revision)) {
     case RevisionHolder::OfferResult::Adopted:
         options.state->highestKnownRevision = std::max(options.state->highestKnownRevision.load(), number);
-        options.log(LogLevel::Info, "revision-in-force", {{"revision", number}, {"digest", revision->digest.value()}});
+        options.log(LogLevel::Info,
+            "revision-in-force",
+            {{"revision", number},
+                {"digest", revision->digest.value()},
+                {"source", toString(source)},
+                {"known_for_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - learntAt).count()}});
         if (options.revisionAdopted) {
             options.revisionAdopted(revision);
         }
@@ -95,7 +118,9 @@
         membership.announceRevision(Clock::now());
         break;
     case RevisionHolder::OfferResult::Older:
-        options.log(LogLevel::Warning, "older-revision-refused", {{"offered", number}, {"in_force", options.state->revisions.revision().value()}});
+        options.log(LogLevel::Warning,
+            "older-revision-refused",
+            {{"offered", number}, {"in_force", options.state->revisions.revision().value()}, {"source", toString(source)}});
         break;
     case RevisionHolder::OfferResult::Forked:
         options.log(LogLevel::Error, "revision-forked", {{"revision", number}, {"digest", revision->digest.value()}});
@@ -122,7 +147,7 @@
     if (options.membersChanged) {
         options.membersChanged(membership.records());
     }
-    options.state->watchesStore = watchesAsFallback || WatcherSelection{.maxPerDataCentre = options.watchers}.selects(membership.self(), live);
+    updateWatcherRole(live);
     options.state->maintainsContacts = holdsRole("contacts", 1, membership.self(), live);
     ready = gate.checkReady(options.state->revisions.revision(), live.size() - 1);
     if (ready) {
@@ -130,6 +155,15 @@
     }
 }
 
+void FleetControl::Private::updateWatcherRole(const std::vector<MemberRecord> &live)
+{
+    const bool isSelected = WatcherSelection{.maxPerDataCentre = options.watchers}.selects(membership.self(), live);
+    const bool watches = isSelected || watchesAsFallback;
+    if (options.state->watchesStore.exchange(watches) != watches) {
+        options.log(LogLevel::Info, "watcher-role", {{"watches", watches}, {"selected", isSelected}, {"members", live.size()}});
+    }
+}
+
 // All watchers may fail at once, as when a rack loses power, and the remaining members
 // would learn of no change until they had declared the watchers gone. A node whose
 // probes stay unanswered therefore watches the store itself until it receives a message
@@ -191,9 +225,9 @@
     }
 }
 
-void FleetControl::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision)
+void FleetControl::revisionReceived(const std::shared_ptr<const ConfigRevision> &revision, RevisionSource source)
 {
-    d->revisionReceived(revision);
+    d->revisionReceived(revision, source);
 }
 
 void FleetControl::pullEnded(const Endpoint &peer)
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -4,6 +4,7 @@
 #include "core/config/nodesettings.h"
 #include "core/fleet/gossipmessage.h"
 #include "core/fleet/memberrecord.h"
+#include "core/fleet/revisionsource.h"
 #include "daemon/nodestate.h"
 #include "ports/logger.h"
 
@@ -67,7 +68,7 @@
 
     // A revision was read from the store or pulled from a member. It comes into force if
     // it is newer than the one in force.
-    void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision);
+    void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision, RevisionSource source);
     void pullEnded(const Endpoint &peer);
 
     // The store was read (revision zero: none was ever accepted), or could not be read.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -140,7 +140,7 @@
 {
     auto revision = co_await exchange.pull(peer);
     if (revision) {
-        sendToControl(RevisionReceived{std::move(*revision)});
+        sendToControl(RevisionReceived{std::move(*revision), RevisionSource::Member});
     } else {
         log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
     }
--- a/src/daemon/nodewiring.cpp
+++ b/src/daemon/nodewiring.cpp
@@ -64,7 +64,10 @@
           .counters = [this] { return counters(); },
           .metrics = metrics,
           .customers = customers,
-          .revisionAccepted = [this](auto revision) { sendToControl(RevisionReceived{std::move(revision)}); }})
+          .revisionAccepted =
+              [this](auto revision) {
+                  sendToControl(RevisionReceived{std::move(revision), RevisionSource::Operator});
+              }})
     , controlServer(controlContext,
           {.endpoint = self.control(), .handler = [this](HttpRequest request, ServerConnection &) { return handleControl(std::move(request)); }})
     , dataClient(dataContext, clientOptions(MaxCallBodyBytes))
@@ -178,7 +181,10 @@
         .repository = backgroundRepository,
         .state = state,
         .log = log,
-        .revisionFound = [this](auto revision) { sendToControl(RevisionReceived{std::move(revision)}); },
+        .revisionFound =
+            [this](auto revision) {
+                sendToControl(RevisionReceived{std::move(revision), RevisionSource::StoreWatch});
+            },
         .storeAnswered = [this](Revision revision) { sendToControl(StoreAnswered{revision}); },
         .storeFailed = [this] { sendToControl(StoreFailed{}); }};
 }
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -221,6 +221,7 @@
         {"responses_backlog_bytes", static_cast<double>(responses.schedule().backlogBytes())},
         {"customers_above_share", static_cast<double>(sidecar.customersAboveShare())},
         {"calls_refused_above_share", static_cast<double>(sidecar.rejectedAboveShare())},
+        {"store_age_ms", static_cast<double>(configWatcher.storeAge(Clock::now()).value_or(Milliseconds(-1)).count())},
         {"revisions_refused", static_cast<double>(configWatcher.rejectedRevisions())},
         {"store_calls", static_cast<double>(store->calls())},
         {"calls_gave_way", static_cast<double>(ingress.shedCalls())},
@@ -273,7 +274,7 @@
 {
     const auto revision = co_await exchange.pull(peer);
     if (revision) {
-        fleet.revisionReceived(*revision);
+        fleet.revisionReceived(*revision, RevisionSource::Member);
     } else {
         log(LogLevel::Warning, "pull-failed", {{"peer", toString(peer)}, {"reason", revision.error().message}});
     }
@@ -298,10 +299,12 @@
             {"service", call.service.value()},
             {"version_on_trial", call.version.value()},
             {"revision", call.revision.value()},
+            {"store_age_ms", configWatcher.storeAge(Clock::now()).value_or(Milliseconds(-1)).count()},
             {"status", call.status},
             {"target", call.target.value()},
             {"asked", call.offerCount},
             {"sent", call.attemptsSent},
+            {"not_run_by", call.notRunBy},
             {"ms", static_cast<double>(call.latency.count()) / 1000},
             {"left_ms", call.timeLeft.count()},
             {"told_wait_ms", call.reportedWait ? call.reportedWait->count() : -1},
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -379,7 +379,7 @@
         .decode = options.decodeConfig,
         .seed = seed,
         .log = log,
-        .revisionFound = [this](std::shared_ptr<const ConfigRevision> revision) { fleet.revisionReceived(revision); },
+        .revisionFound = [this](std::shared_ptr<const ConfigRevision> revision, RevisionSource source) { fleet.revisionReceived(revision, source); },
         .storeAnswered = [this](Revision revision) { fleet.storeAnswered(revision); },
         .storeFailed = [this] { fleet.storeFailed(); },
         .shouldWatch = [this] { return state->watchesStore && Clock::now() - startTime >= WatchStartDelay; },
