--- /dev/null
+++ b/autotests/unit/rejectionprooftest.cpp
@@ -0,0 +1,187 @@
+// A status that tells the caller that its call did not run has to rest on a proof that it did not.
+
+#include "core/calls/callheaders.h"
+#include "daemon/calls/sidecar.h"
+#include "httptest.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <list>
+#include <mutex>
+
+using namespace Galenahill;
+
+namespace {
+
+const Endpoint SidecarEndpoint{testAddress(43), 8081};
+const Endpoint TargetEndpoint{testAddress(43), 9000};
+
+constexpr const char *Rejection = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+std::string success(const std::string &id)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nId: {}\r\nProof: 1\r\nContent-Length: 2\r\n\r\nok", id);
+}
+
+// A target that responds to each call with what the script returns for the call's id and its number among all calls.
+class ScriptedTarget
+{
+public:
+    using Script = std::function<std::string(const std::string &id, int call)>;
+
+    explicit ScriptedTarget(Script script)
+        : m_script(std::move(script))
+        , m_acceptor(m_context, Tcp::endpoint(asio::ip::make_address(TargetEndpoint.address), TargetEndpoint.port))
+        , m_thread([this] { accept(); })
+    {
+    }
+
+    ~ScriptedTarget()
+    {
+        m_stopping = true;
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        m_thread.join();
+        for (auto &connection : m_connections) {
+            ::shutdown(connection.socket.native_handle(), SHUT_RDWR);
+            connection.thread.join();
+        }
+    }
+
+private:
+    struct Connection
+    {
+        Tcp::socket socket;
+        std::thread thread;
+    };
+
+    void accept()
+    {
+        while (!m_stopping) {
+            ErrorCode error;
+            Tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                auto &connection = m_connections.emplace_back(Connection{std::move(socket), {}});
+                connection.thread = std::thread([this, &connection] { serve(connection.socket); });
+            }
+        }
+    }
+
+    void serve(Tcp::socket &socket)
+    {
+        ErrorCode error;
+        std::string text;
+        while (!error) {
+            char byte = 0;
+            socket.read_some(asio::buffer(&byte, 1), error);
+            text += byte;
+            const auto end = text.find("\r\n\r\n");
+            if (error || end == std::string::npos) {
+                continue;
+            }
+            const auto id = text.find("\r\nId: ") + 6;
+            const auto response = m_script(text.substr(id, text.find("\r\n", id) - id), ++m_calls);
+            asio::write(socket, asio::buffer(response), error);
+            text.clear();
+        }
+    }
+
+    Script m_script;
+    asio::io_context m_context;
+    Tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<int> m_calls = 0;
+    std::list<Connection> m_connections;
+    std::thread m_thread;
+};
+
+// The sidecar of a target with one slot, and a server that passes calls to it.
+struct Fixture
+{
+    Fixture()
+        : guard(asio::make_work_guard(context))
+        , server(context, {.endpoint = SidecarEndpoint, .handler = [this](HttpRequest request, ServerConnection &connection) {
+                               return sidecar.handle(std::move(request), connection);
+                           }})
+    {
+        BOOST_REQUIRE(server.listen().has_value());
+        sidecar.targetAnnounced({.id = "t", .startedAt = 1, .slots = 1}, MemberState::Ready);
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~Fixture()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    static CallHeaderNames headerNames()
+    {
+        CallHeaderNames names;
+        names.requestId = "Id";
+        names.originMarker = "Proof";
+        names.notExecuted = "Not-Executed";
+        return names;
+    }
+
+    // Sends a call that must not run twice; returns the status of the response.
+    int call(const std::string &id) const
+    {
+        RawClient client(SidecarEndpoint);
+        client.send(fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nId: {}\r\n{}: ventas\r\n{}: r\r\n{}: 5000\r\nContent-Length: 0\r\n\r\n",
+            id,
+            CallHeaders::Service,
+            CallHeaders::Route,
+            CallHeaders::TimeoutMs));
+        const auto header = client.readTo("\r\n\r\n");
+        return header.empty() ? 0 : std::stoi(header.substr(header.find(' ')));
+    }
+
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    HttpClient client{context, {}};
+    Sidecar sidecar{{.context = context,
+        .client = client,
+        .service = ServiceName("ventas"),
+        .target = TargetEndpoint,
+        .log = [](LogLevel, std::string_view, const std::vector<LogField> &) {},
+        .policy = {.adaptive = false},
+        .headerNames = headerNames(),
+        .stateChanged = [](MemberState) {}}};
+    HttpServer server;
+    std::thread thread;
+};
+
+}
+
+// Guards against a second copy of a rejection, which names no call and arrives where the response to the next call is due.
+BOOST_AUTO_TEST_CASE(LateCopyOfARejectionIsNotTakenForTheNextCall)
+{
+    ScriptedTarget target([](const std::string &id, int call) { return call == 1 ? std::string(Rejection) : Rejection + success(id); });
+    const Fixture fixture;
+    BOOST_TEST(fixture.call("first") == 503);
+    BOOST_TEST(fixture.call("second") != 503);
+}
+
+// Guards against the same where the call is offered to the target once more, so that the copy names the call.
+BOOST_AUTO_TEST_CASE(LateCopyOfARejectionIsNotTakenForTheSameCall)
+{
+    ScriptedTarget target([](const std::string &id, int call) {
+        const auto rejection = fmt::format("HTTP/1.1 503 Service Unavailable\r\nId: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
+        return call == 1 ? rejection : rejection + success(id);
+    });
+    const Fixture fixture;
+    BOOST_TEST(fixture.call("first") == 503);
+    BOOST_TEST(fixture.call("first") != 503);
+}
+
+// Guards against statuses that promise that the call did not run, passed on from a target that does not state it.
+BOOST_AUTO_TEST_CASE(StatusThatPromisesNotRunIsNotPassedOnWithoutProof)
+{
+    for (const int status : {408, 429, 503}) {
+        ScriptedTarget target(
+            [status](const std::string &id, int) { return fmt::format("HTTP/1.1 {} Later\r\nId: {}\r\nProof: 1\r\nContent-Length: 0\r\n\r\n", status, id); });
+        const Fixture fixture;
+        BOOST_TEST(fixture.call("only") == 502);
+    }
+}
--- a/bench/faultproxy.cpp
+++ b/bench/faultproxy.cpp
@@ -48,6 +48,7 @@
 
     Tcp::socket client;
     Tcp::socket server;
+    bool silent = false;
 };
 
 }
@@ -142,6 +143,9 @@
         for (const auto &connection : mode == Mode::Reset ? d->connections : std::set<std::shared_ptr<ProxiedConnection>>()) {
             connection->reset();
         }
+        for (const auto &connection : mode == Mode::SilenceOpen ? d->connections : std::set<std::shared_ptr<ProxiedConnection>>()) {
+            connection->silent = true;
+        }
     });
 }
 
@@ -215,7 +219,7 @@
     ErrorCode error;
     while (!error) {
         const auto count = co_await from.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
-        while (isHeld(fromServer) && from.is_open()) {
+        while ((isHeld(fromServer) || connection->silent) && from.is_open()) {
             co_await sleepFor(context, HoldCheckInterval);
         }
         if (mode == Mode::Delay) {
--- a/bench/faultproxy.h
+++ b/bench/faultproxy.h
@@ -23,6 +23,8 @@
         HoldResponses,
         HoldRequests,
         HoldBoth,
+        // Nothing is forwarded any more on the connections that are open now, which stay open. New ones work.
+        SilenceOpen,
     };
 
     // Throws if it can't listen on the address. The receive buffers of both sides have that many bytes, so that the peers'
--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -213,6 +213,11 @@
     return d->options.proxied ? Endpoint{fmt::format("127.{}.0.2", d->options.network), StorePort} : store();
 }
 
+Endpoint PlatformFleet::storeForNode(std::size_t node) const
+{
+    return d->options.storeAddressPerNode ? Endpoint{fmt::format("127.{}.2.{}", d->options.network, node + 1), StorePort} : storeForNodes();
+}
+
 Endpoint PlatformFleet::targetForNode(std::size_t node) const
 {
     return {d->address(node), d->options.proxied ? TargetProxyPort : TargetPort};
@@ -284,7 +289,7 @@
 void PlatformFleet::startNode(std::size_t node)
 {
     const auto file = d->path(fmt::format("node-{}.ini", node));
-    std::ofstream(file) << d->settings(node, storeForNodes(), targetForNode(node));
+    std::ofstream(file) << d->settings(node, storeForNode(node), targetForNode(node));
     d->processes[node].startedBefore = true;
     d->processes[node].node = std::make_unique<ChildProcess>(
         std::vector<std::string>{d->options.programs + "/platform/galenahillnode", "--settings=" + file}, d->path(fmt::format("node-{}.log", node)));
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -85,6 +85,8 @@
         // Nodes reach the store and their targets through separate addresses, on which the harness
         // runs proxies.
         bool proxied = false;
+        // Each node reaches the store at an address of its own, on which the harness runs a proxy.
+        bool storeAddressPerNode = false;
         // Text that each key of a customer contains; empty: targets do not search for keys.
         std::string keyMarker;
         // Path and Host of the calls that targets make through the node beside them, in a share of their own calls.
@@ -115,6 +117,7 @@
 
     // Addresses at which the nodes reach the store, and a node its target.
     Endpoint storeForNodes() const;
+    Endpoint storeForNode(std::size_t node) const;
     Endpoint targetForNode(std::size_t node) const;
 
     // Whether the readiness endpoint of the node reports ready.
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -3,6 +3,8 @@
 //   GET    /admin/counters         number of requests by type
 //   GET    /admin/head-history     every head that the repository of galenahilld nodes had, as a JSON array
 //   POST   /admin/fault            {"mode": "none|down|slow|lose-answers|stall-watches", "delay_ms": N}
+//   POST   /admin/reject           {"hosts": ["IP:PORT", ...], "status": N}: requests with these Host fields get the status, or no
+//                                  response at all if it is 0; waiting watches end as well. An empty list ends that
 //   POST   /admin/compact          drops the history of changes
 //   POST   /admin/backup           keeps a copy of all objects
 //   POST   /admin/restore          restores that copy
@@ -15,6 +17,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <popt.h>
+#include <set>
 
 namespace Galenahill {
 
@@ -45,7 +48,9 @@
 
 private:
     asio::awaitable<HttpResponse> handleObjectRequest(HttpRequest request);
-    asio::awaitable<HttpResponse> watch(std::string kind, std::uint64_t after, Milliseconds limit);
+    bool isRejected(const std::string &host) const;
+    asio::awaitable<HttpResponse> reject(std::string host);
+    asio::awaitable<HttpResponse> watch(std::string host, std::string kind, std::uint64_t after, Milliseconds limit);
     HttpResponse admin(const HttpRequest &request);
     HttpResponse list(const std::string &kind, const std::string &after);
     HttpResponse change(const HttpRequest &request, const std::string &kind, const std::string &name);
@@ -55,6 +60,8 @@
     PlatformModel m_model;
     std::map<std::string, std::uint64_t> m_requestCounts;
     std::string m_mode = "none";
+    std::set<std::string> m_rejectedHosts;
+    unsigned m_rejectionStatus = 0;
     Milliseconds m_delay{0};
 };
 
@@ -105,6 +112,10 @@
     if (m_mode == "slow") {
         co_await sleep(m_delay);
     }
+    const std::string host(request[http::field::host]);
+    if (isRejected(host)) {
+        co_return co_await reject(host);
+    }
     const bool writes = request.method() != http::verb::get;
     const bool lost = m_mode == "lose-answers" && writes;
     auto response = co_await handleObjectRequest(std::move(request));
@@ -133,7 +144,7 @@
     const auto after = parameter(target, Names::Watch);
     if (!after.empty()) {
         ++m_requestCounts["watch"];
-        co_return co_await watch(kind, number(after), Milliseconds(number(parameter(target, Names::WaitMs))));
+        co_return co_await watch(std::string(request[http::field::host]), kind, number(after), Milliseconds(number(parameter(target, Names::WaitMs))));
     }
     ++m_requestCounts[name.empty() ? "list" : "read"];
     if (name.empty()) {
@@ -178,11 +189,29 @@
     return object ? jsonResponse(objectJson(*object)) : writeFailure(objectName);
 }
 
-asio::awaitable<HttpResponse> StoreStandIn::watch(std::string kind, std::uint64_t after, Milliseconds limit)
+bool StoreStandIn::isRejected(const std::string &host) const
+{
+    return m_rejectedHosts.count(host) > 0;
+}
+
+asio::awaitable<HttpResponse> StoreStandIn::reject(std::string host)
+{
+    ++m_requestCounts["rejected"];
+    while (m_rejectionStatus == 0 && isRejected(host)) {
+        co_await sleep(WatchPoll);
+    }
+    const auto status = m_rejectionStatus == 0 ? http::status::service_unavailable : static_cast<http::status>(m_rejectionStatus);
+    co_return makeErrorResponse(status, "rejected", "the store stand-in rejects requests to " + host);
+}
+
+asio::awaitable<HttpResponse> StoreStandIn::watch(std::string host, std::string kind, std::uint64_t after, Milliseconds limit)
 {
     const auto until = Clock::now() + limit;
     Json events = Json::array();
     while (events.empty() && (Clock::now() < until || m_mode == "stall-watches")) {
+        if (isRejected(host)) {
+            co_return co_await reject(host);
+        }
         const auto changes = m_model.changesAfter(kind, after);
         if (!changes) {
             co_return makeErrorResponse(http::status::gone, "gone", "the history no longer goes back to that version");
@@ -222,6 +251,10 @@
         m_model.backUp();
     } else if (target == "/admin/restore") {
         m_model.restore();
+    } else if (target == "/admin/reject") {
+        const auto rejection = nlohmann::json::parse(request.body(), nullptr, false);
+        m_rejectedHosts = rejection.value("hosts", std::set<std::string>());
+        m_rejectionStatus = rejection.value("status", 0U);
     } else if (target == "/admin/fault") {
         const auto fault = nlohmann::json::parse(request.body(), nullptr, false);
         m_mode = fault.value("mode", "none");
