fleet: Measure how fresh the configuration is, and check the store when no reading arrives

Cause: a node took silence for "nothing has changed". One waiting watch for each watcher, up to 30 s, was the only source; the watchers were chosen by hash and link speed without asking whether the store serves them, and the other nodes learn of changes from watchers only.

Change: a reading is a read of the store by any member, with its time. Watchers take turns in reading the store's version (a short list, not a watch; the whole configuration only if the version differs), tell each other and the members of their data centre. A watcher whose calls fail no longer waits for its watch before it pulls from a member.

Ruled out as the cause of these cases: late timers (the machine was idle), pulls that fail (no pull-failed), refused versions.

Before: one watch in 30 s for each watcher and no check.

--- a/autotests/support/memorydocumentstore.h
+++ b/autotests/support/memorydocumentstore.h
@@ -22,7 +22,7 @@
         co_return changesAfter(kind, ObjectVersion());
     }
 
-    asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds timeLimit) override
+    asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds timeLimit, Cancellation *) override
     {
         ++m_calls;
         const auto end = Clock::now() + timeLimit;
@@ -34,6 +34,12 @@
         co_return changes;
     }
 
+    asio::awaitable<Result<ObjectVersion>> version(std::string, std::string) override
+    {
+        ++m_calls;
+        co_return ObjectVersion(m_version);
+    }
+
     asio::awaitable<Result<StoredDocument>> read(std::string, std::string name) override
     {
         co_return failure(ErrorKind::NotFound, name);
--- a/autotests/support/scriptedstore.h
+++ b/autotests/support/scriptedstore.h
@@ -21,12 +21,27 @@
         co_return co_await next();
     }
 
-    asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds) override
+    // A watch without a scripted result can be cancelled.
+    asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds, Cancellation *cancellation) override
     {
         calledWith.push_back("watch " + kind + " " + std::to_string(after.value()));
+        while (responses.empty() && cancellation != nullptr && !cancellation->cancelled()) {
+            asio::steady_timer timer(m_context, Milliseconds(1));
+            ErrorCode ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        if (cancellation != nullptr && cancellation->cancelled()) {
+            co_return failure(ErrorKind::OutcomeUnknown, "cancelled");
+        }
         co_return co_await next();
     }
 
+    asio::awaitable<Result<ObjectVersion>> version(std::string kind, std::string lastName) override
+    {
+        calledWith.push_back("version " + kind + " " + lastName);
+        co_return storeVersion;
+    }
+
     asio::awaitable<Result<StoredDocument>> read(std::string kind, std::string name) override
     {
         calledWith.push_back("read " + kind + " " + name);
@@ -64,6 +79,7 @@
 
     std::deque<Result<DocumentSet>> responses;
     Result<void> putResponse;
+    Result<ObjectVersion> storeVersion;
     std::vector<std::string> calledWith;
 
 private:
--- a/src/adapters/codec/binarycodec.cpp
+++ b/src/adapters/codec/binarycodec.cpp
@@ -13,6 +13,7 @@
 constexpr char RolloutReportType = 'R';
 constexpr char LeaseMessageType = 'T';
 constexpr char QuarantineMessageType = 'Q';
+constexpr char StoreReadingType = 'S';
 
 bool hasType(const std::string &bytes, char type)
 {
@@ -132,6 +133,24 @@
     return decodeValue<QuarantineMessage>(bytes.substr(1), "quarantine message");
 }
 
+std::string encode(const StoreReading &reading)
+{
+    return StoreReadingType + encodeValue(reading);
+}
+
+bool isStoreReading(const std::string &bytes)
+{
+    return hasType(bytes, StoreReadingType);
+}
+
+Result<StoreReading> decodeStoreReading(const std::string &bytes)
+{
+    if (!isStoreReading(bytes)) {
+        return failure(ErrorKind::Corrupt, "store reading has an unexpected type byte; check that all nodes run the same version");
+    }
+    return decodeValue<StoreReading>(bytes.substr(1), "store reading");
+}
+
 std::string encode(const std::vector<MemberRecord> &records)
 {
     return encodeValue(records);
--- a/src/adapters/codec/binarycodec.h
+++ b/src/adapters/codec/binarycodec.h
@@ -5,6 +5,7 @@
 #include "core/config/configbundle.h"
 #include "core/customers/leasemessages.h"
 #include "core/fleet/gossipmessage.h"
+#include "core/fleet/storereading.h"
 #include "core/quarantine/targetend.h"
 #include "core/rollouts/versioncounts.h"
 
@@ -38,6 +39,11 @@
 bool isQuarantineMessage(const std::string &bytes);
 Result<QuarantineMessage> decodeQuarantineMessage(const std::string &bytes);
 
+// So are readings of the store.
+std::string encode(const StoreReading &reading);
+bool isStoreReading(const std::string &bytes);
+Result<StoreReading> decodeStoreReading(const std::string &bytes);
+
 std::string encode(const std::vector<MemberRecord> &records);
 Result<std::vector<MemberRecord>> decodeMembers(const std::string &bytes);
 
--- a/src/adapters/platform/documentstore.h
+++ b/src/adapters/platform/documentstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/asio.h"
+#include "adapters/http/cancellation.h"
 #include "common/error.h"
 #include "common/identifiers.h"
 
@@ -53,7 +54,10 @@
     // Waits for changes of the kind's documents after that version; the set is empty if there were
     // none within the time limit. NotFound if the store no longer has the changes; the kind must
     // then be listed again.
-    virtual asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds timeLimit) = 0;
+    virtual asio::awaitable<Result<DocumentSet>> watch(std::string kind, ObjectVersion after, Milliseconds timeLimit, Cancellation *cancellation = nullptr) = 0;
+
+    // The store's version. Cheaper than a list, as long as the kind has no documents whose names follow the given one.
+    virtual asio::awaitable<Result<ObjectVersion>> version(std::string kind, std::string lastName) = 0;
 
     // One document; NotFound if there is none.
     virtual asio::awaitable<Result<StoredDocument>> read(std::string kind, std::string name) = 0;
--- a/src/core/fleet/watcherselection.cpp
+++ b/src/core/fleet/watcherselection.cpp
@@ -13,9 +13,11 @@
 // Links slower than the fastest of the data centre by more than this factor count as slow.
 constexpr std::uint64_t SlowFactor = 4;
 
+constexpr const char *Role = "watch";
+
 }
 
-bool WatcherSelection::selects(const MemberRecord &self, const std::vector<MemberRecord> &live) const
+WatcherSelection::Candidates WatcherSelection::candidates(const std::vector<MemberRecord> &live) const
 {
     // A suspect may be dead; its role is taken over before that is certain.
     std::vector<MemberRecord> healthy;
@@ -36,12 +38,27 @@
     for (const auto &[dataCentre, count] : fast) {
         watchers += std::min(count, watchersPerDataCentre);
     }
-    if (watchers < sufficientFastWatchers) {
-        return holdsRole("watch", watchersPerDataCentre, self, healthy);
+    if (watchers >= sufficientFastWatchers) {
+        std::erase_if(healthy, [&](const MemberRecord &member) { return !isFast(member); });
     }
-    std::vector<MemberRecord> candidates;
-    std::copy_if(healthy.begin(), healthy.end(), std::back_inserter(candidates), isFast);
-    return isFast(self) && holdsRole("watch", watchersPerDataCentre, self, candidates);
+    return {std::move(healthy), watchersPerDataCentre};
+}
+
+bool WatcherSelection::selects(const MemberRecord &self, const std::vector<MemberRecord> &live) const
+{
+    const auto [members, perDataCentre] = candidates(live);
+    const bool isCandidate = std::any_of(members.begin(), members.end(), [&](const MemberRecord &member) { return member.name == self.name; });
+    return isCandidate && holdsRole(Role, perDataCentre, self, members);
+}
+
+std::vector<MemberRecord> WatcherSelection::watchers(const std::vector<MemberRecord> &live) const
+{
+    auto [members, perDataCentre] = candidates(live);
+    const auto weight = [](const MemberRecord &member) { return rendezvousWeight(Role, member.name); };
+    std::sort(members.begin(), members.end(), [&](const MemberRecord &left, const MemberRecord &right) { return weight(left) > weight(right); });
+    std::map<DataCentre, std::size_t> chosen;
+    std::erase_if(members, [&, limit = perDataCentre](const MemberRecord &member) { return chosen[member.dataCentre]++ >= limit; });
+    return members;
 }
 
 }
--- a/src/core/fleet/watcherselection.h
+++ b/src/core/fleet/watcherselection.h
@@ -24,6 +24,19 @@
     std::size_t sufficientFastWatchers = 6;
 
     bool selects(const MemberRecord &self, const std::vector<MemberRecord> &live) const;
+
+    // All members that are selected.
+    std::vector<MemberRecord> watchers(const std::vector<MemberRecord> &live) const;
+
+private:
+    // The members to choose from, and how many of each data centre are chosen.
+    struct Candidates
+    {
+        std::vector<MemberRecord> members;
+        std::size_t perDataCentre = 0;
+    };
+
+    Candidates candidates(const std::vector<MemberRecord> &live) const;
 };
 
 }
--- a/src/daemon/configwatcher.cpp
+++ b/src/daemon/configwatcher.cpp
@@ -38,6 +38,7 @@
               .firstList = Freshness::Latest,
               .shouldWatch = options.shouldWatch,
               .received = [this](DocumentSet documents, bool all) { return documentsReceived(std::move(documents), all); },
+              .listed = options.storeRead,
               .failed = options.storeFailed,
               .stopping = options.stopping})
     {
@@ -47,8 +48,11 @@
     DocumentWatcher watcher;
     std::uint64_t rejected = 0;
     std::optional<TimePoint> lastResponse;
+    // The highest revision that was read.
+    Revision found;
 
     bool documentsReceived(DocumentSet documents, bool all);
+    asio::awaitable<Result<ObjectVersion>> storeVersion();
 };
 
 ConfigWatcher::ConfigWatcher(Options options)
@@ -58,6 +62,46 @@
 
 ConfigWatcher::~ConfigWatcher() = default;
 
+bool ConfigWatcher::failing() const
+{
+    return d->watcher.failing();
+}
+
+// The first call may fail on a connection that was idle and is dead.
+asio::awaitable<Result<ObjectVersion>> ConfigWatcher::Private::storeVersion()
+{
+    auto version = co_await options.store.version(options.kind, options.name);
+    if (!version && version.error().kind == ErrorKind::OutcomeUnknown) {
+        version = co_await options.store.version(options.kind, options.name);
+    }
+    co_return version;
+}
+
+asio::awaitable<Result<ObjectVersion>> ConfigWatcher::check(ObjectVersion known)
+{
+    auto asOf = Clock::now();
+    auto version = co_await d->storeVersion();
+    if (!version) {
+        co_return version;
+    }
+    d->lastResponse = Clock::now();
+    if (*version != known) {
+        asOf = Clock::now();
+        auto documents = co_await d->options.store.list(d->options.kind, Freshness::Latest);
+        if (!documents) {
+            co_return tl::unexpected(documents.error());
+        }
+        version = documents->version;
+        const auto before = d->found;
+        d->documentsReceived(std::move(*documents), true);
+        if (d->found > before && d->watcher.resumeFrom(*version)) {
+            d->options.log(LogLevel::Warning, "watch-stalled", {{"store_revision", d->found.value()}, {"store_version", version->value()}});
+        }
+    }
+    d->options.storeRead(*version, asOf);
+    co_return version;
+}
+
 std::optional<Milliseconds> ConfigWatcher::storeAge(TimePoint now) const
 {
     return d->lastResponse ? std::optional(std::chrono::duration_cast<Milliseconds>(now - *d->lastResponse)) : std::nullopt;
@@ -92,6 +136,7 @@
         return true;
     }
     options.storeAnswered((*revision)->revision());
+    found = std::max(found, (*revision)->revision());
     options.revisionFound(std::move(*revision), all ? RevisionSource::StoreList : RevisionSource::StoreWatch);
     return true;
 }
--- a/src/daemon/configwatcher.h
+++ b/src/daemon/configwatcher.h
@@ -44,6 +44,8 @@
         // The store responded; the revision is zero if it has no configuration yet.
         std::function<void(Revision)> storeAnswered;
         std::function<void()> storeFailed;
+        // All that the store holds was read, as it was at that time.
+        std::function<void(ObjectVersion version, TimePoint asOf)> storeRead;
         // Whether this node is a watcher.
         std::function<bool()> shouldWatch;
         const bool &stopping;
@@ -54,6 +56,13 @@
 
     void start();
 
+    // Reads the configuration unless the store still has that version, whatever the watch says. Returns the version that was
+    // read.
+    asio::awaitable<Result<ObjectVersion>> check(ObjectVersion known);
+
+    // Whether the last call of the watch failed, so that the configuration is read again and again.
+    bool failing() const;
+
     // Time since the last response of the store; empty if there was none.
     std::optional<Milliseconds> storeAge(TimePoint now) const;
 
--- a/src/daemon/documentwatcher.cpp
+++ b/src/daemon/documentwatcher.cpp
@@ -51,6 +51,8 @@
     bool wasWatcher = false;
     TimePoint lastSuccess;
     std::uint32_t failures = 0;
+    // Set while a watch waits.
+    Cancellation *waitingWatch = nullptr;
 
     asio::awaitable<void> run();
     asio::awaitable<Result<DocumentSet>> next();
@@ -77,7 +79,26 @@
         const auto freshness = wasWatcher ? Freshness::Latest : firstList.value_or(Freshness::Latest);
         co_return co_await options.store.list(options.kind, freshness);
     }
-    co_return co_await options.store.watch(options.kind, version, WatchTimeLimit);
+    Cancellation cancellation;
+    waitingWatch = &cancellation;
+    auto changes = co_await options.store.watch(options.kind, version, WatchTimeLimit, &cancellation);
+    waitingWatch = nullptr;
+    co_return changes;
+}
+
+bool DocumentWatcher::resumeFrom(ObjectVersion version)
+{
+    if (d->waitingWatch == nullptr || d->version >= version) {
+        return false;
+    }
+    d->version = version;
+    d->waitingWatch->cancel();
+    return true;
+}
+
+bool DocumentWatcher::failing() const
+{
+    return d->failures > 0;
 }
 
 asio::awaitable<void> DocumentWatcher::Private::run()
@@ -86,6 +107,7 @@
     while (!options.stopping) {
         if (!firstList && !options.shouldWatch()) {
             wasWatcher = false;
+            failures = 0;
             co_await sleepFor(options.context, RoleCheckInterval);
             continue;
         }
@@ -94,7 +116,12 @@
         }
         wasWatcher = options.shouldWatch();
         const bool all = version == ObjectVersion();
+        const auto from = version;
+        const auto begin = Clock::now();
         auto documents = co_await next();
+        if (version != from) {
+            continue;
+        }
         if (!documents) {
             callFailed(documents.error());
             co_await sleepFor(options.context, backOffTime());
@@ -105,7 +132,12 @@
         const bool stale = all && !wasWatcher && firstList == Freshness::MayBeStale;
         version = stale ? ObjectVersion() : documents->version;
         firstList.reset();
-        if (options.received(std::move(*documents), all)) {
+        const auto readVersion = documents->version;
+        const bool pause = options.received(std::move(*documents), all);
+        if (all && !stale && options.listed) {
+            options.listed(readVersion, begin);
+        }
+        if (pause) {
             co_await sleepFor(options.context, BatchDelay);
         }
     }
--- a/src/daemon/documentwatcher.h
+++ b/src/daemon/documentwatcher.h
@@ -29,6 +29,8 @@
         // Called with all documents of the kind, or with those that changed. Returns
         // whether to pause before the next watch, so that one call returns several changes.
         std::function<bool(DocumentSet documents, bool all)> received;
+        // All documents of the kind were read, as they were at that time. May be null.
+        std::function<void(ObjectVersion version, TimePoint asOf)> listed;
         // A call to the store failed; the next one reads a list. May be null.
         std::function<void()> failed;
         const bool &stopping;
@@ -39,6 +41,13 @@
 
     void start();
 
+    // Continues from that version, up to which all changes are known, if a watch waits for changes since an earlier one.
+    // Returns whether one did.
+    bool resumeFrom(ObjectVersion version);
+
+    // Whether the last call to the store failed, so that the next one is made after a back-off.
+    bool failing() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/src/daemon/fleetcontrol.cpp
+++ b/src/daemon/fleetcontrol.cpp
@@ -135,8 +135,8 @@
 // would also pull the configuration from a member, often in another data centre.
 bool FleetControl::Private::readsStore() const
 {
-    const bool firstRead = options.state->revisions.revision() == Revision() && !storeFailed;
-    return options.state->watchesStore || firstRead;
+    const bool firstRead = options.state->revisions.revision() == Revision();
+    return (options.state->watchesStore || firstRead) && !storeFailed;
 }
 
 void FleetControl::Private::publish()
@@ -230,6 +230,11 @@
     d->revisionReceived(revision, source);
 }
 
+void FleetControl::revisionAdvertised(const Endpoint &member, Revision revision)
+{
+    d->revisionAdvertised(member, revision);
+}
+
 void FleetControl::pullEnded(const Endpoint &peer)
 {
     d->puller.pullEnded(peer, Clock::now());
--- a/src/daemon/fleetcontrol.h
+++ b/src/daemon/fleetcontrol.h
@@ -71,6 +71,9 @@
     void revisionReceived(const std::shared_ptr<const ConfigRevision> &revision, RevisionSource source);
     void pullEnded(const Endpoint &peer);
 
+    // A member has the revision in force.
+    void revisionAdvertised(const Endpoint &member, Revision revision);
+
     // The store was read (revision zero: none was ever accepted), or could not be read.
     void storeAnswered(Revision revision);
     void storeFailed();
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -87,6 +87,7 @@
         checkClock();
         trimConnections();
         fleet.tick();
+        storeMonitor.tick();
         loads.tick(Clock::now());
         limits.tick();
         quarantine.tick(Clock::now());
@@ -160,6 +161,9 @@
     } else if (isQuarantineMessage(bytes)) {
         const auto message = decodeQuarantineMessage(bytes);
         message ? quarantine.messageReceived(from, *message, Clock::now()) : logRejection(message.error());
+    } else if (isStoreReading(bytes)) {
+        const auto reading = decodeStoreReading(bytes);
+        reading ? storeMonitor.readingReceived(from, *reading) : logRejection(reading.error());
     } else if (isRolloutReport(bytes)) {
         const auto report = decodeRolloutReport(bytes);
         report ? rollouts.reportReceived(from, *report) : logRejection(report.error());
@@ -222,6 +226,10 @@
         {"customers_above_share", static_cast<double>(sidecar.customersAboveShare())},
         {"calls_refused_above_share", static_cast<double>(sidecar.rejectedAboveShare())},
         {"store_age_ms", static_cast<double>(configWatcher.storeAge(Clock::now()).value_or(Milliseconds(-1)).count())},
+        {"store_reading_age_ms", static_cast<double>(storeMonitor.age().count())},
+        {"store_checks", static_cast<double>(storeMonitor.checks())},
+        {"store_checks_failed", static_cast<double>(storeMonitor.failedChecks())},
+        {"store_stand_in", storeMonitor.standsIn() ? 1.0 : 0.0},
         {"revisions_refused", static_cast<double>(configWatcher.rejectedRevisions())},
         {"store_calls", static_cast<double>(store->calls())},
         {"calls_gave_way", static_cast<double>(ingress.shedCalls())},
--- a/src/daemon/platformnode_p.h
+++ b/src/daemon/platformnode_p.h
@@ -19,6 +19,7 @@
 #include "daemon/platformnode.h"
 #include "daemon/revisionexchange.h"
 #include "daemon/rolloutservice.h"
+#include "daemon/storemonitor.h"
 
 #include <array>
 
@@ -66,6 +67,7 @@
     bool targetWithheld = false;
     RolloutService rollouts;
     FleetControl fleet;
+    StoreMonitor storeMonitor;
     ConfigWatcher configWatcher;
     MemberDirectory directory;
     HttpServer ingressServer;
@@ -96,6 +98,7 @@
     void publishWithheldTarget();
     void applyVersionRules();
     void applyCallerLimits(const CallerLimits &limits);
+    StoreMonitor::Options storeMonitorOptions();
     ConfigWatcher::Options configWatcherOptions();
     MemberDirectory::Options directoryOptions();
     asio::awaitable<void> tick();
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -133,6 +133,7 @@
     , targetService(targetOptions())
     , rollouts(rolloutOptions())
     , fleet(fleetOptions())
+    , storeMonitor(storeMonitorOptions())
     , configWatcher(configWatcherOptions())
     , directory(directoryOptions())
     , ingressServer(context, ingressServerOptions())
@@ -331,6 +332,7 @@
         ingress.setView(view);
         loads.setMembers(state->members());
         quarantine.setMembers(state->members());
+        storeMonitor.setMembers(state->members());
         rollouts.setMembers(state->members());
         sidecar.setView(view);
         // The store may not hold a configuration yet.
@@ -370,6 +372,19 @@
     sidecarServer.setLimits({.headerBytes = effectiveLimits.headerBytes + ForwardedFieldBytes, .bodyBytes = MaxCallBodyBytes});
 }
 
+StoreMonitor::Options PlatformNode::Private::storeMonitorOptions()
+{
+    return {.context = context,
+        .freshness = {.self = self, .seed = seed, .watchers = WatchersPerDataCentre, .started = startTime},
+        .log = log,
+        .check = [this](ObjectVersion known) { return configWatcher.check(known); },
+        .rereads = [this] { return configWatcher.failing(); },
+        .revision = [this] { return state->revisions.revision(); },
+        .revisionAdvertised = [this](const Endpoint &member, Revision revision) { fleet.revisionAdvertised(member, revision); },
+        .send = [this](const Endpoint &to, const StoreReading &reading) { datagrams.send(to, encode(reading)); },
+        .stopping = stopping};
+}
+
 ConfigWatcher::Options PlatformNode::Private::configWatcherOptions()
 {
     return {.context = context,
@@ -381,8 +396,13 @@
         .log = log,
         .revisionFound = [this](std::shared_ptr<const ConfigRevision> revision, RevisionSource source) { fleet.revisionReceived(revision, source); },
         .storeAnswered = [this](Revision revision) { fleet.storeAnswered(revision); },
-        .storeFailed = [this] { fleet.storeFailed(); },
-        .shouldWatch = [this] { return state->watchesStore && Clock::now() - startTime >= WatchStartDelay; },
+        .storeFailed =
+            [this] {
+                fleet.storeFailed();
+                storeMonitor.storeFailed();
+            },
+        .storeRead = [this](ObjectVersion version, TimePoint asOf) { storeMonitor.storeRead(version, asOf); },
+        .shouldWatch = [this] { return (state->watchesStore || storeMonitor.standsIn()) && Clock::now() - startTime >= WatchStartDelay; },
         .stopping = stopping};
 }
 
