platform: Skip objects of the store that can't be read

Callers saw: no change comes into force any more, at any node, while one object of the kind `config` can't be read.

Cause: a `spec` that is not an object threw, and the whole list or watch was given up. A number was worse: it was taken for the index of another object's content.

Change: an extracted content is marked by an object, which can't stand there otherwise; an object that can't be read is skipped, named in the log (`document-unreadable`), and the rest of the list holds.

--- a/autotests/processes/configurationchangetest.cpp
+++ b/autotests/processes/configurationchangetest.cpp
@@ -75,7 +75,8 @@
     void checkChange(int revision)
     {
         BOOST_REQUIRE(fleet.configure(document(revision)).has_value());
-        const auto until = Clock::now() + ChangeLimit;
+        const auto acknowledged = Clock::now();
+        const auto until = acknowledged + ChangeLimit;
         std::size_t behind = Nodes;
         while (behind > 0 && Clock::now() < until) {
             std::this_thread::sleep_for(PollInterval);
@@ -85,6 +86,8 @@
             }
         }
         BOOST_TEST(behind == 0U);
+        BOOST_TEST_MESSAGE(
+            fmt::format("revision {} in force after {} ms", revision, std::chrono::duration_cast<Milliseconds>(Clock::now() - acknowledged).count()));
     }
 
     void sendToStore(const std::string &path, const nlohmann::json &body) const
--- a/autotests/unit/jsonsplicetest.cpp
+++ b/autotests/unit/jsonsplicetest.cpp
@@ -18,7 +18,7 @@
 BOOST_AUTO_TEST_CASE(ExtractsObjectsVerbatim)
 {
     const auto spliced = splice(R"({"items":[{"name":"a", "content": {"x" : 1.50, "y":[{}]} },{"content":{},"name":"b"}],"more":false})");
-    BOOST_TEST(spliced.rest == R"({"items":[{"name":"a", "content": 0 },{"content":1,"name":"b"}],"more":false})");
+    BOOST_TEST(spliced.rest == R"({"items":[{"name":"a", "content": {"part":0} },{"content":{"part":1},"name":"b"}],"more":false})");
     BOOST_REQUIRE(spliced.parts.size() == 2U);
     BOOST_TEST(spliced.parts[0] == R"({"x" : 1.50, "y":[{}]})");
     BOOST_TEST(spliced.parts[1] == "{}");
@@ -31,7 +31,7 @@
     const auto nested = splice(R"({"content":{"content":{"b":"}\"{"},"list":[{"content":{}}]},"other":{"content":null},"last":["content",{"c":1}]})");
     BOOST_REQUIRE(nested.parts.size() == 1U);
     BOOST_TEST(nested.parts[0] == R"({"content":{"b":"}\"{"},"list":[{"content":{}}]})");
-    BOOST_TEST(nested.rest == R"({"content":0,"other":{"content":null},"last":["content",{"c":1}]})");
+    BOOST_TEST(nested.rest == R"({"content":{"part":0},"other":{"content":null},"last":["content",{"c":1}]})");
     const auto escaped = splice(R"({"\u0063ontent":{"a":"é"}})");
     BOOST_REQUIRE(escaped.parts.size() == 1U);
     BOOST_TEST(escaped.parts[0] == R"({"a":"é"})");
--- a/src/adapters/codec/jsonsplice.cpp
+++ b/src/adapters/codec/jsonsplice.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/jsonfields.h"
 
+#include <fmt/format.h>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
@@ -141,7 +142,8 @@
     const auto *at = text.data();
     for (const auto &range : finder.found) {
         result.rest.append(at, range.begin);
-        result.rest += std::to_string(result.parts.size());
+        // A number or a text could also be the original value under the key.
+        result.rest += fmt::format(R"({{"{}":{}}})", PartField, result.parts.size());
         result.parts.emplace_back(range.begin, range.end);
         at = range.end;
     }
--- a/src/adapters/codec/jsonsplice.h
+++ b/src/adapters/codec/jsonsplice.h
@@ -9,10 +9,13 @@
 
 namespace Galenahill {
 
+inline constexpr const char *PartField = "part";
+
 // A JSON text with some of its values extracted.
 struct SplicedJson
 {
-    // The remaining text, with the index into `parts` in place of each extracted value.
+    // The remaining text. In place of each extracted value it has an object, whose only field PartField is the index into
+    // `parts`.
     std::string rest;
     std::vector<std::string> parts;
 };
--- a/src/adapters/platform/documentstore.h
+++ b/src/adapters/platform/documentstore.h
@@ -37,6 +37,8 @@
     std::vector<StoredDocument> documents;
     // The store's version, from which a watch can continue.
     ObjectVersion version;
+    // Names of the documents that can't be read, or an empty text where the name can't be read either.
+    std::vector<std::string> unreadable;
 };
 
 // The platform's store of documents with kinds and names. Waits without blocking the thread.
--- a/src/daemon/configwatcher.cpp
+++ b/src/daemon/configwatcher.cpp
@@ -92,6 +92,7 @@
             co_return tl::unexpected(documents.error());
         }
         version = documents->version;
+        logUnreadable(d->options.log, d->options.kind, *documents);
         const auto before = d->found;
         d->documentsReceived(std::move(*documents), true);
         if (d->found > before && d->watcher.resumeFrom(*version)) {
--- a/src/daemon/documentwatcher.cpp
+++ b/src/daemon/documentwatcher.cpp
@@ -32,6 +32,13 @@
 
 }
 
+void logUnreadable(const Logger &log, const std::string &kind, const DocumentSet &documents)
+{
+    for (const auto &name : documents.unreadable) {
+        log(LogLevel::Warning, "document-unreadable", {{"kind", kind}, {"name", name}, {"version", documents.version.value()}});
+    }
+}
+
 class DocumentWatcher::Private : public std::enable_shared_from_this<DocumentWatcher::Private>
 {
 public:
@@ -128,6 +135,7 @@
             continue;
         }
         callSucceeded();
+        logUnreadable(options.log, options.kind, *documents);
         // A watch must not resume from a list that may be stale.
         const bool stale = all && !wasWatcher && firstList == Freshness::MayBeStale;
         version = stale ? ObjectVersion() : documents->version;
--- a/src/daemon/documentwatcher.h
+++ b/src/daemon/documentwatcher.h
@@ -9,6 +9,9 @@
 
 namespace Galenahill {
 
+// Logs the documents that can't be read.
+void logUnreadable(const Logger &log, const std::string &kind, const DocumentSet &documents);
+
 // Tracks the documents of one kind: lists them, and watches for changes while this
 // node is a watcher. Changes that a broken watch missed are in the next list.
 class DocumentWatcher
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/binarycodec.h"
 #include "adapters/http/sleep.h"
+#include "daemon/documentwatcher.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -229,6 +230,7 @@
         co_return found;
     }
     listRead = true;
+    logUnreadable(options.log, Kind, *documents);
     std::vector<MemberRecord> members;
     localContacts.clear();
     for (const auto &document : documents->documents) {
