--- a/autotests/unit/trafficsplittest.cpp
+++ b/autotests/unit/trafficsplittest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-RouteDefinition route(std::uint32_t first, std::uint32_t second)
+RouteDefinition route(double first, double second)
 {
     RouteDefinition route;
     route.name = RouteName("ver-cola");
--- a/src/core/calls/trafficsplit.cpp
+++ b/src/core/calls/trafficsplit.cpp
@@ -33,7 +33,7 @@
         return route.service;
     }
     auto &backends = backendsOf(route);
-    std::int64_t sum = 0;
+    double sum = 0;
     for (auto &backend : backends) {
         backend.currentWeight += backend.target.weight;
         sum += backend.target.weight;
--- a/src/core/calls/trafficsplit.h
+++ b/src/core/calls/trafficsplit.h
@@ -2,7 +2,6 @@
 
 #include "core/config/routedefinition.h"
 
-#include <cstdint>
 #include <unordered_map>
 #include <vector>
 
@@ -22,7 +21,7 @@
     {
         WeightedService target;
         // Calls by which the service is behind its share, times the sum of the weights.
-        std::int64_t currentWeight = 0;
+        double currentWeight = 0;
     };
 
     std::vector<Backend> &backendsOf(const RouteDefinition &route);
--- a/src/core/config/routedefinition.h
+++ b/src/core/config/routedefinition.h
@@ -14,7 +14,7 @@
 {
     ServiceName service;
     // Share of the calls, relative to the sum of all weights.
-    std::uint32_t weight = 1;
+    double weight = 1;
 
     friend bool operator==(const WeightedService &, const WeightedService &) = default;
 };
--- a/src/core/config/routereader.cpp
+++ b/src/core/config/routereader.cpp
@@ -66,7 +66,7 @@
                 fmt::format("split: \"{}\": give parts as NAME WEIGHT with a weight from 1 to {}, separated by commas", item, ConfigLimits::MaxWeight));
             return;
         }
-        m_route.split.push_back({ServiceName(name), weight});
+        m_route.split.push_back({ServiceName(name), static_cast<double>(weight)});
     }
     if (m_route.split.front().service != m_route.service) {
         m_section.addError(fmt::format("split: begin with service = {}, which the route names first", m_route.service.value()));
