calls: Pass on no status that promises "not run" without the target's statement

Cause: the status of a target was passed on as it is; only its statement (the header for that, or 421) proves that it did not run the call, and a target may answer 503 after it did.

Change: such a response without the statement is a class of its own. The caller gets 502, which promises nothing, without the target's signature, and the failure counts against the target. responseclasstest expected 503 to be passed on as a failure of the target; it now expects the new class, also for 408 and 429.

Before: StatusThatPromisesNotRunIsNotPassedOnWithoutProof failed for all three. After: passes.

--- a/autotests/unit/responseclasstest.cpp
+++ b/autotests/unit/responseclasstest.cpp
@@ -43,7 +43,11 @@
 {
     BOOST_TEST(classifyResponse(headerNames(), {.status = 503, .isMarkedNotExecuted = true}) == ResponseClass::NotExecuted);
     BOOST_TEST(classifyResponse(headerNames(), {.status = 421}) == ResponseClass::NotExecuted);
-    BOOST_TEST(classifyResponse(headerNames(), {.status = 503, .hasOriginMarker = true}) == ResponseClass::Failed);
+    BOOST_TEST(classifyResponse(headerNames(), {.status = 503, .hasOriginMarker = true}) == ResponseClass::Unproven);
+    BOOST_TEST(classifyResponse(headerNames(), {.status = 503}) == ResponseClass::Unproven);
+    BOOST_TEST(classifyResponse(headerNames(), {.status = 429, .hasOriginMarker = true}) == ResponseClass::Unproven);
+    BOOST_TEST(classifyResponse(headerNames(), {.status = 408, .hasOriginMarker = true}) == ResponseClass::Unproven);
+    BOOST_TEST(classifyResponse(headerNames(), {.status = 504, .hasOriginMarker = true}) == ResponseClass::Failed);
     BOOST_TEST(classifyResponse(headerNames(), {.status = 500, .hasOriginMarker = true}) == ResponseClass::Failed);
 }
 
--- a/src/core/calls/responseclass.h
+++ b/src/core/calls/responseclass.h
@@ -14,6 +14,8 @@
     Failed,
     // The target did not produce this response; the call may have been executed.
     Untrusted,
+    // The status tells the caller that the call was not executed, and the target does not state that; it may have been.
+    Unproven,
 };
 
 // The parts of a response that decide its class.
--- a/src/daemon/calls/targetmessages.cpp
+++ b/src/daemon/calls/targetmessages.cpp
@@ -4,6 +4,7 @@
 #include "daemon/calls/callmessages.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace Galenahill {
 
@@ -58,6 +59,8 @@
         return Reason::Overloaded;
     case ResponseClass::Untrusted:
         return Reason::ConnectionLost;
+    case ResponseClass::Unproven:
+        return Reason::Answered;
     case ResponseClass::Answered:
     case ResponseClass::Failed:
         break;
@@ -76,6 +79,9 @@
     }
     case ResponseClass::Untrusted:
         return outcomeUnknownResponse("the response cannot be attributed to the target", http::status::bad_gateway);
+    case ResponseClass::Unproven:
+        return outcomeUnknownResponse(fmt::format("the target responded with status {} and does not state that it did not run the call", response.result_int()),
+            http::status::bad_gateway);
     case ResponseClass::Answered:
     case ResponseClass::Failed:
         break;
