calls: Send calls that must not run twice on unambiguous connections only

Cause: a rejection of a target names no call, and a faulty target may send a second copy of a response late, where the response to the next call is due. The sidecar took the copy for the next call's rejection. The same holds where the call itself is offered to the target once more, so that the copy names it.

Change: a connection on which a rejection, or a response that names no call, arrived is used only for calls that may be repeated.

The test sent the copy on new connections too, which is no copy of anything; it now sends it only where the rejection was sent.

--- a/autotests/unit/rejectionprooftest.cpp
+++ b/autotests/unit/rejectionprooftest.cpp
@@ -23,7 +23,7 @@
     return fmt::format("HTTP/1.1 200 OK\r\nId: {}\r\nProof: 1\r\nContent-Length: 2\r\n\r\nok", id);
 }
 
-// A target that responds to each call with what the script returns for the call's id and its number among all calls.
+// A target that responds to each call with what the script returns for the call's id and its number on its connection.
 class ScriptedTarget
 {
 public:
@@ -71,6 +71,7 @@
     {
         ErrorCode error;
         std::string text;
+        int call = 0;
         while (!error) {
             char byte = 0;
             socket.read_some(asio::buffer(&byte, 1), error);
@@ -80,7 +81,7 @@
                 continue;
             }
             const auto id = text.find("\r\nId: ") + 6;
-            const auto response = m_script(text.substr(id, text.find("\r\n", id) - id), ++m_calls);
+            const auto response = m_script(text.substr(id, text.find("\r\n", id) - id), ++call);
             asio::write(socket, asio::buffer(response), error);
             text.clear();
         }
@@ -90,7 +91,6 @@
     asio::io_context m_context;
     Tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping = false;
-    std::atomic<int> m_calls = 0;
     std::list<Connection> m_connections;
     std::thread m_thread;
 };
@@ -157,22 +157,32 @@
 // Guards against a second copy of a rejection, which names no call and arrives where the response to the next call is due.
 BOOST_AUTO_TEST_CASE(LateCopyOfARejectionIsNotTakenForTheNextCall)
 {
-    ScriptedTarget target([](const std::string &id, int call) { return call == 1 ? std::string(Rejection) : Rejection + success(id); });
+    std::atomic<bool> rejected = false;
+    ScriptedTarget target([&](const std::string &id, int call) {
+        if (!rejected.exchange(true)) {
+            return std::string(Rejection);
+        }
+        return (call > 1 ? Rejection : "") + success(id);
+    });
     const Fixture fixture;
     BOOST_TEST(fixture.call("first") == 503);
-    BOOST_TEST(fixture.call("second") != 503);
+    BOOST_TEST(fixture.call("second") == 200);
 }
 
 // Guards against the same where the call is offered to the target once more, so that the copy names the call.
 BOOST_AUTO_TEST_CASE(LateCopyOfARejectionIsNotTakenForTheSameCall)
 {
-    ScriptedTarget target([](const std::string &id, int call) {
+    std::atomic<bool> rejected = false;
+    ScriptedTarget target([&](const std::string &id, int call) {
         const auto rejection = fmt::format("HTTP/1.1 503 Service Unavailable\r\nId: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id);
-        return call == 1 ? rejection : rejection + success(id);
+        if (!rejected.exchange(true)) {
+            return rejection;
+        }
+        return (call > 1 ? rejection : "") + success(id);
     });
     const Fixture fixture;
     BOOST_TEST(fixture.call("first") == 503);
-    BOOST_TEST(fixture.call("first") != 503);
+    BOOST_TEST(fixture.call("first") == 200);
 }
 
 // Guards against statuses that promise that the call did not run, passed on from a target that does not state it.
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -174,6 +174,7 @@
         co_return exchangeFailure("no response", error);
     }
     HttpResponse response(m_reader->takeHeader());
+    m_connection->ambiguous = m_connection->ambiguous || (exchangeOptions.isAmbiguous && exchangeOptions.isAmbiguous(response));
     m_serverKeepAlive = serverKeepAlive(response);
     error = co_await readBody(response, exchangeOptions.responseBody != nullptr);
     if (error) {
--- a/src/adapters/http/connectionpool.cpp
+++ b/src/adapters/http/connectionpool.cpp
@@ -80,13 +80,17 @@
     return connections;
 }
 
-std::unique_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointConnections &connections, Milliseconds maxIdle)
+std::unique_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointConnections &connections, Milliseconds maxIdle, bool avoidAmbiguity)
 {
     const auto now = Clock::now();
     // The most recently used connection is at the back.
-    while (!connections.idle.empty() && now - connections.idle.back()->lastUsed <= maxIdle) {
-        auto connection = std::move(connections.idle.back());
-        connections.idle.pop_back();
+    auto &idle = connections.idle;
+    for (auto next = idle.size(); next > 0 && now - idle[next - 1]->lastUsed <= maxIdle; --next) {
+        if (avoidAmbiguity && idle[next - 1]->ambiguous) {
+            continue;
+        }
+        auto connection = std::move(idle[next - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(next - 1));
         // A connection that the server has closed, or on which unsolicited bytes arrived, must not be
         // reused: in the first case the request's outcome would be unknown without need, in the
         // second it would receive the response to another request.
--- a/src/adapters/http/connectionpool.h
+++ b/src/adapters/http/connectionpool.h
@@ -38,6 +38,8 @@
     bool watchesPeer = false;
     std::shared_ptr<EndpointConnections> owner;
     TimePoint lastUsed;
+    // Whether a response arrived of which a late copy could be taken for that to another request.
+    bool ambiguous = false;
     // Time after which it must not be reused.
     TimePoint usableUntil;
 };
@@ -68,8 +70,9 @@
     // The entry of the endpoint, created if needed; the address is parsed only once.
     std::shared_ptr<EndpointConnections> connectionsTo(const Endpoint &endpoint);
 
-    // Takes a usable idle connection that was last used within that time; null if there is none.
-    std::unique_ptr<ClientConnection> takeIdle(EndpointConnections &connections, Milliseconds maxIdle = std::chrono::hours(24));
+    // Takes a usable idle connection that was last used within that time, and is not ambiguous if that is to be avoided; null
+    // if there is none.
+    std::unique_ptr<ClientConnection> takeIdle(EndpointConnections &connections, Milliseconds maxIdle = std::chrono::hours(24), bool avoidAmbiguity = false);
 
     // Opens a connection; Unavailable if it isn't established by the deadline.
     asio::awaitable<Result<std::unique_ptr<ClientConnection>>> connect(
--- a/src/adapters/http/httpclient.cpp
+++ b/src/adapters/http/httpclient.cpp
@@ -60,7 +60,7 @@
     if (isCancelled()) {
         co_return failure(ErrorKind::Unavailable, toString(endpoint) + ": the request was cancelled before it was sent");
     }
-    auto connection = pool.takeIdle(*connections, exchangeOptions.maxIdle);
+    auto connection = pool.takeIdle(*connections, exchangeOptions.maxIdle, exchangeOptions.avoidAmbiguity);
     if (!connection) {
         auto connected = co_await pool.connect(connections, deadline, cancellation);
         if (!connected) {
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -61,6 +61,11 @@
         // Whether a response with these header fields belongs to the request. One that doesn't is
         // read and discarded. Null: every response does.
         std::function<bool(const http::fields &)> matchesRequest;
+        // Whether a late copy of a response with these header fields could be taken for the response to a later request.
+        // Null: never.
+        std::function<bool(const http::fields &)> isAmbiguous;
+        // Uses no connection on which an ambiguous response arrived.
+        bool avoidAmbiguity = false;
         // Receives the rest of a response's body that is too long to be buffered. It isn't subject
         // to the exchange's deadline; each part has its own time limit.
         std::unique_ptr<BodySource> *responseBody = nullptr;
--- a/src/daemon/calls/sidecarforward.cpp
+++ b/src/daemon/calls/sidecarforward.cpp
@@ -46,12 +46,16 @@
     exchangeOptions.responseBody = &remainingBody;
     if (forwarded.count(CallHeaders::RetriedAbove) == 0 && !headerNames.notExecuted.empty()) {
         exchangeOptions.maxIdle = MaxIdleWithoutRetry;
+        exchangeOptions.avoidAmbiguity = true;
     }
     if (!headerNames.requestId.empty()) {
         exchangeOptions.matchesRequest = [&](const http::fields &fields) {
             const auto id = fields[headerNames.requestId];
             return id.empty() || id == forwarded[headerNames.requestId];
         };
+        // A rejection names no call, and after one the same call may be sent again.
+        exchangeOptions.isAmbiguous
+            = [&](const http::fields &fields) { return fields[headerNames.requestId].empty() || fields.count(headerNames.notExecuted) > 0; };
     }
     const auto begin = Clock::now();
     running.started(
@@ -75,7 +79,9 @@
             statements.read(*response, targetId, begin);
         }
         if (options.callEnded && responseClass != ResponseClass::NotExecuted) {
-            options.callEnded(call.route, responseClass == ResponseClass::Failed ? TargetResult::Failed : TargetResult::Answered, time);
+            options.callEnded(call.route,
+                responseClass == ResponseClass::Failed || responseClass == ResponseClass::Unproven ? TargetResult::Failed : TargetResult::Answered,
+                time);
         }
         const bool isResponse = responseClass == ResponseClass::Answered || responseClass == ResponseClass::Failed;
         if (isResponse && options.quarantine != nullptr && call.terms.digest) {
