--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -89,6 +89,7 @@
           .dataCentres = DataCentres,
           .linkMbps = m_slowLinks ? SlowLinkMbps : 0,
           .proxied = true,
+          .storeAddressPerNode = true,
           .keyMarker = SoakCustomers::KeyMarker,
           .nestedPath = SoakCustomers::NestedPath,
           .nestedHost = Host,
@@ -96,7 +97,9 @@
           .fatalMarker = FatalMarker})
     , m_length(options.quick ? QuickLength : Length)
 {
-    m_storeProxy = std::make_unique<FaultProxy>(m_fleet.storeForNodes(), m_fleet.store());
+    for (std::size_t node = 0; node < m_nodes; ++node) {
+        m_storeProxies.push_back(std::make_unique<FaultProxy>(m_fleet.storeForNode(node), m_fleet.store()));
+    }
     startTargetProxies();
     startCallerProxies();
 }
@@ -214,8 +217,10 @@
     for (std::uint64_t i = 0; i < (m_plannedOnly ? PlannedOnlySeries : 1U); ++i) {
         series.emplace_back([this, i] { runSeries(m_options.seed * PlannedOnlySeries + i); });
     }
+    series.emplace_back([this] { checkForce(); });
     if (!m_plannedOnly) {
         series.emplace_back([this] { callFatally(); });
+        series.emplace_back([this] { changeInSeries(m_options.seed); });
         injectFaults();
     }
     std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
@@ -249,6 +254,8 @@
         {"busy_cores", m_busyCores},
         {"faults", m_injectedFaults},
         {"stops_during_responses", m_interruptions},
+        {"revisions", m_acknowledged.size()},
+        {"force_checks", m_forceChecks},
         {"calls", records.size()},
         {"nested_calls", nested},
         {"answered", answered},
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
@@ -24,8 +25,8 @@
 };
 
 // One run: soak.cpp starts the fleet and sends the calls, soakchecks.cpp checks the records,
-// soakfaults.cpp injects the faults, soakplans.cpp performs planned work in series of their own, soakpipelining.cpp
-// has the callers that pipeline, the proxies, and the stops during a response, soakfatalcalls.cpp sends requests that end
+// soakfaults.cpp injects the faults, soakconfiguration.cpp changes the configuration and checks what is in force, soakplans.cpp performs planned work in series
+// of their own, soakpipelining.cpp has the callers that pipeline, the proxies, and the stops during a response, soakfatalcalls.cpp sends requests that end
 // their targets.
 class Soak
 {
@@ -55,6 +56,14 @@
         TimePoint until;
     };
 
+    // A time in which the store did not serve the nodes as usual, all of them or some.
+    struct StoreDisruption
+    {
+        TimePoint begin;
+        TimePoint end;
+        bool ofAllNodes = true;
+    };
+
     // Each revision has a route that no other revision has.
     std::string document(int revision) const;
     Fault drawFault();
@@ -65,6 +74,16 @@
     void recordDisruption(std::size_t node);
     void endDisruption(std::size_t node);
     Fault storeFault();
+    Fault wholeStoreFault();
+    Fault partialStoreFault();
+    Fault storeDisruption(Fault fault, bool ofAllNodes);
+    void setStoreProxies(const std::vector<std::size_t> &nodes, FaultProxy::Mode mode, Milliseconds delay = Milliseconds(0));
+    void rejectAtStore(const std::vector<std::size_t> &nodes, unsigned status) const;
+    void sendToStore(const std::string &path, const nlohmann::json &body) const;
+    void changeInSeries(std::uint64_t seed);
+    int requiredRevision(std::size_t node, TimePoint now) const;
+    bool servesAtLeast(std::size_t node, int revision) const;
+    void checkForce();
     Fault connectionFault(const std::string &name, FaultProxy &proxy);
     void setStoreMode(const std::string &mode) const;
     void injectFaults();
@@ -127,7 +146,8 @@
     bool m_busyCores;
     std::size_t m_nodes;
     PlatformFleet m_fleet;
-    std::unique_ptr<FaultProxy> m_storeProxy;
+    // Between each node and the store.
+    std::vector<std::unique_ptr<FaultProxy>> m_storeProxies;
     std::vector<std::unique_ptr<FaultProxy>> m_targetProxies;
     // Between callers and the ingresses, for the callers that are far away.
     std::vector<std::unique_ptr<FaultProxy>> m_callerProxies;
@@ -143,6 +163,10 @@
     std::vector<std::string> m_injectedFaults;
     std::vector<NodeDisruption> m_disruptions;
     std::vector<PlannedWork> m_plannedWork;
+    std::vector<StoreDisruption> m_storeDisruptions;
+    // Revisions by the time of their acknowledgement.
+    std::vector<std::pair<int, TimePoint>> m_acknowledged;
+    std::size_t m_forceChecks = 0;
     std::vector<TimeSpan> m_unplanned;
     // Calls that the series sent to nodes in order to stop them during the response.
     std::vector<CallRecord> m_interruptedCalls;
--- a/bench/soakfaults.cpp
+++ b/bench/soakfaults.cpp
@@ -28,9 +28,14 @@
 
 void Soak::setStoreMode(const std::string &mode) const
 {
-    HttpRequest request(http::verb::post, mode == "compact" ? "/admin/compact" : "/admin/fault", 11);
+    sendToStore(mode == "compact" ? "/admin/compact" : "/admin/fault", {{"mode", mode}, {"delay_ms", 600}});
+}
+
+void Soak::sendToStore(const std::string &path, const nlohmann::json &body) const
+{
+    HttpRequest request(http::verb::post, path, 11);
     request.set(http::field::host, "store");
-    request.body() = nlohmann::json({{"mode", mode}, {"delay_ms", 600}}).dump();
+    request.body() = body.dump();
     (void)blockingExchange(m_fleet.store(), std::move(request), Milliseconds(500));
 }
 
@@ -175,12 +180,37 @@
     return {chosen.first, name, [&proxy, mode, delay] { proxy.setMode(mode, delay); }, [&proxy] { proxy.setMode(Mode::Pass); }};
 }
 
+// Watches that stall, a dropped history and a part of the nodes leave the others able to read the store.
 Soak::Fault Soak::storeFault()
 {
-    static const std::vector<std::string> modes = {"down", "slow", "lose-answers", "stall-watches", "compact"};
-    switch (m_random() % 3) {
+    static const std::vector<std::string> modes = {"stall-watches", "compact"};
+    switch (m_random() % 4) {
     case 0:
-        return connectionFault("connections-of-store", *m_storeProxy);
+        return storeDisruption(wholeStoreFault(), true);
+    case 1: {
+        const auto &mode = modes[m_random() % modes.size()];
+        return storeDisruption({mode, "store", [mode, this] { setStoreMode(mode); }, [this] { setStoreMode("none"); }}, false);
+    }
+    default:
+        return storeDisruption(partialStoreFault(), false);
+    }
+}
+
+Soak::Fault Soak::wholeStoreFault()
+{
+    using Mode = FaultProxy::Mode;
+    static const std::vector<std::string> modes = {"down", "slow", "lose-answers"};
+    static const std::vector<std::pair<const char *, Mode>> connectionModes = {{"delay-connections", Mode::Delay},
+        {"reset-connections", Mode::Reset},
+        {"cut-answers", Mode::HoldResponses},
+        {"cut-requests", Mode::HoldRequests},
+        {"silence", Mode::HoldBoth}};
+    switch (m_random() % 3) {
+    case 0: {
+        const auto [name, mode] = connectionModes[m_random() % connectionModes.size()];
+        const Milliseconds delay(20 + m_random() % 300);
+        return {name, "connections-of-store", [=, mode = mode, this] { setStoreProxies({}, mode, delay); }, [this] { setStoreProxies({}, Mode::Pass); }};
+    }
     case 1:
         return {"pause", "store", [this] { m_fleet.storeProcess().signal(SIGSTOP); }, [this] { m_fleet.storeProcess().signal(SIGCONT); }};
     default: {
--- a/bench/soakplans.cpp
+++ b/bench/soakplans.cpp
@@ -59,9 +59,17 @@
 {
     const std::lock_guard order(m_configurationMutex);
     PlannedWork work{.kind = PlannedWork::Kind::Configuration, .begin = Clock::now()};
-    (void)m_fleet.configure(document(++m_revision));
+    int revision = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        revision = ++m_revision;
+    }
+    const bool acknowledged = m_fleet.configure(document(revision)).has_value();
     work.end = Clock::now();
     const std::lock_guard lock(m_mutex);
+    if (acknowledged) {
+        m_acknowledged.emplace_back(revision, work.end);
+    }
     m_plannedWork.push_back(work);
 }
 
--- a/src/core/fleet/storefreshness.h
+++ b/src/core/fleet/storefreshness.h
@@ -26,11 +26,11 @@
         std::uint32_t watchers = 4;
         // Age of the last reading from which a watcher checks the store, and the random part of it for each watcher of the fleet,
         // so that one of them is first.
-        Milliseconds watcherAge{1000};
+        Milliseconds watcherAge{800};
         Milliseconds watcherSpread{80};
         // The same for the other members of a data centre. Each has a place in an order, and waits that much longer for each
         // place before it.
-        Milliseconds memberAge{1900};
+        Milliseconds memberAge{1700};
         Milliseconds memberSpread{250};
         Milliseconds memberStep{250};
         // Back-off after a failed check, doubled by each further failure.
