fleet, soak: Stand in for the watchers after two checks, and check what is in force in the soak

Causes, by the nodes' logs, counts and reading: one late reading at the start made a member of each data centre watch for 18 s; each change that a watch had returned was read once more as a whole by the next check; and a node that has just started takes itself for the only watcher, so that all nodes of a starting fleet checked the store at once.

A member now stands in after two checks in a row. Changes that a watch returns are readings (an empty watch is none), passed on to the members of the data centre only. No node checks in its first three seconds.

--- a/autotests/processes/configurationchangetest.cpp
+++ b/autotests/processes/configurationchangetest.cpp
@@ -10,7 +10,6 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fmt/format.h>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -110,29 +109,9 @@
         sendToStore("/admin/reject", {{"hosts", hosts}, {"status", status}});
     }
 
-    // The nodes that watch the store, by their own metrics.
-    std::vector<std::size_t> watchers() const
-    {
-        std::vector<std::size_t> found;
-        for (std::size_t node = 0; node < Nodes; ++node) {
-            std::ifstream log(fleet.nodeLog(node));
-            std::string line;
-            bool watches = false;
-            while (std::getline(log, line)) {
-                if (line.find(R"("event":"watcher-role")") != std::string::npos) {
-                    watches = line.find(R"("watches":true)") != std::string::npos;
-                }
-            }
-            if (watches) {
-                found.push_back(node);
-            }
-        }
-        return found;
-    }
-
     void checkChangeWithoutWatchers(unsigned status)
     {
-        const auto rejected = watchers();
+        const auto rejected = fleet.watchers();
         BOOST_REQUIRE(!rejected.empty());
         BOOST_REQUIRE(rejected.size() < Nodes);
         reject(rejected, status);
@@ -188,7 +167,7 @@
 BOOST_FIXTURE_TEST_CASE(ChangeComesIntoForceWhileTheStoreRejectsWatchersInTurn, Fixture)
 {
     for (int revision = 2; revision < 6; ++revision) {
-        reject(watchers(), 503);
+        reject(fleet.watchers(), 503);
         std::this_thread::sleep_for(Milliseconds(1500));
         checkChange(revision);
     }
--- a/autotests/unit/storefreshnesstest.cpp
+++ b/autotests/unit/storefreshnesstest.cpp
@@ -127,9 +127,8 @@
                 member.version = std::max(member.version, member.checkedVersion);
                 member.freshness.checkSucceeded(m_now);
                 const auto age = std::chrono::duration_cast<Milliseconds>(m_now - member.checkBegan);
-                const StoreReading reading{.version = ObjectVersion(member.checkedVersion),
-                    .reader = records[i].name,
-                    .ageMs = static_cast<std::uint32_t>(age.count())};
+                const StoreReading reading{
+                    .version = ObjectVersion(member.checkedVersion), .reader = records[i].name, .ageMs = static_cast<std::uint32_t>(age.count())};
                 take(i, reading);
             } else {
                 member.freshness.checkFailed(m_now);
@@ -154,7 +153,7 @@
             return;
         }
         const auto passedOn = member.freshness.last(m_now);
-        for (const auto &recipient : member.freshness.recipients(m_now)) {
+        for (const auto &recipient : member.freshness.recipients(reading.reader == records[i].name, m_now)) {
             ++messages;
             if (std::uniform_real_distribution<>()(m_random) >= m_loss) {
                 m_messages.push_back({m_now + Delay, m_index.at(recipient), *passedOn});
@@ -193,7 +192,7 @@
         fleet.rejectsAtOnce = atOnce;
         fleet.run(SettleTime);
         fleet.isServed = [&fleet](std::size_t member) { return !fleet.isWatcher(member); };
-        fleet.run(Milliseconds(3000));
+        fleet.run(Milliseconds(5000));
         for (int change = 0; change < 20; ++change) {
             BOOST_TEST(fleet.timeToNotice(SettleTime).count() <= NoticeLimit.count());
             fleet.run(Milliseconds(970));
@@ -266,9 +265,12 @@
     live.push_back(watcher);
     freshness.setMembers(live);
     BOOST_REQUIRE(!freshness.startCheck(begin));
-    const auto later = begin + Milliseconds(3000);
-    BOOST_REQUIRE(freshness.startCheck(later));
-    freshness.checkSucceeded(later);
+    const auto later = begin + Milliseconds(5000);
+    for (const auto time : {later - Milliseconds(1000), later}) {
+        BOOST_REQUIRE(freshness.startCheck(time));
+        BOOST_TEST(!freshness.standsIn(time));
+        freshness.checkSucceeded(time);
+    }
     BOOST_TEST(freshness.standsIn(later));
     BOOST_TEST(freshness.standsIn(later + Milliseconds(10500)));
     freshness.update({.reader = NodeName("watcher")}, later + Milliseconds(20000));
--- a/bench/platformfleet.cpp
+++ b/bench/platformfleet.cpp
@@ -344,6 +344,25 @@
     return d->path(fmt::format("node-{}.log", node));
 }
 
+std::vector<std::size_t> PlatformFleet::watchers() const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t node = 0; node < size(); ++node) {
+        std::ifstream log(nodeLog(node));
+        std::string line;
+        bool watches = false;
+        while (std::getline(log, line)) {
+            if (line.find(R"("event":"watcher-role")") != std::string::npos) {
+                watches = line.find(R"("watches":true)") != std::string::npos;
+            }
+        }
+        if (watches) {
+            found.push_back(node);
+        }
+    }
+    return found;
+}
+
 bool PlatformFleet::instructTarget(std::size_t node, const std::string &json) const
 {
     HttpRequest request(http::verb::post, "/admin", 11);
--- a/bench/platformfleet.h
+++ b/bench/platformfleet.h
@@ -131,6 +131,9 @@
     ChildProcess &nodeProcess(std::size_t node);
     ChildProcess &targetProcess(std::size_t node);
 
+    // The nodes that watch the store, by their logs.
+    std::vector<std::size_t> watchers() const;
+
     // Path of the node's log file, which contains the output of all its starts.
     std::string nodeLog(std::size_t node) const;
 
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -45,6 +45,10 @@
 constexpr std::uint64_t BusyCoresRemainder = 1;
 constexpr std::size_t BusyThreadsPerCore = 2;
 
+// Pairs of seeds alternate between faults of the store for some nodes and for all. With the former, no node is stopped or killed:
+// one that starts reads the store, and the others learn from it what they missed.
+constexpr std::uint64_t StoreServesSomeEvery = 2;
+
 // Each second seed has links that carry less than the large responses need.
 constexpr std::uint64_t SlowLinksEvery = 2;
 constexpr std::uint32_t SlowLinkMbps = 11;
@@ -61,6 +65,8 @@
 constexpr std::uint64_t Networks = 50;
 constexpr Milliseconds Length{16000};
 constexpr Milliseconds QuickLength{10000};
+constexpr Milliseconds StoreSeriesLength{28000};
+constexpr Milliseconds QuickStoreSeriesLength{14000};
 // Users expect a configuration to be in force within two seconds. The test waits longer, since the
 // machine may be busy, and only checks that it happens at all.
 constexpr Milliseconds RecoveryLimit{15000};
@@ -73,6 +79,7 @@
     , m_largeFleet(options.seed % LargeFleetEvery == 0)
     , m_plannedOnly(options.seed % PlannedOnlyEvery == PlannedOnlyRemainder)
     , m_slowLinks(options.seed % SlowLinksEvery == 0)
+    , m_storeServesSome(!m_plannedOnly && options.seed / StoreServesSomeEvery % 2 == 1)
     , m_busyCores(options.seed % BusyCoresEvery == BusyCoresRemainder)
     , m_nodes(m_largeFleet    ? LargeFleetNodes
               : m_plannedOnly ? PlannedOnlyNodes
@@ -95,7 +102,7 @@
           .nestedHost = Host,
           .nestedShare = NestedShare,
           .fatalMarker = FatalMarker})
-    , m_length(options.quick ? QuickLength : Length)
+    , m_length(m_storeServesSome ? (options.quick ? QuickStoreSeriesLength : StoreSeriesLength) : (options.quick ? QuickLength : Length))
 {
     for (std::size_t node = 0; node < m_nodes; ++node) {
         m_storeProxies.push_back(std::make_unique<FaultProxy>(m_fleet.storeForNode(node), m_fleet.store()));
@@ -214,13 +221,17 @@
     auto busy = std::make_unique<BusyThreads>(m_busyCores ? BusyThreadsPerCore * std::thread::hardware_concurrency() : 0);
     std::thread callers([&] { records = callEverywhere(); });
     std::vector<std::thread> series;
-    for (std::uint64_t i = 0; i < (m_plannedOnly ? PlannedOnlySeries : 1U); ++i) {
+    const auto plannedSeries = m_plannedOnly ? PlannedOnlySeries : m_storeServesSome ? 0 : 1;
+    for (std::uint64_t i = 0; i < plannedSeries; ++i) {
         series.emplace_back([this, i] { runSeries(m_options.seed * PlannedOnlySeries + i); });
     }
     series.emplace_back([this] { checkForce(); });
     if (!m_plannedOnly) {
         series.emplace_back([this] { callFatally(); });
         series.emplace_back([this] { changeInSeries(m_options.seed); });
+        if (m_storeServesSome) {
+            series.emplace_back([this] { impairStoreInSeries(m_options.seed); });
+        }
         injectFaults();
     }
     std::for_each(series.begin(), series.end(), [](auto &thread) { thread.join(); });
@@ -251,6 +262,7 @@
         {"nodes", m_nodes},
         {"planned_only", m_plannedOnly},
         {"slow_links", m_slowLinks},
+        {"store_serves_some", m_storeServesSome},
         {"busy_cores", m_busyCores},
         {"faults", m_injectedFaults},
         {"stops_during_responses", m_interruptions},
--- a/bench/soak_p.h
+++ b/bench/soak_p.h
@@ -74,13 +74,13 @@
     void recordDisruption(std::size_t node);
     void endDisruption(std::size_t node);
     Fault storeFault();
-    Fault wholeStoreFault();
-    Fault partialStoreFault();
+    Fault partialStoreFault(std::mt19937_64 &random);
     Fault storeDisruption(Fault fault, bool ofAllNodes);
     void setStoreProxies(const std::vector<std::size_t> &nodes, FaultProxy::Mode mode, Milliseconds delay = Milliseconds(0));
     void rejectAtStore(const std::vector<std::size_t> &nodes, unsigned status) const;
     void sendToStore(const std::string &path, const nlohmann::json &body) const;
     void changeInSeries(std::uint64_t seed);
+    void impairStoreInSeries(std::uint64_t seed);
     int requiredRevision(std::size_t node, TimePoint now) const;
     bool servesAtLeast(std::size_t node, int revision) const;
     void checkForce();
@@ -142,6 +142,8 @@
     // Whether the run has planned work only, and whether the VMs' links are too slow for the load.
     bool m_plannedOnly;
     bool m_slowLinks;
+    // Whether the store has faults in a series that leave some nodes able to read it, instead of faults that concern all nodes.
+    bool m_storeServesSome;
     // Whether other threads use all cores beside the nodes.
     bool m_busyCores;
     std::size_t m_nodes;
--- a/bench/soakconfiguration.cpp
+++ b/bench/soakconfiguration.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds ApplyTime{2000};
 constexpr Milliseconds ImpairedApplyTime{7000};
 
+// Longer than a change may take to be in force.
+constexpr Milliseconds ImpairedTime{8500};
+
 // Time after the end of a disruption for which it counts.
 constexpr Milliseconds SettleTime{3000};
 
@@ -51,21 +54,32 @@
     return fault;
 }
 
-// The store serves some nodes only, by rejecting the others or by silence.
-Soak::Fault Soak::partialStoreFault()
+// The store serves some nodes only, by rejecting the others or by silence, often to those that watch it; or it serves all, and its
+// watches say nothing.
+Soak::Fault Soak::partialStoreFault(std::mt19937_64 &random)
 {
+    if (random() % 4 == 0) {
+        return {"stall-watches", "store", [this] { setStoreMode("stall-watches"); }, [this] { setStoreMode("none"); }};
+    }
     std::vector<std::size_t> nodes(m_nodes);
     std::iota(nodes.begin(), nodes.end(), std::size_t(0));
-    std::shuffle(nodes.begin(), nodes.end(), m_random);
-    nodes.resize(1 + m_random() % (m_nodes - 1));
-    if (m_random() % 3 == 0) {
+    std::shuffle(nodes.begin(), nodes.end(), random);
+    nodes.resize(1 + random() % (m_nodes - 1));
+    const auto watchers = m_fleet.watchers();
+    if (random() % 2 == 0 && watchers.size() < m_nodes) {
+        nodes = watchers;
+    }
+    if (random() % 3 == 0) {
+        if (random() % 2 == 0) {
+            nodes.clear();
+        }
         return {"silence-open",
             "connections-of-store",
             [=, this] { setStoreProxies(nodes, FaultProxy::Mode::SilenceOpen); },
             [this] { setStoreProxies({}, FaultProxy::Mode::Pass); }};
     }
     static const std::vector<unsigned> statuses = {503, 429, 0};
-    const auto status = statuses[m_random() % statuses.size()];
+    const auto status = statuses[random() % statuses.size()];
     return {fmt::format("reject-{}-of-{}", status, nodes.size()),
         "rejections-of-store",
         [=, this] { rejectAtStore(nodes, status); },
@@ -104,6 +118,20 @@
     }
 }
 
+void Soak::impairStoreInSeries(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    while (Clock::now() - m_begin < m_length) {
+        const auto fault = storeDisruption(partialStoreFault(random), false);
+        recordFault(fault.kind + " " + fault.subject);
+        fault.begin();
+        const auto until = std::min<TimePoint>(Clock::now() + ImpairedTime + Milliseconds(random() % MaxSeriesPauseMs), m_begin + m_length);
+        std::this_thread::sleep_until(until);
+        fault.end();
+        std::this_thread::sleep_for(Milliseconds(random() % MaxChangePauseMs));
+    }
+}
+
 // The revision that the node must serve at least, or zero if none is certain.
 int Soak::requiredRevision(std::size_t node, TimePoint now) const
 {
--- a/bench/soakfaults.cpp
+++ b/bench/soakfaults.cpp
@@ -180,26 +180,10 @@
     return {chosen.first, name, [&proxy, mode, delay] { proxy.setMode(mode, delay); }, [&proxy] { proxy.setMode(Mode::Pass); }};
 }
 
-// Watches that stall, a dropped history and a part of the nodes leave the others able to read the store.
 Soak::Fault Soak::storeFault()
-{
-    static const std::vector<std::string> modes = {"stall-watches", "compact"};
-    switch (m_random() % 4) {
-    case 0:
-        return storeDisruption(wholeStoreFault(), true);
-    case 1: {
-        const auto &mode = modes[m_random() % modes.size()];
-        return storeDisruption({mode, "store", [mode, this] { setStoreMode(mode); }, [this] { setStoreMode("none"); }}, false);
-    }
-    default:
-        return storeDisruption(partialStoreFault(), false);
-    }
-}
-
-Soak::Fault Soak::wholeStoreFault()
 {
     using Mode = FaultProxy::Mode;
-    static const std::vector<std::string> modes = {"down", "slow", "lose-answers"};
+    static const std::vector<std::string> modes = {"down", "slow", "lose-answers", "stall-watches", "compact"};
     static const std::vector<std::pair<const char *, Mode>> connectionModes = {{"delay-connections", Mode::Delay},
         {"reset-connections", Mode::Reset},
         {"cut-answers", Mode::HoldResponses},
@@ -225,11 +209,11 @@
     const auto node = m_random() % m_nodes;
     switch (m_random() % 5) {
     case 0:
-        return nodeFault(node);
+        return m_storeServesSome ? targetFault(node) : nodeFault(node);
     case 1:
         return targetFault(node);
     case 2:
-        return storeFault();
+        return m_storeServesSome ? targetFault(node) : storeDisruption(storeFault(), true);
     case 3:
         return targetStatement(node);
     default:
--- a/src/core/fleet/storefreshness.cpp
+++ b/src/core/fleet/storefreshness.cpp
@@ -50,6 +50,8 @@
     std::uint32_t failures = 0;
     TimePoint nextCheck;
     TimePoint standInUntil;
+    // When a check by this node last succeeded.
+    std::optional<TimePoint> lastCheck;
     TimePoint lastForward;
 
     void drawSpread();
@@ -155,7 +157,7 @@
 
 bool StoreFreshness::startCheck(TimePoint now)
 {
-    if (d->checking || now < d->nextCheck || age(now) < d->checkAge(now)) {
+    if (d->checking || now < d->nextCheck || now - d->options.started < d->options.startDelay || age(now) < d->checkAge(now)) {
         return false;
     }
     d->checking = true;
@@ -166,9 +168,10 @@
 {
     d->checking = false;
     d->failures = 0;
-    if (!d->isWatcher) {
+    if (!d->isWatcher && d->lastCheck && now - *d->lastCheck <= d->options.repeatedCheckTime) {
         d->standInUntil = now + d->options.standInTime;
     }
+    d->lastCheck = now;
 }
 
 void StoreFreshness::checkFailed(TimePoint now)
@@ -198,10 +201,10 @@
     return d->standsIn(now);
 }
 
-std::vector<Endpoint> StoreFreshness::recipients(TimePoint now)
+std::vector<Endpoint> StoreFreshness::recipients(bool toWatchers, TimePoint now)
 {
     std::vector<Endpoint> recipients;
-    if (d->last && d->last->value.reader == d->options.self.name) {
+    if (toWatchers) {
         recipients = d->otherWatchers;
     }
     if (now - d->lastForward >= d->options.forwardInterval) {
--- a/src/core/fleet/storefreshness.h
+++ b/src/core/fleet/storefreshness.h
@@ -14,7 +14,7 @@
 //
 // A watch that waits proves nothing. The watchers therefore take turns in reading the store's version, and tell each other and
 // the members of their data centres. If no reading arrives, further members check the store one after the other. One that
-// succeeds stands in for the watchers until one of them reads the store again. Single-threaded; callers pass the time in.
+// has to do so repeatedly stands in for the watchers until one of them reads the store again. Single-threaded; callers pass the time in.
 class StoreFreshness
 {
 public:
@@ -30,19 +30,24 @@
         Milliseconds watcherSpread{80};
         // The same for the other members of a data centre. Each has a place in an order, and waits that much longer for each
         // place before it.
-        Milliseconds memberAge{1700};
+        Milliseconds memberAge{1500};
         Milliseconds memberSpread{250};
         Milliseconds memberStep{250};
         // Back-off after a failed check, doubled by each further failure.
         Milliseconds minBackOff{400};
         Milliseconds maxBackOff{3200};
-        // Time for which a member stands in for the watchers, and the age up to which a watcher's reading ends that.
+        // Time between two checks by a member up to which it begins to stand in for the watchers: one check may be due to the loss
+        // of a message.
+        Milliseconds repeatedCheckTime{4000};
+        // Time for which a member stands in, and the age up to which a watcher's reading ends that.
         Milliseconds standInTime{10000};
         Milliseconds watcherReadingAge{3000};
         // Interval between two readings that are passed on to members.
-        Milliseconds forwardInterval{300};
-        // When this node began to wait for a reading.
+        Milliseconds forwardInterval{500};
+        // When this node started, and the time after that for which it checks nothing: it may not know the watchers yet, and reads
+        // the store at its start anyway.
         TimePoint started;
+        Milliseconds startDelay{3000};
     };
 
     explicit StoreFreshness(Options options);
@@ -73,9 +78,9 @@
     // Whether this node stands in for the watchers.
     bool standsIn(TimePoint now);
 
-    // The members to tell of the last reading: all watchers if this node read it, and this watcher's part of its data centre,
-    // unless they were told just before.
-    std::vector<Endpoint> recipients(TimePoint now);
+    // The members to tell of the last reading: all watchers if wanted, and this watcher's part of its data centre, unless they were
+    // told just before.
+    std::vector<Endpoint> recipients(bool toWatchers, TimePoint now);
 
 private:
     class Private;
--- a/src/daemon/configwatcher.cpp
+++ b/src/daemon/configwatcher.cpp
@@ -38,7 +38,7 @@
               .firstList = Freshness::Latest,
               .shouldWatch = options.shouldWatch,
               .received = [this](DocumentSet documents, bool all) { return documentsReceived(std::move(documents), all); },
-              .listed = options.storeRead,
+              .read = options.storeRead,
               .failed = options.storeFailed,
               .stopping = options.stopping})
     {
@@ -99,7 +99,7 @@
             d->options.log(LogLevel::Warning, "watch-stalled", {{"store_revision", d->found.value()}, {"store_version", version->value()}});
         }
     }
-    d->options.storeRead(*version, asOf);
+    d->options.storeRead(*version, asOf, true);
     co_return version;
 }
 
--- a/src/daemon/configwatcher.h
+++ b/src/daemon/configwatcher.h
@@ -44,8 +44,8 @@
         // The store responded; the revision is zero if it has no configuration yet.
         std::function<void(Revision)> storeAnswered;
         std::function<void()> storeFailed;
-        // All that the store holds was read, as it was at that time.
-        std::function<void(ObjectVersion version, TimePoint asOf)> storeRead;
+        // The store was read, as it was at that time: as a whole, or the changes that the watch returned.
+        std::function<void(ObjectVersion version, TimePoint asOf, bool all)> storeRead;
         // Whether this node is a watcher.
         std::function<bool()> shouldWatch;
         const bool &stopping;
--- a/src/daemon/documentwatcher.cpp
+++ b/src/daemon/documentwatcher.cpp
@@ -141,9 +141,11 @@
         version = stale ? ObjectVersion() : documents->version;
         firstList.reset();
         const auto readVersion = documents->version;
+        // A watch without changes may have ended for any reason.
+        const bool proves = all ? !stale : !documents->documents.empty();
         const bool pause = options.received(std::move(*documents), all);
-        if (all && !stale && options.listed) {
-            options.listed(readVersion, begin);
+        if (proves && options.read) {
+            options.read(readVersion, all ? begin : Clock::now(), all);
         }
         if (pause) {
             co_await sleepFor(options.context, BatchDelay);
--- a/src/daemon/documentwatcher.h
+++ b/src/daemon/documentwatcher.h
@@ -32,8 +32,8 @@
         // Called with all documents of the kind, or with those that changed. Returns
         // whether to pause before the next watch, so that one call returns several changes.
         std::function<bool(DocumentSet documents, bool all)> received;
-        // All documents of the kind were read, as they were at that time. May be null.
-        std::function<void(ObjectVersion version, TimePoint asOf)> listed;
+        // All documents of the kind were read, as they were at that time, or the changes that a watch returned. May be null.
+        std::function<void(ObjectVersion version, TimePoint asOf, bool all)> read;
         // A call to the store failed; the next one reads a list. May be null.
         std::function<void()> failed;
         const bool &stopping;
--- a/src/daemon/platformnodewiring.cpp
+++ b/src/daemon/platformnodewiring.cpp
@@ -401,7 +401,7 @@
                 fleet.storeFailed();
                 storeMonitor.storeFailed();
             },
-        .storeRead = [this](ObjectVersion version, TimePoint asOf) { storeMonitor.storeRead(version, asOf); },
+        .storeRead = [this](ObjectVersion version, TimePoint asOf, bool all) { storeMonitor.storeRead(version, asOf, all); },
         .shouldWatch = [this] { return (state->watchesStore || storeMonitor.standsIn()) && Clock::now() - startTime >= WatchStartDelay; },
         .stopping = stopping};
 }
--- a/src/daemon/storemonitor.cpp
+++ b/src/daemon/storemonitor.cpp
@@ -22,7 +22,7 @@
 
     asio::awaitable<void> check();
     void logRole();
-    void passOn();
+    void passOn(bool toWatchers);
     Milliseconds age() const;
 };
 
@@ -74,7 +74,7 @@
     }
 }
 
-void StoreMonitor::storeRead(ObjectVersion version, TimePoint asOf)
+void StoreMonitor::storeRead(ObjectVersion version, TimePoint asOf, bool all)
 {
     const auto now = Clock::now();
     const StoreReading reading{.revision = d->options.revision(),
@@ -82,7 +82,7 @@
         .reader = d->options.freshness.self.name,
         .ageMs = static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(now - asOf).count())};
     if (d->freshness.update(reading, now)) {
-        d->passOn();
+        d->passOn(all);
     }
 }
 
@@ -102,15 +102,15 @@
         return;
     }
     if (d->freshness.update(reading, Clock::now())) {
-        d->passOn();
+        d->passOn(false);
     }
 }
 
-void StoreMonitor::Private::passOn()
+void StoreMonitor::Private::passOn(bool toWatchers)
 {
     const auto now = Clock::now();
     const auto reading = freshness.last(now);
-    for (const auto &recipient : freshness.recipients(now)) {
+    for (const auto &recipient : freshness.recipients(toWatchers, now)) {
         options.send(recipient, *reading);
     }
 }
--- a/src/daemon/storemonitor.h
+++ b/src/daemon/storemonitor.h
@@ -40,8 +40,9 @@
     // Starts a check of the store if one is due; to be called every 100 ms.
     void tick();
 
-    // This node read all that the store holds, as it was at that time.
-    void storeRead(ObjectVersion version, TimePoint asOf);
+    // This node read the store, as it was at that time: as a whole, or changes that a watch returned. Other watchers get those
+    // from their own watches.
+    void storeRead(ObjectVersion version, TimePoint asOf, bool all);
 
     // A call to the store failed.
     void storeFailed();
