--- a/src/core/fleet/storefreshness.cpp
+++ b/src/core/fleet/storefreshness.cpp
@@ -55,6 +55,7 @@
     TimePoint lastForward;
 
     void drawSpread();
+    void chooseFollowers(const std::vector<MemberRecord> &selected, std::vector<MemberRecord> others);
     Milliseconds checkAge(TimePoint now);
     bool standsIn(TimePoint now);
 };
@@ -94,17 +95,25 @@
         }
     }
     d->place = rendezvousRank(StandInRole, self, others);
+    if (d->isWatcher) {
+        d->chooseFollowers(selected, std::move(others));
+    }
+}
+
+// The watchers of a data centre take its other members in turn, in the order of their names.
+void StoreFreshness::Private::chooseFollowers(const std::vector<MemberRecord> &selected, std::vector<MemberRecord> others)
+{
     std::vector<NodeName> localWatchers;
     for (const auto &watcher : selected) {
-        if (watcher.dataCentre == self.dataCentre) {
+        if (watcher.dataCentre == options.self.dataCentre) {
             localWatchers.push_back(watcher.name);
         }
     }
     std::sort(localWatchers.begin(), localWatchers.end());
-    const auto own = static_cast<std::size_t>(std::find(localWatchers.begin(), localWatchers.end(), self.name) - localWatchers.begin());
     std::sort(others.begin(), others.end(), [](const auto &left, const auto &right) { return left.name < right.name; });
-    for (std::size_t i = own; d->isWatcher && i < others.size(); i += localWatchers.size()) {
-        d->followers.push_back(others[i].control());
+    const auto own = std::find(localWatchers.begin(), localWatchers.end(), options.self.name) - localWatchers.begin();
+    for (auto i = static_cast<std::size_t>(own); i < others.size(); i += localWatchers.size()) {
+        followers.push_back(others[i].control());
     }
 }
 
