--- a/review/standins-2/endlessbody.cpp
+++ b/review/standins-2/endlessbody.cpp
@@ -20,9 +20,9 @@
 // The rule's: an answer is final half a second after the timeout of the route.
 constexpr Seconds Tolerance{0.5};
 constexpr int DeadlineMs = 6000;
-constexpr Seconds TrafficTime{40};
+constexpr Seconds TrafficTime{80};
 constexpr Seconds RequestInterval{0.2};
-constexpr int ClientsPerMachine = 2;
+constexpr int ClientsPerMachine = 4;
 // The rule's: eight or more, and over a quarter of those that last so long.
 constexpr int LeastBroken = 8;
 constexpr double BrokenShare = 0.25;
