--- a/src/daemon/calls/callmessages.cpp
+++ b/src/daemon/calls/callmessages.cpp
@@ -173,7 +173,7 @@
 std::string formatTerms(const CallTerms &terms)
 {
     const auto text = [](const std::optional<Milliseconds> &time) { return time ? std::to_string(time->count()) : std::string(); };
-    const auto waitedBefore = terms.waitedBefore.count() > 0 ? std::optional(terms.waitedBefore) : std::nullopt;
+    const auto waitedBefore = terms.waitedBefore.count() > 0 ? std::to_string(terms.waitedBefore.count()) : std::string();
     return fmt::format("{};{};{};{};{};{}{}{}{}",
         terms.priority,
         text(terms.objectiveLeft),
@@ -181,8 +181,8 @@
         terms.hasRunningParent ? NestedCall : "",
         text(terms.waitLeft),
         terms.isRetry ? Retry : "",
-        waitedBefore || terms.digest ? ";" : "",
-        text(waitedBefore),
+        !waitedBefore.empty() || terms.digest ? ";" : "",
+        waitedBefore,
         terms.digest ? fmt::format(";{}", toString(*terms.digest)) : std::string());
 }
 
