http: Keep bytes that exceed a lowered limit of the read buffer

A connection sets its buffer's limit from the limits in force, and the buffer may hold more than a new one. The free space was calculated as the limit minus the content, which wrapped around, and preparing that much threw, in the handler of a timer. There is now one function for the free space, which is zero then. The requests that wait are read from the buffer as before.

--- a/autotests/unit/pipeliningtest.cpp
+++ b/autotests/unit/pipeliningtest.cpp
@@ -10,13 +10,14 @@
 
 const Endpoint ServerEndpoint{testAddress(9), 18090};
 
-// A server whose handler delays requests below /held until they are released, and counts the requests
+// A server whose handler delays requests below /held and /late until they are released, and counts the requests
 // that it has begun.
 struct Fixture
 {
     std::atomic<int> begun = 0;
     std::atomic<int> cancelled = 0;
     std::atomic<bool> release = false;
+    std::atomic<bool> releaseLate = false;
     HttpServer::Options options{.endpoint = ServerEndpoint,
         .handler = [this](HttpRequest request, ServerConnection &connection) { return handle(std::move(request), connection); },
         .mayPipeline = [](const HttpRequest &request) { return request.method() == http::verb::get; }};
@@ -25,8 +26,9 @@
     {
         ++begun;
         asio::steady_timer timer(co_await asio::this_coro::executor);
-        const bool delayed = request.target().starts_with("/held");
-        while (delayed && !release && !connection.cancellation().cancelled()) {
+        const bool held = request.target().starts_with("/held");
+        const bool late = request.target().starts_with("/late");
+        while (((held && !release) || (late && !releaseLate)) && !connection.cancellation().cancelled()) {
             timer.expires_after(Milliseconds(2));
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -103,6 +105,35 @@
     BOOST_TEST(!caller.readTo("<GET /held/3 >").empty());
 }
 
+// Guards against a lowered header limit that ends the process while more bytes wait on a connection than the new limit.
+BOOST_FIXTURE_TEST_CASE(LoweredHeaderLimitKeepsWaitingRequests, Fixture)
+{
+    constexpr int Requests = 64;
+    constexpr int Running = 16;
+    options.limits.headerBytes = 64 * 1024;
+    RunningServer server(options);
+    RawClient caller(ServerEndpoint);
+    const std::string padding = "Padding: " + std::string(1400, 'p') + "\r\n";
+    for (int i = 0; i < Requests; ++i) {
+        caller.send(get((i < Running ? "/held/" : "/late/") + std::to_string(i), padding));
+    }
+    BOOST_TEST(waitForBegun(Running));
+    std::this_thread::sleep_for(ObservationTime);
+    server.invoke([this](HttpServer &it) {
+        auto lowered = options.limits;
+        lowered.headerBytes = 16 * 1024;
+        it.setLimits(lowered);
+        return true;
+    });
+    release = true;
+    BOOST_TEST(waitForBegun(2 * Running));
+    std::this_thread::sleep_for(ObservationTime);
+    releaseLate = true;
+    for (int i = 0; i < Requests; ++i) {
+        BOOST_TEST(!caller.readTo("/" + std::to_string(i) + " >").empty());
+    }
+}
+
 // A non-idempotent request is pipelined after a slow query. If it ran immediately and the query's
 // response closed the connection, the caller would assume that it wasn't read and send it again, so
 // that it would run twice.
--- a/src/adapters/http/httpserverconnection.cpp
+++ b/src/adapters/http/httpserverconnection.cpp
@@ -403,8 +403,7 @@
 // one detects the close.
 void HttpServerConnection::checkPeer()
 {
-    const auto space = m_channel.buffer.max_size() - m_channel.buffer.size();
-    if (m_reading != Reading::Nothing || m_pipeline.empty() || !m_pipeline.back()->noBytesPending() || space == 0) {
+    if (m_reading != Reading::Nothing || m_pipeline.empty() || !m_pipeline.back()->noBytesPending() || m_channel.freeBytes() == 0) {
         // A passed deadline would end the next read.
         m_channel.deadline.clear();
         return;
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -117,6 +117,11 @@
     return buffer.size() + (error ? 0 : inKernel);
 }
 
+std::size_t TcpChannel::freeBytes() const
+{
+    return buffer.max_size() - std::min(buffer.max_size(), buffer.size());
+}
+
 void TcpChannel::releaseBuffer()
 {
     if (buffer.size() == 0) {
@@ -127,7 +132,7 @@
 ErrorCode TcpChannel::readArrived()
 {
     ErrorCode error;
-    const auto count = socket.read_some(buffer.prepare(buffer.max_size() - buffer.size()), error);
+    const auto count = socket.read_some(buffer.prepare(freeBytes()), error);
     buffer.commit(count);
     received += count;
     m_bytes.all += count;
@@ -139,8 +144,8 @@
     if (deadline.passed() || m_peerLost) {
         co_return asio::error::timed_out;
     }
-    const auto freeBytes = buffer.max_size() - buffer.size();
-    if (freeBytes == 0) {
+    const auto space = freeBytes();
+    if (space == 0) {
         co_return make_error_code(boost::system::errc::no_buffer_space);
     }
     ErrorCode error;
@@ -150,8 +155,8 @@
     if (error) {
         co_return errorOrTimeout(error);
     }
-    const auto space = buffer.prepare(std::min<std::size_t>(freeBytes, 4096));
-    const auto count = co_await socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+    const auto part = buffer.prepare(std::min<std::size_t>(space, 4096));
+    const auto count = co_await socket.async_read_some(part, asio::redirect_error(asio::use_awaitable, error));
     buffer.commit(count);
     received += count;
     m_bytes.all += count;
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -83,6 +83,9 @@
     // Bytes that were written and that the peer's kernel has acknowledged.
     std::uint64_t acknowledgedBytes();
 
+    // Space left in the read buffer; none if its limit was lowered below its content.
+    std::size_t freeBytes() const;
+
     // Bytes that have arrived and that nothing has consumed.
     std::size_t unreadBytes();
 
