target: Close the connection of a health check after its response

Calls that must not run twice are kept from connections on which a rejection has arrived, since a late copy of it names no call. A health check uses the same connections and has no request ID, so no response to it names a request, and it did not mark its connection. A late copy of its rejection was taken for the response to the next call. The new test found a second form: a late copy of its success was taken for the response to a call that may be retried, whose caller got the health check's body.

Before: both new cases of rejectionprooftest fail (503 in place of 200, and a foreign response). The price is a connection for each check: before a target counts as ready, and every 4 s under an old rate limit.

--- a/autotests/unit/rejectionprooftest.cpp
+++ b/autotests/unit/rejectionprooftest.cpp
@@ -2,10 +2,12 @@
 
 #include "core/calls/callheaders.h"
 #include "daemon/calls/sidecar.h"
+#include "daemon/targetservice.h"
 #include "httptest.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <future>
 #include <list>
 #include <mutex>
 
@@ -80,13 +82,21 @@
             if (error || end == std::string::npos) {
                 continue;
             }
-            const auto id = text.find("\r\nId: ") + 6;
-            const auto response = m_script(text.substr(id, text.find("\r\n", id) - id), ++call);
+            const auto response = m_script(idOf(text), ++call);
             asio::write(socket, asio::buffer(response), error);
             text.clear();
         }
     }
 
+    // Empty if the request has no ID, like a health check.
+    static std::string idOf(const std::string &header)
+    {
+        constexpr std::string_view Name = "\r\nId: ";
+        const auto found = header.find(Name);
+        const auto begin = found + Name.size();
+        return found == std::string::npos ? std::string() : header.substr(begin, header.find("\r\n", begin) - begin);
+    }
+
     Script m_script;
     asio::io_context m_context;
     Tcp::acceptor m_acceptor;
@@ -124,19 +134,45 @@
         return names;
     }
 
-    // Sends a call that must not run twice; returns the status of the response.
-    int call(const std::string &id) const
+    // Announces the target, which is checked before it counts as ready, and waits until the first check has ended.
+    void checkHealth()
     {
-        RawClient client(SidecarEndpoint);
-        client.send(fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nId: {}\r\n{}: ventas\r\n{}: r\r\n{}: 5000\r\nContent-Length: 0\r\n\r\n",
+        const std::future<void> ended = checked.get_future();
+        asio::post(context, [this] {
+            asio::co_spawn(
+                context, [this]() -> asio::awaitable<void> { (void)co_await service.handle(HttpRequest()); }, asio::detached);
+        });
+        BOOST_REQUIRE((ended.wait_for(std::chrono::seconds(5)) == std::future_status::ready));
+    }
+
+    static std::string request(const std::string &id, const std::string &fields = {})
+    {
+        return fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nId: {}\r\n{}: ventas\r\n{}: r\r\n{}: 5000\r\n{}Content-Length: 0\r\n\r\n",
             id,
             CallHeaders::Service,
             CallHeaders::Route,
-            CallHeaders::TimeoutMs));
+            CallHeaders::TimeoutMs,
+            fields);
+    }
+
+    // Sends a call that must not run twice; returns the status of the response.
+    int call(const std::string &id) const
+    {
+        RawClient client(SidecarEndpoint);
+        client.send(request(id));
         const auto header = client.readTo("\r\n\r\n");
         return header.empty() ? 0 : std::stoi(header.substr(header.find(' ')));
     }
 
+    // Sends a call that may run twice; returns whether the response is its own success.
+    bool succeedsWhenRetriable(const std::string &id) const
+    {
+        RawClient client(SidecarEndpoint);
+        client.send(request(id, fmt::format("{}: yes\r\n", CallHeaders::RetriedAbove)));
+        const auto header = client.readTo("\r\n\r\n");
+        return header.starts_with("HTTP/1.1 200 ") && client.readTo("ok") == "ok";
+    }
+
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     HttpClient client{context, {}};
@@ -148,6 +184,29 @@
         .policy = {.adaptive = false},
         .headerNames = headerNames(),
         .stateChanged = [](MemberState) {}}};
+    std::promise<void> checked;
+    bool wasChecked = false;
+    TargetService service{{.context = context,
+        .client = client,
+        .registration = {.address = TargetEndpoint, .service = ServiceName("ventas"), .firstStart = false},
+        .decode = [](const HttpRequest &) -> Result<TargetMessage> {
+            TargetAnnouncement target;
+            target.id = "t";
+            target.startedAt = 1;
+            target.sequence = 1;
+            target.service = ServiceName("ventas");
+            target.address = TargetEndpoint;
+            return target;
+        },
+        .healthPath = [] { return "/health"; },
+        .targetIdField = {},
+        .log =
+            [this](LogLevel, std::string_view event, const std::vector<LogField> &) {
+                if (event == "target-checked" && !std::exchange(wasChecked, true)) {
+                    checked.set_value();
+                }
+            },
+        .changed = [](const TargetAnnouncement &, MemberState) {}}};
     HttpServer server;
     std::thread thread;
 };
@@ -185,6 +244,32 @@
     BOOST_TEST(fixture.call("first") == 200);
 }
 
+// Guards against a second copy of the rejection of a health check, which shares the connections of the calls.
+BOOST_AUTO_TEST_CASE(LateCopyOfARejectedHealthCheckIsNotTakenForTheNextCall)
+{
+    ScriptedTarget target([](const std::string &id, int call) {
+        if (id.empty()) {
+            return std::string(Rejection);
+        }
+        return (call > 1 ? Rejection : "") + success(id);
+    });
+    Fixture fixture;
+    fixture.checkHealth();
+    BOOST_TEST(fixture.call("first") == 200);
+}
+
+// Guards against a second copy of the response to a health check, which has the target's signature like that to a call.
+BOOST_AUTO_TEST_CASE(LateCopyOfAHealthyResponseIsNotTakenForTheNextCall)
+{
+    ScriptedTarget target([](const std::string &id, int call) {
+        const std::string healthy = "HTTP/1.1 200 OK\r\nProof: 1\r\nContent-Length: 7\r\n\r\nhealthy";
+        return id.empty() ? healthy : (call > 1 ? healthy : "") + success(id);
+    });
+    Fixture fixture;
+    fixture.checkHealth();
+    BOOST_TEST(fixture.succeedsWhenRetriable("first"));
+}
+
 // Guards against statuses that promise that the call did not run, passed on from a target that does not state it.
 BOOST_AUTO_TEST_CASE(StatusThatPromisesNotRunIsNotPassedOnWithoutProof)
 {
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -143,6 +143,7 @@
     channel.deadline.set(deadline);
     m_deadline = deadline;
     m_isHead = request.method() == http::verb::head;
+    m_notReusable = exchangeOptions.closeAfterwards;
     const auto sendError = co_await send(request, exchangeOptions);
     // A connection that broke while 100 Continue was awaited carries no response. If reading
     // continued, the empty header would be taken for a success at the end of the connection.
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -66,6 +66,8 @@
         std::function<bool(const http::fields &)> isAmbiguous;
         // Uses no connection on which an ambiguous response arrived.
         bool avoidAmbiguity = false;
+        // Closes the connection after the response, so that no late copy of it reaches another request.
+        bool closeAfterwards = false;
         // Receives the rest of a response's body that is too long to be buffered. It isn't subject
         // to the exchange's deadline; each part has its own time limit.
         std::unique_ptr<BodySource> *responseBody = nullptr;
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -184,8 +184,11 @@
     const auto target = *registration.target();
     HttpRequest request(http::verb::get, options.healthPath(), 11);
     request.set(http::field::host, toString(target.address));
+    // A health check has no request ID, so a late copy of its response could be taken for that to any call.
+    HttpClient::ExchangeOptions exchangeOptions;
+    exchangeOptions.closeAfterwards = true;
     const auto sentAt = Clock::now();
-    const auto response = co_await options.client.exchange(target.address, std::move(request), sentAt + CheckTimeout);
+    const auto response = co_await options.client.exchange(target.address, request, sentAt + CheckTimeout, exchangeOptions);
     const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
     const bool healthy = same && response->result() == http::status::ok;
     options.log(LogLevel::Info, "target-checked", {{"target", target.id}, {"healthy", healthy}, {"same_target", same}});
