platform, store: Read rollouts whose names have braces, and keep a watch after an exception

The name became a part of a format string. Formatting threw in the handler of the decoder's exception, and ended the detached coroutine of the watch without a trace. Names and texts are now joined as they are, and an exception while documents are processed is logged (documents-not-processed) and doesn't end their watch.

--- a/autotests/unit/platformtest.cpp
+++ b/autotests/unit/platformtest.cpp
@@ -325,6 +325,16 @@
     }
 }
 
+// Guards against a name that is taken for a format string, whose exception would leave the decoder.
+BOOST_AUTO_TEST_CASE(RejectsARolloutWithBracesInItsName)
+{
+    for (const auto *name : {"{service}", "{", "}", "{}{}", "{0:d}"}) {
+        const auto stored = Platform::decodeRollout({.name = name, .content = R"({"note": "none"})"});
+        BOOST_REQUIRE(!stored);
+        BOOST_TEST(stored.error().message.find(name) != std::string::npos);
+    }
+}
+
 // Corrupted bytes are rejected, and never cause a crash or a partly decoded value.
 BOOST_AUTO_TEST_CASE(SurvivesCorruptedBytes)
 {
--- a/src/adapters/codec/jsonfields.h
+++ b/src/adapters/codec/jsonfields.h
@@ -33,15 +33,15 @@
 // position alone: the library quotes the text there, which may be a customer's key.
 std::string jsonErrorText(const std::exception &error);
 
-// The decoder's result; an error of that kind if it throws. The message has a {} for the text of the
-// exception.
+// The decoder's result; if it throws, an error of that kind, with a message of the subject, the text of the exception and the
+// advice. The subject may contain names that other programs chose.
 template <typename Decoder>
-auto decodeJson(ErrorKind kind, std::string_view message, Decoder decoder) -> Result<decltype(decoder())>
+auto decodeJson(ErrorKind kind, std::string_view subject, std::string_view advice, Decoder decoder) -> Result<decltype(decoder())>
 {
     try {
         return decoder();
     } catch (const std::exception &error) {
-        return failure(kind, fmt::format(fmt::runtime(message), jsonErrorText(error)));
+        return failure(kind, fmt::format("{}: {}{}", subject, jsonErrorText(error), advice));
     }
 }
 
--- a/src/adapters/platform/documentreader.cpp
+++ b/src/adapters/platform/documentreader.cpp
@@ -22,7 +22,7 @@
     template <typename Decoder>
     auto decode(const std::string &text, Decoder decoder) const -> Result<decltype(decoder(SplicedDocument()))>
     {
-        return decodeJson(ErrorKind::OutcomeUnknown, "malformed response from the store: {}", [&] { return decoder(parseSpliced(text, names.content)); });
+        return decodeJson(ErrorKind::OutcomeUnknown, "malformed response from the store", {}, [&] { return decoder(parseSpliced(text, names.content)); });
     }
 
     std::string nameOf(const Json &object) const;
--- a/src/daemon/documentwatcher.cpp
+++ b/src/daemon/documentwatcher.cpp
@@ -63,6 +63,7 @@
 
     asio::awaitable<void> run();
     asio::awaitable<Result<DocumentSet>> next();
+    bool process(DocumentSet documents, bool all);
     void callFailed(const Error &error);
     void callSucceeded();
     Milliseconds backOffTime();
@@ -143,7 +144,7 @@
         const auto readVersion = documents->version;
         // A watch without changes may have ended for any reason.
         const bool proves = all ? !stale : !documents->documents.empty();
-        const bool pause = options.received(std::move(*documents), all);
+        const bool pause = process(std::move(*documents), all);
         if (proves && options.read) {
             options.read(readVersion, all ? begin : Clock::now(), all);
         }
@@ -153,6 +154,18 @@
     }
 }
 
+// An exception must not end the watch, since the node would miss all later changes.
+bool DocumentWatcher::Private::process(DocumentSet documents, bool all)
+{
+    const auto read = documents.version;
+    try {
+        return options.received(std::move(documents), all);
+    } catch (const std::exception &error) {
+        options.log(LogLevel::Error, "documents-not-processed", {{"kind", options.kind}, {"version", read.value()}, {"reason", error.what()}});
+        return true;
+    }
+}
+
 void DocumentWatcher::Private::callSucceeded()
 {
     if (failures > 0) {
