rollouts: List the specs beside a watch that may have stalled

While the store accepted changes and said nothing on its watches, no node learnt of a rollout that an operator had ordered, for up to 30 s.

Evaluators now list the specs regularly, the first every 2 s and the one of rank n every 2(n + 1) s, and begin their watch anew if it missed a change. One evaluator that reads a spec is enough, since it tells the others.

The price, by arithmetic: 1.4 lists a second with 8 evaluators (four data centres).

--- a/autotests/processes/rolloutspecstest.cpp
+++ b/autotests/processes/rolloutspecstest.cpp
@@ -1,4 +1,4 @@
-// Specs of rollouts in a store that other programs write to, with real processes. Every node has to
+// Specs of rollouts in a store that other programs write to, or whose watches stall, with real processes. Every node has to
 // learn of a spec, either from the store or from an evaluator.
 
 #include "adapters/http/blockinghttpclient.h"
@@ -97,3 +97,11 @@
     std::this_thread::sleep_for(SettleTime);
     checkRollout();
 }
+
+// Guards against watches of the specs that the store leaves without a response while it accepts changes.
+BOOST_FIXTURE_TEST_CASE(SpecIsFollowedWhileWatchesStall, Fixture)
+{
+    sendToStore("/admin/fault", {{"mode", "stall-watches"}});
+    std::this_thread::sleep_for(SettleTime);
+    checkRollout();
+}
--- a/src/core/rollouts/rolloutcontroller.cpp
+++ b/src/core/rollouts/rolloutcontroller.cpp
@@ -342,6 +342,11 @@
     return d->peers.isEvaluator();
 }
 
+std::size_t RolloutController::evaluatorRank() const
+{
+    return d->peers.rank();
+}
+
 std::vector<RolloutWrite> RolloutController::dueWrites(TimePoint now)
 {
     std::vector<RolloutWrite> writes;
--- a/src/core/rollouts/rolloutcontroller.h
+++ b/src/core/rollouts/rolloutcontroller.h
@@ -104,6 +104,9 @@
     // Whether this node watches the specs in the store and writes the stages.
     bool isEvaluator() const;
 
+    // Number of evaluators that rank before this node.
+    std::size_t evaluatorRank() const;
+
     // Stages that this node has to write now. Each is returned once a second until `writeCompleted`
     // is called for it or the stage is read from the store.
     std::vector<RolloutWrite> dueWrites(TimePoint now);
--- a/src/daemon/documentwatcher.cpp
+++ b/src/daemon/documentwatcher.cpp
@@ -62,6 +62,9 @@
     Cancellation *waitingWatch = nullptr;
 
     asio::awaitable<void> run();
+    asio::awaitable<void> checkRegularly();
+    asio::awaitable<void> check();
+    bool resumeFrom(ObjectVersion newVersion);
     asio::awaitable<Result<DocumentSet>> next();
     bool process(DocumentSet documents, bool all);
     void callFailed(const Error &error);
@@ -79,6 +82,37 @@
 void DocumentWatcher::start()
 {
     asio::co_spawn(d->options.context, d->run(), asio::detached);
+    if (d->options.checkInterval) {
+        asio::co_spawn(d->options.context, d->checkRegularly(), asio::detached);
+    }
+}
+
+asio::awaitable<void> DocumentWatcher::Private::checkRegularly()
+{
+    const auto keep = shared_from_this();
+    while (!options.stopping) {
+        co_await sleepFor(options.context, options.checkInterval());
+        if (waitingWatch != nullptr && !options.stopping) {
+            co_await check();
+        }
+    }
+}
+
+asio::awaitable<void> DocumentWatcher::Private::check()
+{
+    const auto known = version;
+    auto documents = co_await options.store.list(options.kind, Freshness::Latest);
+    if (!documents || waitingWatch == nullptr || version != known) {
+        co_return;
+    }
+    const auto &items = documents->documents;
+    const bool missed = std::any_of(items.begin(), items.end(), [&](const StoredDocument &item) { return item.version > known; });
+    const auto newVersion = documents->version;
+    logUnreadable(options.log, options.kind, *documents);
+    process(std::move(*documents), true);
+    if (missed && resumeFrom(newVersion)) {
+        options.log(LogLevel::Warning, "watch-stalled", {{"kind", options.kind}, {"version", known.value()}, {"store_version", newVersion.value()}});
+    }
 }
 
 asio::awaitable<Result<DocumentSet>> DocumentWatcher::Private::next()
@@ -96,11 +130,16 @@
 
 bool DocumentWatcher::resumeFrom(ObjectVersion version)
 {
-    if (d->waitingWatch == nullptr || d->version >= version) {
+    return d->resumeFrom(version);
+}
+
+bool DocumentWatcher::Private::resumeFrom(ObjectVersion newVersion)
+{
+    if (waitingWatch == nullptr || version >= newVersion) {
         return false;
     }
-    d->version = version;
-    d->waitingWatch->cancel();
+    version = newVersion;
+    waitingWatch->cancel();
     return true;
 }
 
--- a/src/daemon/documentwatcher.h
+++ b/src/daemon/documentwatcher.h
@@ -32,6 +32,9 @@
         // Called with all documents of the kind, or with those that changed. Returns
         // whether to pause before the next watch, so that one call returns several changes.
         std::function<bool(DocumentSet documents, bool all)> received;
+        // Interval at which a watcher lists the documents beside its watch, since one that returns nothing may have stalled.
+        // Null: never.
+        std::function<Milliseconds()> checkInterval;
         // All documents of the kind were read, as they were at that time, or the changes that a watch returned. May be null.
         std::function<void(ObjectVersion version, TimePoint asOf, bool all)> read;
         // A call to the store failed; the next one reads a list. May be null.
--- a/src/daemon/rolloutservice.cpp
+++ b/src/daemon/rolloutservice.cpp
@@ -11,6 +11,10 @@
 // Number of failed store calls after which a starting node no longer waits for the store.
 constexpr int MaxStoreFailures = 3;
 
+// Interval at which the first evaluator lists the specs beside its watch. The evaluator of rank n takes n + 1 times as long, so that
+// the lists of all evaluators grow with the logarithm of their number.
+constexpr Milliseconds SpecCheckInterval{2000};
+
 // Time between two log lines on the progress of a rollout.
 constexpr Milliseconds ProgressInterval{1000};
 
@@ -36,6 +40,7 @@
               .firstList = options.firstStart ? std::nullopt : std::optional(Freshness::MayBeStale),
               .shouldWatch = [this] { return control.isEvaluator(); },
               .received = [this](const DocumentSet &documents, bool all) { return received(documents, all); },
+              .checkInterval = [this] { return SpecCheckInterval * (control.evaluatorRank() + 1); },
               .failed = [this] { synced = synced || ++failures >= MaxStoreFailures; },
               .stopping = options.stopping})
     {
