http: Report a reset behind a response without a length as an error

A target answered an upload with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as the complete response.

Cause: the kernel reports a reset to one operation only. Where that was a write, or a peek at the socket, the next read found the end of file, which MessageReader::readBody takes for the end of a body without a length.

TcpChannel now remembers the failure that any of its operations has met, and its reads return it in place of an end of file. A broken pipe is no such failure: the kernel reports it where the peer's orderly end came before the reset, and after a reset that has been reported already. So a response that a server ends in order keeps its end, also if a reset follows.

--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -7,6 +7,17 @@
 
 namespace Galenahill {
 
+namespace {
+
+// A broken pipe says that the peer has ended the connection in order, or that another operation has already met its failure.
+bool isConnectionFailure(const ErrorCode &error)
+{
+    return error && error != asio::error::would_block && error != asio::error::eof && error != asio::error::operation_aborted
+        && error != asio::error::broken_pipe && error != asio::error::bad_descriptor;
+}
+
+}
+
 TcpChannel::TcpChannel(Tcp::socket connected, ByteCounts &bytes)
     : socket(std::move(connected))
     , m_bytes(bytes)
@@ -81,6 +92,7 @@
     char byte = 0;
     ErrorCode error;
     socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    recordFailure(error);
     return error && error != asio::error::would_block;
 }
 
@@ -89,6 +101,7 @@
     char byte = 0;
     ErrorCode error;
     socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    recordFailure(error);
     return error != asio::error::would_block;
 }
 
@@ -136,7 +149,7 @@
     buffer.commit(count);
     received += count;
     m_bytes.all += count;
-    return error;
+    return endOrFailure(error);
 }
 
 asio::awaitable<ErrorCode> TcpChannel::readMore()
@@ -160,7 +173,7 @@
     buffer.commit(count);
     received += count;
     m_bytes.all += count;
-    co_return errorOrTimeout(error);
+    co_return errorOrTimeout(endOrFailure(error));
 }
 
 asio::awaitable<ErrorCode> TcpChannel::waitWritable()
@@ -173,6 +186,19 @@
     co_return errorOrTimeout(error);
 }
 
+void TcpChannel::recordFailure(const ErrorCode &error)
+{
+    if (!m_failure && isConnectionFailure(error)) {
+        m_failure = error;
+    }
+}
+
+ErrorCode TcpChannel::endOrFailure(const ErrorCode &error)
+{
+    recordFailure(error);
+    return error == asio::error::eof && m_failure ? m_failure : error;
+}
+
 ErrorCode TcpChannel::errorOrTimeout(const ErrorCode &error) const
 {
     const bool timedOut = error && (deadline.passed() || m_peerLost);
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -93,12 +93,13 @@
     // would take most of a node's memory.
     void releaseBuffer();
 
-    // Appends the bytes that have arrived to the buffer without waiting.
+    // Appends the bytes that have arrived to the buffer without waiting. Fails with `eof` only if the peer has ended the
+    // connection in order.
     ErrorCode readArrived();
 
     // Waits for bytes and appends them to the buffer; a freed buffer is allocated only when they
-    // arrive. Fails with `timed_out` if the deadline has passed, and with `no_buffer_space` if the
-    // buffer is full.
+    // arrive. Fails with `timed_out` if the deadline has passed, with `no_buffer_space` if the
+    // buffer is full, and with `eof` only if the peer has ended the connection in order.
     asio::awaitable<ErrorCode> readMore();
 
     // Writes all bytes of the buffers.
@@ -117,11 +118,19 @@
     asio::awaitable<ErrorCode> waitWritable();
     ErrorCode errorOrTimeout(const ErrorCode &error) const;
 
+    // The kernel reports the failure of a connection, such as a reset, to one operation only; reads then end as if the peer
+    // had closed in order.
+    void recordFailure(const ErrorCode &error);
+
+    // The failure that an earlier operation met, in place of an end.
+    ErrorCode endOrFailure(const ErrorCode &error);
+
     void countSent(std::size_t count);
 
     ByteCounts &m_bytes;
     bool m_usesLink = false;
     bool m_peerLost = false;
+    ErrorCode m_failure;
 };
 
 template <typename Buffers>
@@ -131,6 +140,7 @@
     while (boost::asio::buffer_size(remaining) > 0) {
         ErrorCode error;
         const auto count = socket.write_some(remaining, error);
+        recordFailure(error);
         countSent(count);
         remaining.consume(count);
         if (error == asio::error::would_block) {
@@ -182,6 +192,7 @@
     if (failed) {
         return failed;
     }
+    recordFailure(error);
     countSent(count);
     serializer.consume(count);
     return error;
