http: Decide on the number of a status, and reject invalid ones

Callers got responses that no target had sent. A target in trouble answered with status 000: the client skipped its header as an interim response, and delivered its body as the target's response where the body looked like one. The same happened to valid responses with codes such as 299, 418 or 530; other bodies ended as "no response" at the deadline. And 600 to 999 were passed on.

Cause: Beast parses any three digits, and its http::status is 0 for each code that it doesn't list. The client took every value below 200 for an interim response, and did not check the range.

Decisions now rest on the number. A code outside 100 to 599 (RFC 9110, 15) and a 101, which the client never asks for, are errors: nothing that follows them on the connection is known to be a response.

Evidence, in brokenresponsetest: ResponseWithAnInvalidStatusIsRejected failed before for all five codes in all three forms, ResponseWithAnUnlistedStatusArrives for 218, 299, 399, 418 and 530 (Beast lists 499 and 599, which passed), and SwitchOfProtocolsIsRejected. All pass now. InterimResponsesAreSkipped keeps what held.

--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -21,6 +21,12 @@
 // A client in the middle of an upload waits for room to write by then.
 constexpr Milliseconds MidUpload{250};
 
+// An error that is known from the bytes must not wait for the deadline.
+constexpr Milliseconds PromptLimit{5000};
+constexpr Milliseconds LateDeadline{6000};
+
+const std::string ResponseInBody = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+
 enum class Upload {
     None,
     Buffered,
@@ -90,6 +96,20 @@
     return {.bytes = "HTTP/1.1 200 OK\r\n\r\n" + std::string(PartialBytes, 'p'), .end = end, .delay = delay, .resetDelay = resetDelay};
 }
 
+// Expects that each response is reported as an error, and not only at the deadline.
+void checkRejected(const std::vector<std::string> &responses, End end = End::None)
+{
+    for (const auto &response : responses) {
+        BrokenResponseServer server(AnyPort, {.bytes = response, .end = end});
+        const auto begin = Clock::now();
+        const auto result = exchange(server.endpoint(), Upload::None, http::verb::get, LateDeadline);
+        const auto line = response.substr(0, response.find("\r\n\r\n"));
+        BOOST_TEST(!result.has_value(), line);
+        BOOST_TEST((!result && result.error().kind == ErrorKind::OutcomeUnknown), line);
+        BOOST_TEST((Clock::now() < begin + PromptLimit), line);
+    }
+}
+
 }
 
 // Guards against a truncated response that counts as complete because a write took the error of the reset behind it.
@@ -155,3 +175,46 @@
         BOOST_TEST(result->body() == "whole");
     }
 }
+
+// Guards against status codes outside 100 to 599 that reach callers, and against their bodies taken for responses.
+BOOST_AUTO_TEST_CASE(ResponseWithAnInvalidStatusIsRejected)
+{
+    std::vector<std::string> responses;
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        responses.push_back("HTTP/1.1 " + status + " Broken\r\nContent-Length: " + std::to_string(ResponseInBody.size()) + "\r\n\r\n" + ResponseInBody);
+        responses.push_back("HTTP/1.1 " + status + " Broken\r\nContent-Length: 0\r\n\r\n");
+        responses.push_back("HTTP/1.1 " + status + "\r\n\r\n" + ResponseInBody);
+    }
+    checkRejected(responses);
+    checkRejected(responses, End::Close);
+}
+
+// Guards against the loss of responses whose status code no registry lists, and against their bodies taken for responses.
+BOOST_AUTO_TEST_CASE(ResponseWithAnUnlistedStatusArrives)
+{
+    for (const unsigned status : {218U, 299U, 399U, 418U, 499U, 530U, 599U}) {
+        BrokenResponseServer server(AnyPort,
+            {.bytes = "HTTP/1.1 " + std::to_string(status) + " Own\r\nContent-Length: " + std::to_string(ResponseInBody.size()) + "\r\n\r\n" + ResponseInBody});
+        const auto result = exchange(server.endpoint());
+        BOOST_REQUIRE_MESSAGE(result.has_value(), status);
+        BOOST_TEST(result->result_int() == status);
+        BOOST_TEST(result->body() == ResponseInBody);
+    }
+}
+
+// Guards against interim responses with unlisted codes that count as final ones.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped)
+{
+    for (const std::string status : {"100", "102", "103", "150", "199"}) {
+        BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 " + status + " Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"});
+        const auto result = exchange(server.endpoint());
+        BOOST_REQUIRE_MESSAGE(result.has_value(), status);
+        BOOST_TEST(result->body() == "good");
+    }
+}
+
+// Guards against bytes of another protocol that are read as the response, after a switch that nobody asked for.
+BOOST_AUTO_TEST_CASE(SwitchOfProtocolsIsRejected)
+{
+    checkRejected({"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" + ResponseInBody});
+}
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http/clientexchange.h"
 
+#include "adapters/http/responsecheck.h"
+
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <charconv>
@@ -162,7 +164,7 @@
     }
     // If a target responds to a request twice, the second response arrives where the next request
     // on the connection expects its own.
-    for (int mismatched = 0; !error && exchangeOptions.matchesRequest && !exchangeOptions.matchesRequest(m_reader->fields()); ++mismatched) {
+    for (int mismatched = 0; !error && exchangeOptions.matchesRequest && !exchangeOptions.matchesRequest(m_reader->header()); ++mismatched) {
         error = mismatched < MaxMismatchedResponses ? ErrorCode() : ErrorCode(http::error::unexpected_body);
         if (!error) {
             error = co_await discardResponse();
@@ -235,7 +237,7 @@
         m_sendsBody = false;
         co_return error;
     }
-    m_sendsBody = m_reader->status() == http::status::continue_;
+    m_sendsBody = isInterim(m_reader->header());
     if (m_sendsBody) {
         m_reader.reset();
     }
@@ -295,7 +297,10 @@
             m_reader->skipBody();
         }
         error = co_await m_reader->readHeader();
-    } while (!error && m_reader->status() < http::status::ok && !(untilContinue && m_reader->status() == http::status::continue_));
+        if (!error) {
+            error = checkStatus(m_reader->header());
+        }
+    } while (!error && isInterim(m_reader->header()) && !(untilContinue && m_reader->header().result() == http::status::continue_));
     co_return error;
 }
 
--- a/src/adapters/http/messagereader.h
+++ b/src/adapters/http/messagereader.h
@@ -59,13 +59,8 @@
         return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
     }
 
-    http::status status() const
-    {
-        return m_parser.get().result();
-    }
-
-    // The header fields; valid once readHeader() has succeeded.
-    const http::fields &fields() const
+    // The header; valid once readHeader() has succeeded.
+    const Header &header() const
     {
         return m_parser.get().base();
     }
