http: Reject responses whose transfer coding can't be decoded

A response with "Transfer-Encoding: gzip", "xchunked" or "chunked, gzip" was read as a body without a coding, cut at a Content-Length or ended by the close, and passed on without the field: callers got a body that the target had not sent. "gzip, chunked" lost its outer coding in the same way.

Cause: Beast looks for "chunked" as the last coding and reads any other value as none; the client relied on that, while the server checked its requests.

The client now accepts one "chunked" in HTTP/1.1 without a Content-Length, and reports all else as an error, as RFC 9112, 6.1 and 6.3 ask for faulty framing. Responses that have no body are not affected.

--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -218,3 +218,21 @@
 {
     checkRejected({"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" + ResponseInBody});
 }
+
+// Guards against bodies whose coding the client can't decode, passed on without the field that names it.
+BOOST_AUTO_TEST_CASE(ResponseWithAnUnsupportedTransferCodingIsRejected)
+{
+    const std::string chunks = "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n";
+    std::vector<std::string> responses;
+    for (const std::string coding : {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", "identity", "chunked;q=1", "chunked, chunked", ""}) {
+        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + chunks);
+        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\nContent-Length: 5" + chunks);
+        responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: " + coding + chunks);
+    }
+    responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked" + chunks);
+    responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked" + chunks);
+    responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5" + chunks);
+    responses.push_back("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks);
+    checkRejected(responses);
+    checkRejected(responses, End::Close);
+}
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -300,6 +300,9 @@
         if (!error) {
             error = checkStatus(m_reader->header());
         }
+        if (!error) {
+            error = checkFraming(m_reader->header(), m_isHead);
+        }
     } while (!error && isInterim(m_reader->header()) && !(untilContinue && m_reader->header().result() == http::status::continue_));
     co_return error;
 }
--- a/src/adapters/http/responsecheck.cpp
+++ b/src/adapters/http/responsecheck.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/responsecheck.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace Galenahill {
@@ -9,6 +10,7 @@
 constexpr unsigned FirstStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned StatusEnd = 600;
+constexpr unsigned MinChunkedVersion = 11;
 constexpr auto SwitchingProtocols = static_cast<unsigned>(http::status::switching_protocols);
 
 }
@@ -26,4 +28,17 @@
     return isValid ? ErrorCode() : http::error::bad_status;
 }
 
+ErrorCode checkFraming(const http::response_header<> &header, bool isResponseToHead)
+{
+    const auto status = header.result();
+    const bool hasNoBody = isResponseToHead || isInterim(header) || status == http::status::no_content || status == http::status::not_modified;
+    const auto codings = header.count(http::field::transfer_encoding);
+    if (hasNoBody || codings == 0) {
+        return {};
+    }
+    const bool isChunked = codings == 1 && boost::algorithm::iequals(header[http::field::transfer_encoding], "chunked");
+    const bool isValid = isChunked && header.version() >= MinChunkedVersion && header.count(http::field::content_length) == 0;
+    return isValid ? ErrorCode() : http::error::bad_transfer_encoding;
+}
+
 }
--- a/src/adapters/http/responsecheck.h
+++ b/src/adapters/http/responsecheck.h
@@ -14,4 +14,10 @@
 // Errors: bad_status.
 ErrorCode checkStatus(const http::response_header<> &header);
 
+// Checks the fields that say where the body ends. The only transfer coding that can be decoded is "chunked", in HTTP/1.1 and
+// without a Content-Length; Beast reads a body with other codings as if it had none (RFC 9112, 6.1 and 6.3).
+//
+// Errors: bad_transfer_encoding.
+ErrorCode checkFraming(const http::response_header<> &header, bool isResponseToHead);
+
 }
