http: Pass on one Content-Length where a response repeats it

Repeated equal lengths, as separate fields or as a list, reached callers as they were where the body is not sent along, as in responses to HEAD.

Cause: Beast accepts the repetition and keeps the fields. RFC 9112, 6.3 allows it to be read as one length, so the client now keeps one.

Evidence: RepeatedEqualLengthsAreOneLength in brokenresponsetest failed before in its six cases (two fields, or "5, 5"), and passes now.

--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -236,3 +236,19 @@
     checkRejected(responses);
     checkRejected(responses, End::Close);
 }
+
+// RFC 9112, 6.3: a length that is repeated unchanged is read as one length, which is all that is passed on.
+BOOST_AUTO_TEST_CASE(RepeatedEqualLengthsAreOneLength)
+{
+    for (const std::string lengths : {"Content-Length: 5\r\nContent-Length: 5", "Content-Length: 5, 5", "Content-Length: 5\r\nContent-Length: 5, 5"}) {
+        for (const auto method : {http::verb::get, http::verb::head}) {
+            const std::string body = method == http::verb::head ? "" : "whole";
+            BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 200 OK\r\n" + lengths + "\r\n\r\n" + body});
+            const auto result = exchange(server.endpoint(), Upload::None, method);
+            BOOST_REQUIRE_MESSAGE(result.has_value(), lengths);
+            BOOST_TEST(result->body() == body);
+            BOOST_TEST(result->count(http::field::content_length) == 1U);
+            BOOST_TEST((*result)[http::field::content_length] == "5");
+        }
+    }
+}
--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -177,6 +177,7 @@
         co_return exchangeFailure("no response", error);
     }
     HttpResponse response(m_reader->takeHeader());
+    mergeRepeatedLengths(response);
     m_connection->ambiguous = m_connection->ambiguous || (exchangeOptions.isAmbiguous && exchangeOptions.isAmbiguous(response));
     m_serverKeepAlive = serverKeepAlive(response);
     error = co_await readBody(response, exchangeOptions.responseBody != nullptr);
--- a/src/adapters/http/responsecheck.cpp
+++ b/src/adapters/http/responsecheck.cpp
@@ -41,4 +41,12 @@
     return isValid ? ErrorCode() : http::error::bad_transfer_encoding;
 }
 
+void mergeRepeatedLengths(http::response_header<> &header)
+{
+    const std::string lengths(header[http::field::content_length]);
+    if (header.count(http::field::content_length) > 1 || lengths.find(',') != std::string::npos) {
+        header.set(http::field::content_length, lengths.substr(0, lengths.find_first_of(", \t")));
+    }
+}
+
 }
--- a/src/adapters/http/responsecheck.h
+++ b/src/adapters/http/responsecheck.h
@@ -20,4 +20,7 @@
 // Errors: bad_transfer_encoding.
 ErrorCode checkFraming(const http::response_header<> &header, bool isResponseToHead);
 
+// Replaces lengths that repeat the same number by one (RFC 9112, 6.3). Beast rejects different ones, and ignores the repetition.
+void mergeRepeatedLengths(http::response_header<> &header);
+
 }
