--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -252,3 +252,73 @@
         }
     }
 }
+
+// Guards against header fields with invalid names or values that are passed on, or that hide the length of the body.
+BOOST_AUTO_TEST_CASE(ResponseWithAMalformedFieldIsRejected)
+{
+    using namespace std::string_literals;
+    std::vector<std::string> responses;
+    for (const auto &field : {"X Name: v"s,
+             "X-Name : v"s,
+             "X-Name\t: v"s,
+             "\x01X-Name: v"s,
+             "X-\x7fName: v"s,
+             "X\0Name: v"s,
+             "X-N\x80me: v"s,
+             " X-Name: v"s,
+             ": v"s,
+             "X-Name"s,
+             "X-Name: a\x01"s,
+             "X-Name: a\0b"s,
+             "X-Name: a\rb"s,
+             "Content-Length : 3"s,
+             "Content-Length\x0b: 3"s,
+             "Content Length: 3"s,
+             "Transfer-Encoding : chunked"s}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 5\r\n\r\nwrong");
+        responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\n\r\nwrong");
+    }
+    checkRejected(responses);
+}
+
+// Guards against lengths that another recipient could read differently.
+BOOST_AUTO_TEST_CASE(ResponseWithAnInvalidLengthIsRejected)
+{
+    std::vector<std::string> responses;
+    for (const std::string lengths : {"Content-Length: 5\r\nContent-Length: 4",
+             "Content-Length: 5, 4",
+             "Content-Length: +5",
+             "Content-Length: -5",
+             "Content-Length: 0x5",
+             "Content-Length: 5 5",
+             "Content-Length: 5,",
+             "Content-Length: ",
+             "Content-Length: 99999999999999999999"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + lengths + "\r\n\r\nwrong");
+    }
+    checkRejected(responses);
+    checkRejected(responses, End::Close);
+}
+
+// RFC 9112, 5.2: a folded line is read as one line, and is not passed on as it is.
+BOOST_AUTO_TEST_CASE(FoldedLineIsOneLine)
+{
+    BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 200 OK\r\nX-Long: one\r\n two\r\n\tthree\r\nContent-Length: 5\r\n\r\nwhole"});
+    const auto result = exchange(server.endpoint());
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((*result)["X-Long"] == "one two three");
+    BOOST_TEST(result->body() == "whole");
+}
+
+// Guards against a status line or a line end that another recipient could read differently.
+BOOST_AUTO_TEST_CASE(MalformedStatusLineIsRejected)
+{
+    checkRejected({"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Name: v\nContent-Length: 0\r\n\r\n"});
+}
