calls: Count a streamed response by the number of its status

A response such as 530 whose body is passed on in parts counted as a success of the call in the log and the metrics, since the record of what was sent was made from http::status, which is 0 for a code that Beast doesn't list. It is made from the number now.

brokenresponsecalltest sends broken responses through an ingress and a sidecar. A response that breaks off after it has begun to be passed on was never complete for callers of HTTP/1.1 and 1.0, before and after.

--- a/autotests/support/httptest.h
+++ b/autotests/support/httptest.h
@@ -168,6 +168,13 @@
         m_socket.shutdown(Tcp::socket::shutdown_send);
     }
 
+    // Ends both halves of the connection, which wakes a thread that sends.
+    void shutdown()
+    {
+        ErrorCode ignored;
+        m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+
     void close()
     {
         m_socket.close();
--- a/src/daemon/calls/ingressrouting.cpp
+++ b/src/daemon/calls/ingressrouting.cpp
@@ -62,7 +62,8 @@
     if (last.remainingBody) {
         stripFields(last.response, options.headerNames);
         call.isResponding = true;
-        HttpResponse sent(last.response.result(), last.response.version());
+        HttpResponse sent;
+        sent.result(last.response.result_int());
         const auto result = co_await call.connection.sendStreamed(std::move(last.response), *last.remainingBody);
         recordEarlyEnd(call, result, sent);
         co_return sent;
