store: Read each entry by itself, and bound the depth of foreign JSON

An entry that another program left in the store ended nodes or hid all other entries of its kind. A status nested 100,000 levels deep ended every node that read it with a segmentation fault, and again at each start. A number such as 1e999 anywhere in one entry made the whole page unreadable: nodes that restarted found no members or no configuration.

Cause: a page was parsed as one text, so that one number failed it, and the JSON library copies, compares and writes a value by recursion, which a deep value takes beyond the stack.

Pages and changes are now split by their brackets and quotes, without parsing. Of each entry only the name, the versions and whether it was removed are parsed; content and status are passed on as text, and whoever reads them refuses what is nested more than 64 levels deep. The same limit holds for all JSON of targets, peers and the store. What a page's last entry is called doesn't have to be readable for the next page to follow.

jsonsplice, which extracted one field while it parsed the text, has no user left. Its test is replaced by jsonpartstest, which checks the same (values verbatim, names and brackets in strings and inside values, escaped names, each malformed text) on the functions that do its work; malformed text inside a value is checked where the value is parsed, with parseJson. configmemorytest measures the same bound through DocumentReader.

The stand-in for the store can hold any text as an entry (/admin/raw); it refused or ended itself before.

--- a/autotests/unit/configmemorytest.cpp
+++ b/autotests/unit/configmemorytest.cpp
@@ -4,7 +4,7 @@
 // above the counted figures, rounded up.
 
 #include "adapters/codec/deltabases.h"
-#include "adapters/codec/jsonsplice.h"
+#include "adapters/platform/documentreader.h"
 #include "daemon/configwatcher.h"
 #include "heapcounter.h"
 #include "platform/configuration.h"
@@ -49,14 +49,16 @@
 }
 
 // The response contains the document once and stays in memory meanwhile.
-BOOST_AUTO_TEST_CASE(SplicingAResponseTakesOneMoreCopyOfTheDocument)
+BOOST_AUTO_TEST_CASE(ReadingAResponseTakesOneMoreCopyOfTheDocument)
 {
     const auto text = document(1);
-    const auto response = R"({"items":[{"metadata":{"name":"main"},"content":)" + text + R"(}],"more":false})";
+    const auto response = R"({"items":[{"metadata":{"name":"main"},"content":)" + text + R"(}],"more":false,"version":1})";
+    const DocumentReader reader(
+        {.metadata = "metadata", .name = "name", .content = "content", .status = "status", .items = "items", .hasMore = "more", .storeVersion = "version"});
     const auto before = HeapCounter::resetPeak();
-    const auto spliced = spliceOut(response, "content");
-    BOOST_REQUIRE(spliced.has_value());
-    BOOST_TEST(spliced->parts.front() == text);
+    DocumentSet set;
+    BOOST_REQUIRE(reader.addPage(set, response).has_value());
+    BOOST_TEST(set.documents.front().content == text);
     const auto peak = HeapCounter::peakBytes - before;
     BOOST_TEST_MESSAGE("response " << response.size() << ", peak " << peak);
     BOOST_TEST(static_cast<std::size_t>(peak) < text.size() + 10'000);
--- a/src/adapters/platform/documentobjectstore.cpp
+++ b/src/adapters/platform/documentobjectstore.cpp
@@ -1,5 +1,7 @@
 #include "adapters/platform/documentobjectstore.h"
 
+#include "common/boundedjson.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -50,7 +52,7 @@
 
 Result<StoredObject> objectOf(const StoredDocument &document)
 {
-    const auto json = Json::parse(document.content, nullptr, false);
+    const auto json = parseJsonOrNull(document.content);
     const auto text = json.is_object() ? json.find(TextField) : json.end();
     if (text == json.end() || !text->is_string()) {
         return failure(ErrorKind::Corrupt, "store: " + document.name + " has no text field; another program wrote it, restore it from a backup");
--- a/src/adapters/platform/documentreader.cpp
+++ b/src/adapters/platform/documentreader.cpp
@@ -1,15 +1,34 @@
 #include "adapters/platform/documentreader.h"
 
 #include "adapters/codec/jsonfields.h"
-#include "adapters/codec/jsonsplice.h"
+#include "adapters/codec/jsonparts.h"
+#include "common/boundedjson.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace Galenahill {
 
 namespace {
 
-using Json = nlohmann::json;
+using Members = std::vector<JsonMember>;
+
+std::uint64_t versionFrom(std::string_view text)
+{
+    const auto json = parseJson(text);
+    if (!json.is_number_unsigned()) {
+        throw std::invalid_argument("a version is not a whole number");
+    }
+    return json.get<std::uint64_t>();
+}
+
+// A version that the store leaves out is zero.
+ObjectVersion versionOr(const Members &members, const std::string &name)
+{
+    const auto text = findMember(members, name);
+    return ObjectVersion(text ? versionFrom(*text) : 0);
+}
 
 }
 
@@ -18,17 +37,17 @@
 public:
     DocumentFieldNames names;
 
-    // Decodes a response whose documents' contents are kept apart, unparsed.
+    // Decodes the members of a response.
     template <typename Decoder>
-    auto decode(const std::string &text, Decoder decoder) const -> Result<decltype(decoder(SplicedDocument()))>
+    auto decode(const std::string &text, Decoder decoder) const -> Result<decltype(decoder(Members()))>
     {
-        return decodeJson(ErrorKind::OutcomeUnknown, "malformed response from the store", {}, [&] { return decoder(parseSpliced(text, names.content)); });
+        return decodeJson(ErrorKind::OutcomeUnknown, "malformed response from the store", {}, [&] { return decoder(splitObject(text)); });
     }
 
-    std::string nameOf(const Json &object) const;
-    StoredDocument parseDocument(SplicedDocument &parsed, const Json &object, bool removed) const;
-    void addDocument(DocumentSet &set, SplicedDocument &parsed, const Json &object, bool removed) const;
-    ObjectVersion parseStoreVersion(const Json &json) const;
+    std::string nameOf(std::string_view object) const;
+    StoredDocument parseDocument(const Members &object, bool removed) const;
+    void addDocument(DocumentSet &set, std::string_view object, bool removed) const;
+    ObjectVersion parseStoreVersion(const Members &response) const;
 };
 
 DocumentReader::DocumentReader(DocumentFieldNames names)
@@ -38,80 +57,90 @@
 
 DocumentReader::~DocumentReader() = default;
 
-StoredDocument DocumentReader::Private::parseDocument(SplicedDocument &parsed, const Json &object, bool removed) const
+// Reads only the fields that are needed, so that whatever another program adds to a document leaves it readable.
+StoredDocument DocumentReader::Private::parseDocument(const Members &object, bool removed) const
 {
     StoredDocument document;
-    const auto &metadata = object.at(names.metadata);
-    document.name = metadata.at(names.name).get<std::string>();
-    document.version = ObjectVersion(metadata.value(names.version, std::uint64_t(0)));
-    document.created = ObjectVersion(metadata.value(names.createdVersion, std::uint64_t(0)));
+    const auto metadata = splitObject(memberAt(object, names.metadata));
+    document.name = parseJson(memberAt(metadata, names.name)).get<std::string>();
+    document.version = versionOr(metadata, names.version);
+    document.created = versionOr(metadata, names.createdVersion);
     document.removed = removed;
     if (!removed) {
-        document.content = std::move(parsed.parts.at(object.at(names.content).at(PartField).get<std::size_t>()));
-        const auto status = object.find(names.status);
-        document.status = status == object.end() || status->is_null() ? std::string() : status->dump();
+        document.content = memberAt(object, names.content);
+        if (!document.content.starts_with('{')) {
+            throw std::invalid_argument("the content is not an object");
+        }
+        const auto status = findMember(object, names.status);
+        document.status = status && *status != "null" ? std::string(*status) : std::string();
     }
     return document;
 }
 
 // The name of an object, or an empty text if it has none.
-std::string DocumentReader::Private::nameOf(const Json &object) const
+std::string DocumentReader::Private::nameOf(std::string_view object) const
 {
-    const auto metadata = object.is_object() ? object.value(names.metadata, Json()) : Json();
-    const auto name = metadata.is_object() ? metadata.value(names.name, Json()) : Json();
-    return name.is_string() ? name.get<std::string>() : std::string();
+    try {
+        return parseJson(memberAt(splitObject(memberAt(splitObject(object), names.metadata)), names.name)).get<std::string>();
+    } catch (const std::exception &) {
+        return {};
+    }
 }
 
 // Another program may have written something else than a document.
-void DocumentReader::Private::addDocument(DocumentSet &set, SplicedDocument &parsed, const Json &object, bool removed) const
+void DocumentReader::Private::addDocument(DocumentSet &set, std::string_view object, bool removed) const
 {
     try {
-        set.documents.push_back(parseDocument(parsed, object, removed));
+        set.documents.push_back(parseDocument(splitObject(object), removed));
     } catch (const std::exception &) {
         set.unreadable.push_back(nameOf(object));
     }
 }
 
-ObjectVersion DocumentReader::Private::parseStoreVersion(const Json &json) const
+ObjectVersion DocumentReader::Private::parseStoreVersion(const Members &response) const
 {
-    return ObjectVersion(json.at(names.storeVersion).get<std::uint64_t>());
+    return ObjectVersion(versionFrom(memberAt(response, names.storeVersion)));
 }
 
 Result<std::string> DocumentReader::addPage(DocumentSet &set, const std::string &text) const
 {
-    return d->decode(text, [&](SplicedDocument page) {
-        const auto &items = page.json.at(d->names.items);
-        for (const auto &object : items) {
-            d->addDocument(set, page, object, false);
+    return d->decode(text, [&](const Members &page) {
+        std::string lastName;
+        for (const auto object : splitArray(memberAt(page, d->names.items))) {
+            d->addDocument(set, object, false);
+            // The next page is asked for by name, so an object without one can't end this page.
+            const auto name = d->nameOf(object);
+            lastName = name.empty() ? lastName : name;
         }
         // Documents of the first pages may change before the last page is read.
         if (set.version == ObjectVersion()) {
-            set.version = d->parseStoreVersion(page.json);
+            set.version = d->parseStoreVersion(page);
         }
-        return page.json.at(d->names.hasMore).get<bool>() && !items.empty() ? d->nameOf(items.back()) : std::string();
+        return parseJson(memberAt(page, d->names.hasMore)).get<bool>() ? lastName : std::string();
     });
 }
 
 Result<DocumentSet> DocumentReader::changes(const std::string &text) const
 {
-    return d->decode(text, [&](SplicedDocument parsed) {
+    return d->decode(text, [&](const Members &response) {
         DocumentSet set;
-        for (const auto &change : parsed.json.at(d->names.changes)) {
-            d->addDocument(set, parsed, change.at(d->names.changed), change.at(d->names.removed).get<bool>());
+        for (const auto element : splitArray(memberAt(response, d->names.changes))) {
+            const auto change = splitObject(element);
+            d->addDocument(set, memberAt(change, d->names.changed), parseJson(memberAt(change, d->names.removed)).get<bool>());
         }
-        set.version = d->parseStoreVersion(parsed.json);
+        set.version = d->parseStoreVersion(response);
         return set;
     });
 }
 
 Result<StoredDocument> DocumentReader::document(const std::string &text) const
 {
-    return d->decode(text, [&](SplicedDocument parsed) { return d->parseDocument(parsed, parsed.json, false); });
+    return d->decode(text, [&](const Members &object) { return d->parseDocument(object, false); });
 }
 
 Result<ObjectVersion> DocumentReader::storeVersion(const std::string &text) const
 {
-    return d->decode(text, [&](const SplicedDocument &page) { return d->parseStoreVersion(page.json); });
+    return d->decode(text, [&](const Members &page) { return d->parseStoreVersion(page); });
 }
 
 }
--- a/src/core/config/manifest.cpp
+++ b/src/core/config/manifest.cpp
@@ -1,5 +1,7 @@
 #include "core/config/manifest.h"
 
+#include "common/boundedjson.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -104,7 +106,7 @@
 Result<Manifest> Manifest::fromJson(const std::string &text)
 {
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = parseJson(text);
         Manifest manifest;
         manifest.revision = revisionFrom(json.at("revision"));
         for (const auto &[name, hash] : json.at("files").items()) {
@@ -120,7 +122,7 @@
                 ContentHash(change.at("previous").get<std::string>())});
         }
         return manifest;
-    } catch (const nlohmann::json::exception &error) {
+    } catch (const std::exception &error) {
         return failure(ErrorKind::Corrupt, std::string("config/head can't be decoded: ") + error.what() + "; restore the object from a backup");
     }
 }
--- a/src/daemon/contactmaintainer.cpp
+++ b/src/daemon/contactmaintainer.cpp
@@ -1,5 +1,6 @@
 #include "daemon/contactmaintainer.h"
 
+#include "common/boundedjson.h"
 #include "core/config/blobcollector.h"
 
 #include <algorithm>
@@ -44,13 +45,15 @@
 std::vector<Endpoint> contactsFromJson(const std::string &text)
 {
     std::vector<Endpoint> contacts;
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseJsonOrNull(text);
     if (!json.is_array()) {
         return contacts;
     }
     for (const auto &entry : json) {
-        if (entry.is_object() && entry.contains("address") && entry.contains("port") && entry["address"].is_string() && entry["port"].is_number_unsigned()) {
-            contacts.push_back({entry["address"].get<std::string>(), entry["port"].get<std::uint16_t>()});
+        try {
+            contacts.push_back({entry.at("address").get<std::string>(), entry.at("port").get<std::uint16_t>()});
+        } catch (const std::exception &) {
+            continue;
         }
     }
     return contacts;
--- a/src/daemon/customertext.cpp
+++ b/src/daemon/customertext.cpp
@@ -1,5 +1,7 @@
 #include "daemon/customertext.h"
 
+#include "common/boundedjson.h"
+
 #include <boost/algorithm/string/replace.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -52,7 +54,7 @@
 {
     try {
         CustomerCountReport report;
-        const auto json = nlohmann::json::parse(text);
+        const auto json = parseJson(text);
         for (const auto &[name, counts] : json.at("customers").items()) {
             report.customers[CustomerName(name)] = {.used = counts.at(0).get<std::uint64_t>(),
                 .rejectedForLimit = counts.at(1).get<std::uint64_t>(),
@@ -60,7 +62,7 @@
         }
         report.unidentified = json.at("unidentified").get<std::uint64_t>();
         return report;
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &) {
         // The node runs another version; it counts as one that did not answer.
         return std::nullopt;
     }
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/binarycodec.h"
 #include "adapters/http/sleep.h"
+#include "common/boundedjson.h"
 #include "daemon/documentwatcher.h"
 
 #include <algorithm>
@@ -51,7 +52,7 @@
 {
     MemberRecord record;
     try {
-        const auto json = nlohmann::json::parse(content);
+        const auto json = parseJson(content);
         record.name = NodeName(json.at("name").get<std::string>());
         record.dataCentre = DataCentre(json.at("data-centre").get<std::string>());
         record.service = ServiceName(json.at("service").get<std::string>());
@@ -61,7 +62,7 @@
         record.controlPort = json.at("control-port").get<std::uint16_t>();
         record.linkMbps = json.value("link-mbps", std::uint32_t(0));
         record.incarnation = json.at("incarnation").get<std::uint64_t>();
-    } catch (const nlohmann::json::exception &error) {
+    } catch (const std::exception &error) {
         return failure(ErrorKind::Corrupt, std::string("contact: ") + error.what() + "; it was written by a node of another version or by another program");
     }
     if (!isValidRecord(record)) {
--- a/src/daemon/metricstext.cpp
+++ b/src/daemon/metricstext.cpp
@@ -1,5 +1,7 @@
 #include "daemon/metricstext.h"
 
+#include "common/boundedjson.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -82,7 +84,7 @@
 {
     std::vector<RouteReport> reports;
     try {
-        for (const auto &entry : nlohmann::json::parse(text)) {
+        for (const auto &entry : parseJson(text)) {
             RouteReport report;
             report.route = RouteName(entry.at("route").get<std::string>());
             report.sloAvailability = entry.at("slo_availability").get<double>();
@@ -92,7 +94,7 @@
             }
             reports.push_back(std::move(report));
         }
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &) {
         // The node runs another version; its reports count as missing.
         return {};
     }
--- a/src/daemon/operatormethods.cpp
+++ b/src/daemon/operatormethods.cpp
@@ -1,6 +1,7 @@
 #include "daemon/operatormethods.h"
 
 #include "adapters/rpc/rpcserver.h"
+#include "common/boundedjson.h"
 #include "core/calls/burnreport.h"
 #include "core/config/keyredaction.h"
 #include "core/config/nearestname.h"
@@ -208,7 +209,7 @@
             {"node", member.name.value()}, {"data_centre", member.dataCentre.value()}, {"service", member.service.value()}, {"state", toString(member.state)}};
         // A node of another version may respond in another format; that must not hide
         // the other nodes' status.
-        const auto status = json::parse(body.value_or(""), nullptr, false);
+        const auto status = parseJsonOrNull(body.value_or(""));
         const bool readable = status.is_object() && status.contains("revision");
         if (readable) {
             node["revision"] = status["revision"];
--- a/standins/platformmodel.cpp
+++ b/standins/platformmodel.cpp
@@ -50,6 +50,13 @@
     return true;
 }
 
+void PlatformModel::putRaw(const std::string &kind, const std::string &name, std::string text)
+{
+    const Object object{.kind = kind, .name = name, .version = ++m_version, .raw = std::move(text)};
+    m_objects[{kind, name}] = object;
+    m_changes.push_back(object);
+}
+
 std::vector<PlatformModel::Object> PlatformModel::list(const std::string &kind, const std::string &after) const
 {
     std::vector<Object> objects;
--- a/standins/platformmodel.h
+++ b/standins/platformmodel.h
@@ -23,6 +23,8 @@
         std::string content;
         std::uint64_t version = 0;
         bool deleted = false;
+        // Text of the complete object if another program than the nodes left it; empty otherwise.
+        std::string raw = {};
     };
 
     // Version of the last change.
@@ -39,6 +41,9 @@
     std::optional<Object> replace(const std::string &kind, const std::string &name, std::string content, std::uint64_t expected);
     bool remove(const std::string &kind, const std::string &name, std::uint64_t expected);
 
+    // Creates or replaces an object by that text, which may be any.
+    void putRaw(const std::string &kind, const std::string &name, std::string text);
+
     // Objects of the kind whose names sort after the given one, ordered by name.
     std::vector<Object> list(const std::string &kind, const std::string &after) const;
 
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -5,6 +5,8 @@
 //   POST   /admin/fault            {"mode": "none|down|slow|lose-answers|stall-watches", "delay_ms": N}
 //   POST   /admin/reject           {"hosts": ["IP:PORT", ...], "status": N}: requests with these Host fields get the status, or no
 //                                  response at all if it is 0; waiting watches end as well. An empty list ends that
+//   POST   /admin/raw?kind=K&name=N
+//                                  makes the body, which may be any text, the complete object of that name
 //   POST   /admin/compact          drops the history of changes
 //   POST   /admin/backup           keeps a copy of all objects
 //   POST   /admin/restore          restores that copy
@@ -65,16 +67,23 @@
     Milliseconds m_delay{0};
 };
 
-Json objectJson(const PlatformModel::Object &object)
+std::string objectText(const PlatformModel::Object &object)
 {
-    Json json = {{Names::Metadata, {{Names::Name, object.name}, {Names::ObjectRevision, object.version}}}};
-    json[Names::Content] = object.deleted ? Json() : Json::parse(object.content);
-    return json;
+    if (!object.raw.empty()) {
+        return object.raw;
+    }
+    const Json metadata = {{Names::Name, object.name}, {Names::ObjectRevision, object.version}};
+    return fmt::format(R"({{"{}":{},"{}":{}}})", Names::Metadata, metadata.dump(), Names::Content, object.deleted ? "null" : object.content);
+}
+
+HttpResponse textResponse(std::string text, http::status status = http::status::ok)
+{
+    return makeResponse(status, "application/json", std::move(text));
 }
 
 HttpResponse jsonResponse(const Json &json, http::status status = http::status::ok)
 {
-    return makeResponse(status, "application/json", json.dump());
+    return textResponse(json.dump(), status);
 }
 
 std::uint64_t number(boost::beast::string_view text)
@@ -151,24 +160,30 @@
         co_return list(kind, parameter(target, Names::After));
     }
     const auto object = m_model.read(kind, name);
-    co_return object ? jsonResponse(objectJson(*object)) : makeErrorResponse(http::status::not_found, "not-found", name);
+    co_return object ? textResponse(objectText(*object)) : makeErrorResponse(http::status::not_found, "not-found", name);
 }
 
 HttpResponse StoreStandIn::list(const std::string &kind, const std::string &after)
 {
     const auto objects = m_model.list(kind, after);
-    Json items = Json::array();
+    std::vector<std::string> items;
     for (std::size_t i = 0; i < std::min(objects.size(), PageObjects); ++i) {
-        items.push_back(objectJson(objects[i]));
+        items.push_back(objectText(objects[i]));
     }
-    return jsonResponse({{Names::Items, items}, {Names::HasMore, objects.size() > PageObjects}, {Names::StoreRevision, m_model.version()}});
+    return textResponse(fmt::format(R"({{"{}":[{}],"{}":{},"{}":{}}})",
+        Names::Items,
+        fmt::join(items, ","),
+        Names::HasMore,
+        objects.size() > PageObjects,
+        Names::StoreRevision,
+        m_model.version()));
 }
 
 HttpResponse StoreStandIn::change(const HttpRequest &request, const std::string &kind, const std::string &name)
 {
     const auto writeFailure = [&](const std::string &of) {
         const auto current = m_model.read(kind, of);
-        return current ? jsonResponse(objectJson(*current), http::status::conflict) : makeErrorResponse(http::status::not_found, "not-found", of);
+        return current ? textResponse(objectText(*current), http::status::conflict) : makeErrorResponse(http::status::not_found, "not-found", of);
     };
     if (request.method() == http::verb::delete_) {
         const auto expected = number(parameter(std::string(request.target()), Names::ObjectRevision));
@@ -186,7 +201,7 @@
     const auto objectName = metadata.value(Names::Name, name);
     const auto object = request.method() == http::verb::post ? m_model.create(kind, objectName, content)
                                                              : m_model.replace(kind, name, content, metadata.value(Names::ObjectRevision, std::uint64_t(0)));
-    return object ? jsonResponse(objectJson(*object)) : writeFailure(objectName);
+    return object ? textResponse(objectText(*object)) : writeFailure(objectName);
 }
 
 bool StoreStandIn::isRejected(const std::string &host) const
@@ -207,7 +222,7 @@
 asio::awaitable<HttpResponse> StoreStandIn::watch(std::string host, std::string kind, std::uint64_t after, Milliseconds limit)
 {
     const auto until = Clock::now() + limit;
-    Json events = Json::array();
+    std::vector<std::string> events;
     while (events.empty() && (Clock::now() < until || m_mode == "stall-watches")) {
         if (isRejected(host)) {
             co_return co_await reject(host);
@@ -217,13 +232,13 @@
             co_return makeErrorResponse(http::status::gone, "gone", "the history no longer goes back to that version");
         }
         for (const auto &change : m_mode == "stall-watches" ? std::vector<PlatformModel::Object>() : *changes) {
-            events.push_back({{Names::Object, objectJson(change)}, {Names::Deleted, change.deleted}});
+            events.push_back(fmt::format(R"({{"{}":{},"{}":{}}})", Names::Object, objectText(change), Names::Deleted, change.deleted));
         }
         if (events.empty()) {
             co_await sleep(WatchPoll);
         }
     }
-    co_return jsonResponse({{Names::Events, events}, {Names::StoreRevision, m_model.version()}});
+    co_return textResponse(fmt::format(R"({{"{}":[{}],"{}":{}}})", Names::Events, fmt::join(events, ","), Names::StoreRevision, m_model.version()));
 }
 
 // Returns every text that the repository's head had.
@@ -245,7 +260,10 @@
     if (target == "/admin/head-history") {
         return makeResponse(http::status::ok, "application/json", headHistory(m_model).dump());
     }
-    if (target == "/admin/compact") {
+    if (target.starts_with("/admin/raw?")) {
+        const std::string path(target);
+        m_model.putRaw(parameter(path, "kind"), parameter(path, "name"), request.body());
+    } else if (target == "/admin/compact") {
         m_model.compactHistory();
     } else if (target == "/admin/backup") {
         m_model.backUp();
