members: Refuse contacts whose ports are out of range

A contact in the store with a port of 70000 was read as one with port 4464: nodes took a wrong address for a right one, and asked it for members and revisions.

Cause: the JSON library truncates a number to the type that is asked for, and a fraction to a whole number. Ports are now read as whole numbers and refused above 65535, as is a negative or fractional incarnation.

--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -143,6 +143,21 @@
     BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts", "put contacts b"}), boost::test_tools::per_element());
 }
 
+// Guards against an address that is taken for a right one, since a number was cut to the size of a port.
+BOOST_AUTO_TEST_CASE(ContactsWithInvalidNumbersAreRefused)
+{
+    const auto sound = contactDocument(record("a"));
+    BOOST_TEST(contactFromDocument(sound).has_value());
+    for (const std::string field : {"ingress-port", "sidecar-port", "control-port"}) {
+        for (const std::string port : {"70000", "65536", "-1", "1.5", "1e30", "1e999", "\"8084\"", "null"}) {
+            auto text = sound;
+            const auto begin = text.find("\"" + field + "\":") + field.size() + 3;
+            text.replace(begin, text.find_first_of(",}", begin) - begin, port);
+            BOOST_TEST(!contactFromDocument(text).has_value(), text);
+        }
+    }
+}
+
 // Guards against a restarted node that never becomes ready: its first list fails, its write succeeds, and
 // members that found it meanwhile make the lookup seem complete.
 BOOST_AUTO_TEST_CASE(ARestartedNodeListsAgainAfterAFailedList)
--- a/src/adapters/codec/jsonfields.cpp
+++ b/src/adapters/codec/jsonfields.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -32,6 +33,15 @@
     return value.get<std::uint64_t>();
 }
 
+std::uint16_t portAt(const nlohmann::json &json, const char *name)
+{
+    const auto port = wholeNumber(json, name);
+    if (port > std::numeric_limits<std::uint16_t>::max()) {
+        throw std::invalid_argument(fmt::format("{} is out of range", name));
+    }
+    return static_cast<std::uint16_t>(port);
+}
+
 std::uint32_t countOr(const nlohmann::json &json, const char *name, std::uint32_t fallback)
 {
     const auto *field = fieldOf(json, name);
--- a/src/adapters/codec/jsonfields.h
+++ b/src/adapters/codec/jsonfields.h
@@ -18,6 +18,9 @@
 // truncate.
 std::uint64_t wholeNumber(const nlohmann::json &json, const char *name);
 
+// A port or zero; throws if the field is missing or is out of range, which the library would truncate to another port.
+std::uint16_t portAt(const nlohmann::json &json, const char *name);
+
 std::uint32_t countOr(const nlohmann::json &json, const char *name, std::uint32_t fallback);
 
 // A time in seconds, possibly with a fraction.
--- a/src/daemon/contactmaintainer.cpp
+++ b/src/daemon/contactmaintainer.cpp
@@ -1,5 +1,6 @@
 #include "daemon/contactmaintainer.h"
 
+#include "adapters/codec/jsonfields.h"
 #include "common/boundedjson.h"
 #include "core/config/blobcollector.h"
 
@@ -51,7 +52,7 @@
     }
     for (const auto &entry : json) {
         try {
-            contacts.push_back({entry.at("address").get<std::string>(), entry.at("port").get<std::uint16_t>()});
+            contacts.push_back({entry.at("address").get<std::string>(), portAt(entry, "port")});
         } catch (const std::exception &) {
             continue;
         }
--- a/src/daemon/memberdirectory.cpp
+++ b/src/daemon/memberdirectory.cpp
@@ -1,6 +1,7 @@
 #include "daemon/memberdirectory.h"
 
 #include "adapters/codec/binarycodec.h"
+#include "adapters/codec/jsonfields.h"
 #include "adapters/http/sleep.h"
 #include "common/boundedjson.h"
 #include "daemon/documentwatcher.h"
@@ -57,11 +58,11 @@
         record.dataCentre = DataCentre(json.at("data-centre").get<std::string>());
         record.service = ServiceName(json.at("service").get<std::string>());
         record.address = json.at("address").get<std::string>();
-        record.ingressPort = json.at("ingress-port").get<std::uint16_t>();
-        record.sidecarPort = json.at("sidecar-port").get<std::uint16_t>();
-        record.controlPort = json.at("control-port").get<std::uint16_t>();
-        record.linkMbps = json.value("link-mbps", std::uint32_t(0));
-        record.incarnation = json.at("incarnation").get<std::uint64_t>();
+        record.ingressPort = portAt(json, "ingress-port");
+        record.sidecarPort = portAt(json, "sidecar-port");
+        record.controlPort = portAt(json, "control-port");
+        record.linkMbps = countOr(json, "link-mbps", 0);
+        record.incarnation = wholeNumber(json, "incarnation");
     } catch (const std::exception &error) {
         return failure(ErrorKind::Corrupt, std::string("contact: ") + error.what() + "; it was written by a node of another version or by another program");
     }
