rpc: Report responses that are nested too deeply instead of aborting

galenahillctl ended with an abort on such a response of a node. Cause: jsoncpp throws at its depth limit, and libjsonrpccpp's client functions have exception specifications that don't allow that exception, so catching it around the call doesn't help. The connector now parses the response first and reports the exception as a failure of the call.

Evidence: ClientReportsDamagedResponses in rpcservertest ended with SIGABRT before and passes now.

--- a/autotests/unit/rpcservertest.cpp
+++ b/autotests/unit/rpcservertest.cpp
@@ -1,4 +1,5 @@
 #include "adapters/rpc/rpcserver.h"
+#include "adapters/rpc/rpcclient.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -49,3 +50,16 @@
         BOOST_TEST(!rpc.handle(text).empty(), text);
     }
 }
+
+// Guards against a response that ends the operators' client.
+BOOST_AUTO_TEST_CASE(ClientReportsDamagedResponses)
+{
+    constexpr std::size_t Depth = 100000;
+    for (const auto &result : {std::string(Depth, '['), std::string(Depth, '[') + std::string(Depth, ']'), std::string("1e999"), std::string("{")}) {
+        const auto response = R"({"jsonrpc":"2.0","id":1,"result":)" + result + "}";
+        RpcClient client([&](const std::string &) { return response; });
+        BOOST_TEST(!client.call("echo", "{}").ok, result.substr(0, 20));
+        RpcClient damaged([&](const std::string &) { return result; });
+        BOOST_TEST(!damaged.call("echo", "{}").ok, result.substr(0, 20));
+    }
+}
--- a/src/adapters/rpc/rpcclient.cpp
+++ b/src/adapters/rpc/rpcclient.cpp
@@ -6,6 +6,20 @@
 
 namespace Galenahill {
 
+namespace {
+
+// Text that doesn't parse leaves the value null.
+Json::Value fromText(const std::string &text)
+{
+    Json::Value value;
+    std::istringstream stream(text);
+    std::string errors;
+    Json::parseFromStream(Json::CharReaderBuilder(), stream, &value, &errors);
+    return value;
+}
+
+}
+
 class RpcClient::Private : public jsonrpc::IClientConnector
 {
 public:
@@ -19,6 +33,8 @@
     {
         try {
             result = transport(message);
+            // jsoncpp throws on text that is nested too deeply, and the library's client would end the process.
+            fromText(result);
         } catch (const std::exception &error) {
             throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, error.what());
         }
@@ -38,10 +54,7 @@
 RpcResponse RpcClient::call(const std::string &method, const std::string &params)
 {
     RpcResponse response;
-    Json::Value input;
-    std::istringstream stream(params);
-    std::string errors;
-    Json::parseFromStream(Json::CharReaderBuilder(), stream, &input, &errors);
+    const auto input = fromText(params);
     try {
         const auto result = d->client.CallMethod(method, input);
         Json::StreamWriterBuilder builder;
