http: Bound what is kept of responses to health checks and fleet queries

A server or a peer that sent a body without end took the memory of the node that had asked it: a health check of galenahilld kept up to 1 GiB, the limit for bodies that are passed on, and a query of the fleet up to 64 MiB of each of 64 members at a time.

An exchange may now have a limit of its own for the response's body. Calls were bounded before: at most 64 KiB of a response are kept while its caller doesn't read.

--- a/src/adapters/http/clientexchange.cpp
+++ b/src/adapters/http/clientexchange.cpp
@@ -146,6 +146,7 @@
     m_deadline = deadline;
     m_isHead = request.method() == http::verb::head;
     m_notReusable = exchangeOptions.closeAfterwards;
+    m_maxBodyBytes = exchangeOptions.maxBodyBytes.value_or(m_maxBodyBytes);
     const auto sendError = co_await send(request, exchangeOptions);
     // A connection that broke while 100 Continue was awaited carries no response. If reading
     // continued, the empty header would be taken for a success at the end of the connection.
--- a/src/adapters/http/httpclient.h
+++ b/src/adapters/http/httpclient.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Galenahill {
 
@@ -68,6 +69,8 @@
         bool avoidAmbiguity = false;
         // Closes the connection after the response, so that no late copy of it reaches another request.
         bool closeAfterwards = false;
+        // Limit for the body of the response in place of the client's.
+        std::optional<std::uint64_t> maxBodyBytes;
         // Receives the rest of a response's body that is too long to be buffered. It isn't subject
         // to the exchange's deadline; each part has its own time limit.
         std::unique_ptr<BodySource> *responseBody = nullptr;
--- a/src/daemon/fleetquery.cpp
+++ b/src/daemon/fleetquery.cpp
@@ -10,6 +10,9 @@
 // connections at once.
 constexpr std::size_t MaxParallel = 64;
 
+// A member's report of a few hundred kilobytes is expected in a large fleet.
+constexpr std::uint64_t MaxResponseBytes = 1024 * 1024;
+
 struct Query
 {
     HttpClient &client;
@@ -42,7 +45,7 @@
 std::vector<MemberResponse> queryFleet(const std::vector<MemberRecord> &members, const std::string &resource, Milliseconds timeLimit)
 {
     asio::io_context context(1);
-    HttpClient client(context, {});
+    HttpClient client(context, {.maxBodyBytes = MaxResponseBytes});
     Query query{client, resource, timeLimit, {}};
     for (const auto &member : members) {
         query.responses.push_back({member, std::nullopt, {}});
--- a/src/daemon/targetprobe.cpp
+++ b/src/daemon/targetprobe.cpp
@@ -30,7 +30,9 @@
     while (!m_options.stopped()) {
         HttpRequest request(http::verb::get, m_options.path, 11);
         request.set(http::field::host, toString(m_options.target));
-        const auto response = co_await m_options.client.exchange(m_options.target, std::move(request), Clock::now() + Timeout);
+        HttpClient::ExchangeOptions exchangeOptions;
+        exchangeOptions.maxBodyBytes = MaxHealthCheckBytes;
+        const auto response = co_await m_options.client.exchange(m_options.target, request, Clock::now() + Timeout, exchangeOptions);
         processResponse(response);
         if (m_state == MemberState::Ready) {
             co_await m_options.client.warm(m_options.target, WarmConnections, Clock::now() + Timeout);
--- a/src/daemon/targetprobe.h
+++ b/src/daemon/targetprobe.h
@@ -8,6 +8,9 @@
 
 namespace Galenahill {
 
+// Limit for the body of a response to a health check.
+inline constexpr std::uint64_t MaxHealthCheckBytes = 1024 * 1024;
+
 // Health checker for a target that does not announce itself. Also keeps idle connections to it open.
 class TargetProbe
 {
--- a/src/daemon/targetservice.cpp
+++ b/src/daemon/targetservice.cpp
@@ -1,5 +1,7 @@
 #include "daemon/targetservice.h"
 
+#include "daemon/targetprobe.h"
+
 namespace Galenahill {
 
 namespace {
@@ -187,6 +189,7 @@
     // A health check has no request ID, so a late copy of its response could be taken for that to any call.
     HttpClient::ExchangeOptions exchangeOptions;
     exchangeOptions.closeAfterwards = true;
+    exchangeOptions.maxBodyBytes = MaxHealthCheckBytes;
     const auto sentAt = Clock::now();
     const auto response = co_await options.client.exchange(target.address, request, sentAt + CheckTimeout, exchangeOptions);
     const bool same = response && (options.targetIdField.empty() || (*response)[options.targetIdField] == target.id);
