calls: Reject calls in a stop that would outlast it

A node that was being stopped still passed on requests that arrived late in its grace time. It knew that their targets would not have finished by its end, and then answered them with an unknown outcome of its own while they ran; callers of requests that must not be repeated were left without a remedy.

Other calls are rejected at once as not run, with the advice to use another node. StopAdmission decides; both daemons use it.

Both are rejected and don't run now.

--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -306,6 +306,62 @@
     BOOST_TEST(!(answer.notRun && hasRun));
 }
 
+// Guards against calls that are sent to targets so late in a stop that its end cuts them off.
+BOOST_FIXTURE_TEST_CASE(StopRejectsACallThatWouldOutlastIt, Fixture)
+{
+    constexpr Milliseconds LateAfter{3300};
+    constexpr int LearntCalls = 8;
+    for (const auto *method : {"POST /orden/1", "GET /espera/1"}) {
+        const std::string text(method);
+        for (int i = 0; i < LearntCalls; ++i) {
+            call(text.substr(0, text.find(' ')), text.substr(text.find(' ') + 1), fmt::format("learnt-{}-{}", text.substr(0, 3), i));
+        }
+        BOOST_TEST(checkAnswers() == LearntCalls);
+    }
+    const auto unsafe = requestText("POST", "/orden/1", "late-unsafe");
+    const auto safe = requestText("GET", "/espera/1", "late-safe");
+    // A part of the header keeps the connections open.
+    RawClient unsafeCaller(fleet.ingress(Ingress));
+    RawClient safeCaller(fleet.ingress(Ingress));
+    unsafeCaller.send(unsafe.substr(0, unsafe.size() / 2));
+    safeCaller.send(safe.substr(0, safe.size() / 2));
+    std::this_thread::sleep_for(Milliseconds(100));
+    signal(Ingress);
+    std::this_thread::sleep_for(LateAfter);
+    unsafeCaller.send(unsafe.substr(unsafe.size() / 2));
+    safeCaller.send(safe.substr(safe.size() / 2));
+    const std::vector<Answer> answers = {readAnswer(unsafeCaller, "late-unsafe"), readAnswer(safeCaller, "late-safe")};
+    checkEnd(Ingress);
+    const auto executed = fleet.executedCalls();
+    for (const auto &answer : answers) {
+        BOOST_TEST(answer.status == 503, answer.id);
+        BOOST_TEST(answer.notRun, answer.id);
+        BOOST_TEST(answer.complete, answer.id);
+        BOOST_TEST(std::count(executed.begin(), executed.end(), answer.id) == 0, answer.id);
+    }
+}
+
+// Guards against calls that are rejected in a stop although there is time left for them.
+BOOST_FIXTURE_TEST_CASE(StopServesACallThatEndsBeforeIt, Fixture)
+{
+    setServiceTime(Milliseconds(100));
+    for (int i = 0; i < 8; ++i) {
+        call("POST", "/orden/1", fmt::format("learnt-{}", i));
+    }
+    BOOST_TEST(checkAnswers() == 8);
+    const auto request = requestText("POST", "/orden/1", "short");
+    RawClient caller(fleet.ingress(Ingress));
+    caller.send(request.substr(0, request.size() / 2));
+    std::this_thread::sleep_for(Milliseconds(100));
+    signal(Ingress);
+    std::this_thread::sleep_for(Milliseconds(3300));
+    caller.send(request.substr(request.size() / 2));
+    const auto answer = readAnswer(caller, "short");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.complete);
+    checkEnd(Ingress);
+}
+
 // Guards against an upload that the end of the stop cuts, because its caller has paused.
 BOOST_FIXTURE_TEST_CASE(StopAnswersAnUploadThatPauses, Fixture)
 {
--- a/autotests/unit/attemptreplacementtest.cpp
+++ b/autotests/unit/attemptreplacementtest.cpp
@@ -31,7 +31,7 @@
     asio::awaitable<HttpResponse> serveReplacement(ServerConnection &connection, Milliseconds time, Handler respond)
     {
         if (stopsWhenOffered) {
-            ingress.prepareToStop();
+            ingress.prepareToStop(TimePoint::max());
         }
         co_await work(connection, time);
         cancelledReplacements += connection.cancellation().cancelled() ? 1 : 0;
--- a/autotests/unit/attempttimeouttest.cpp
+++ b/autotests/unit/attempttimeouttest.cpp
@@ -59,7 +59,7 @@
 BOOST_AUTO_TEST_CASE(AStoppingNodeCancelsNoAttempt)
 {
     setMembers({member("slow", slowEndpoint), member("other", otherEndpoint)});
-    onDataThread([this] { ingress.prepareToStop(); });
+    onDataThread([this] { ingress.prepareToStop(TimePoint::max()); });
     for (int i = 0; i < MaxCalls && slowCalls == 0; ++i) {
         BOOST_TEST(call().find("200 OK") != std::string::npos);
     }
--- a/src/daemon/calls/callrouter.cpp
+++ b/src/daemon/calls/callrouter.cpp
@@ -47,9 +47,10 @@
     return counts;
 }
 
-void CallRouter::prepareToStop()
+void CallRouter::prepareToStop(TimePoint callsEnd)
 {
     m_stopping = true;
+    m_stopAdmission.beginStop(callsEnd);
 }
 
 void CallRouter::callStarted(const IngressCall &call)
@@ -203,8 +204,23 @@
     }
 }
 
+bool CallRouter::outlastsStop(const IngressCall &call) const
+{
+    const auto now = Clock::now();
+    return !m_stopAdmission.admits({.service = call.service,
+                                       .repeatable = call.route->idempotent(),
+                                       .timeLeft = std::chrono::duration_cast<Milliseconds>(call.deadline - now),
+                                       .objective = call.route->sloLatency,
+                                       .serviceTime = m_slack.waitBound(call.route->name, call.route->sloLatency).serviceTime},
+        now);
+}
+
 Offer CallRouter::choose(IngressCall &call)
 {
+    if (outlastsStop(call)) {
+        call.rejectedForStop = true;
+        return {};
+    }
     if (isSuspect(call)) {
         return chooseForSuspect(call);
     }
@@ -252,6 +268,7 @@
 void CallRouter::recordServiceTime(const IngressCall &call, std::chrono::microseconds time)
 {
     m_slack.recordAnswered(call.route->name, time);
+    m_stopAdmission.recordAnswered(call.service, time);
 }
 
 // A nested call has no limit: without its response, even a late one, the work of its parent call is
--- a/src/daemon/calls/callrouter.h
+++ b/src/daemon/calls/callrouter.h
@@ -4,6 +4,7 @@
 #include "core/calls/loadreport.h"
 #include "core/calls/offerorder.h"
 #include "core/calls/retrybudget.h"
+#include "core/calls/stopadmission.h"
 #include "core/calls/targetpicker.h"
 #include "core/quarantine/quarantine.h"
 #include "daemon/calls/ingresscall.h"
@@ -42,8 +43,9 @@
     // The use of the retry budget by service.
     std::map<ServiceName, RetryBudget::Counts> retryCounts() const;
 
-    // Prepares for the node's shutdown: no further replacements are offered for slow attempts.
-    void prepareToStop();
+    // Prepares for the node's shutdown, which ends all calls at that time: no further replacements are offered for slow attempts,
+    // and calls that would be cut off aren't sent to targets.
+    void prepareToStop(TimePoint callsEnd);
 
     // Records the start of a call. It adds to its service's retry budget, or draws on it if its parent
     // call is a retry.
@@ -117,6 +119,7 @@
     bool hasRetryToken(const IngressCall &call, const ServiceName &service);
     bool nestedCallsHaveBudget(const IngressCall &call);
     bool isSuspect(const IngressCall &call) const;
+    bool outlastsStop(const IngressCall &call) const;
     bool mayRetryAfterEnd(const IngressCall &call) const;
     Offer chooseForSuspect(IngressCall &call) const;
     Offer chooseForRetry(IngressCall &call);
@@ -130,6 +133,7 @@
     TargetPicker m_picker;
     TargetPicker m_largePicker;
     CallSlack m_slack{{}};
+    StopAdmission m_stopAdmission{{}};
     std::unordered_map<ServiceName, RetryBudget> m_retryBudgets;
     bool m_stopping = false;
 };
--- a/src/daemon/calls/ingress.cpp
+++ b/src/daemon/calls/ingress.cpp
@@ -160,9 +160,9 @@
     return route != nullptr && route->idempotent();
 }
 
-void Ingress::prepareToStop()
+void Ingress::prepareToStop(TimePoint callsEnd)
 {
-    d->router.prepareToStop();
+    d->router.prepareToStop(callsEnd);
 }
 
 std::size_t Ingress::endCalls()
--- a/src/daemon/calls/ingress.h
+++ b/src/daemon/calls/ingress.h
@@ -144,8 +144,9 @@
     // Whether a pipelined call may start before earlier calls of its connection have been answered.
     bool mayPipeline(const HttpRequest &request) const;
 
-    // Prepares for the node's shutdown: no further replacements are offered for slow attempts.
-    void prepareToStop();
+    // Prepares for the node's shutdown, which ends all calls at that time: no further replacements are offered for slow attempts,
+    // and calls that would be cut off aren't sent to targets.
+    void prepareToStop(TimePoint callsEnd);
 
     // Answers the calls that are still running, for a node whose time to stop is over: as not run if no
     // target has got them, otherwise with an unknown outcome. A response that is being sent goes on. Calls
--- a/src/daemon/calls/ingresscall.h
+++ b/src/daemon/calls/ingresscall.h
@@ -104,6 +104,8 @@
     bool isResponding = false;
     // Whether this node answers the call because the time for its stop is over.
     bool endedByStop = false;
+    // Whether the call got no further attempt because it would outlast the node's stop.
+    bool rejectedForStop = false;
     // Links the calls that have a route and are not answered yet. The list may end before the call.
     boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> runningHook;
 };
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -113,6 +113,12 @@
     if (last.result == AttemptResult::KeyRevoked) {
         return unauthorizedResponse(CallerIdentity::Status::UnknownKey);
     }
+    if (call.rejectedForStop) {
+        call.reason = "the call would outlast the stop of this node";
+        return notRunResponse(http::status::service_unavailable,
+            "stopping",
+            fmt::format("call {} was not run: this node is stopping, and the call would outlast that; send it to another node", call.id.value()));
+    }
     return router.isQuarantined(call) ? quarantineRejection(call) : rejection(call);
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -209,6 +209,7 @@
     std::this_thread::sleep_for(AnnounceTime);
     d->onDataThread([this] {
         d->connectionLog.logAll();
+        d->ingress.prepareToStop(Clock::now() + LingerTime + d->settings.drainTimeout);
         d->sidecar.drain();
         d->ingressServer.drain();
         return 0;
--- a/src/daemon/platformnode.cpp
+++ b/src/daemon/platformnode.cpp
@@ -385,7 +385,7 @@
     stopping = true;
     connectionLog.logAll();
     log(LogLevel::Info, "stopping", {{"in_flight", inFlight()}, {"late_at_most_ms", std::chrono::duration_cast<Milliseconds>(begin - signalled).count()}});
-    ingress.prepareToStop();
+    ingress.prepareToStop(end - FinalAnswerTime);
     ingressServer.closeAfterResponses();
     asio::co_spawn(context, directory.deregister(), asio::detached);
     co_await sleepFor(context, LeaveDelay);
