http: Reset an unfinished response without a length however it ends

A caller of HTTP/1.0 gets a response of unstated length without chunks, and takes an orderly end of the connection for the end of the body. If the node's process ended in the middle of such a response, killed or at the end of a planned stop, the kernel ended the connection in order, and the caller had a part of the response as a complete one.

Cause: only a response whose source broke off was followed by a reset. The socket is now set to reset on close before the header is sent, and back when the body is complete, so a reset follows also where nothing of the process runs any more.

A process that is killed was not tried.

--- a/autotests/unit/orderlyclosetest.cpp
+++ b/autotests/unit/orderlyclosetest.cpp
@@ -172,6 +172,52 @@
     BOOST_TEST(caller.wasReset());
 }
 
+// Guards against a response that ends with the connection and looks complete although the server that sends it has ended.
+BOOST_AUTO_TEST_CASE(ResetsTheConnectionIfAResponseWithoutLengthIsAbandoned)
+{
+    struct UnfinishedBody : BodySource
+    {
+        asio::awaitable<ErrorCode> read(std::string &part, std::size_t) override
+        {
+            asio::steady_timer timer(co_await asio::this_coro::executor, started ? TestTimeout : Milliseconds(0));
+            co_await timer.async_wait(asio::use_awaitable);
+            started = true;
+            part = "more";
+            co_return ErrorCode();
+        }
+
+        bool done() const override
+        {
+            return false;
+        }
+
+        bool readStarted() const override
+        {
+            return started;
+        }
+
+        std::optional<std::uint64_t> length() const override
+        {
+            return std::nullopt;
+        }
+
+        bool started = false;
+    };
+    const auto handle = [](HttpRequest, ServerConnection &connection) -> asio::awaitable<HttpResponse> {
+        UnfinishedBody rest;
+        co_await connection.sendStreamed(makeResponse(http::status::ok, "text/plain", "begin"), rest);
+        co_return makeResponse(http::status::ok, "text/plain", "");
+    };
+    std::optional<RunningServer> server;
+    server.emplace(HttpServer::Options{.endpoint = ServerEndpoint, .handler = handle});
+    RawClient caller(ServerEndpoint);
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    BOOST_TEST(!caller.readTo("more").empty());
+    server.reset();
+    caller.readToEnd();
+    BOOST_TEST(caller.wasReset());
+}
+
 // Guards against idle connections that are closed although a request has arrived and is unread.
 BOOST_FIXTURE_TEST_CASE(AnswersARequestThatArrivesAsIdleConnectionsAreClosed, Fixture)
 {
--- a/src/adapters/http/httpserverconnectionend.cpp
+++ b/src/adapters/http/httpserverconnectionend.cpp
@@ -22,7 +22,7 @@
     if (!m_halfClosed && m_channel.hasFailed()) {
         peerDisconnected();
     }
-    if (m_endsWithReset || (m_peerDisconnected && (m_channel.unacknowledgedBytes() == 0 || m_channel.hasFailed()))) {
+    if (m_endsWithReset || m_channel.resetsOnClose() || (m_peerDisconnected && (m_channel.unacknowledgedBytes() == 0 || m_channel.hasFailed()))) {
         close();
         co_return;
     }
--- a/src/adapters/http/serverexchange.cpp
+++ b/src/adapters/http/serverexchange.cpp
@@ -257,6 +257,11 @@
     } else {
         header.chunked(chunked);
     }
+    // Without a length or chunks, the peer takes an orderly end of the connection for that of the body.
+    const bool endsWithConnection = !length && !chunked;
+    if (endsWithConnection) {
+        m_channel.setResetOnClose(true);
+    }
     m_connection.limitSending();
     StreamResult result;
     result.error = co_await m_channel.writeHeader(header);
@@ -264,8 +269,10 @@
         result = co_await sendParts(std::move(part), rest, chunked);
     }
     m_failed = m_failed || result.error;
-    if (result.error && !length && !chunked) {
+    if (endsWithConnection && result.error) {
         m_connection.resetAfterResponse();
+    } else if (endsWithConnection) {
+        m_channel.setResetOnClose(false);
     }
     co_return result;
 }
--- a/src/adapters/http/tcpchannel.cpp
+++ b/src/adapters/http/tcpchannel.cpp
@@ -25,6 +25,14 @@
     deadline.expire = [this] { abort(); };
 }
 
+// The destructor of an Asio socket would close it in order.
+TcpChannel::~TcpChannel()
+{
+    if (m_resetsOnClose) {
+        close();
+    }
+}
+
 void TcpChannel::prepare()
 {
     ErrorCode ignored;
@@ -67,17 +75,31 @@
 void TcpChannel::close()
 {
     ErrorCode ignored;
-    socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    if (!m_resetsOnClose) {
+        socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    }
     socket.close(ignored);
 }
 
 void TcpChannel::reset()
 {
+    setResetOnClose(true);
     ErrorCode ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
     socket.close(ignored);
 }
 
+void TcpChannel::setResetOnClose(bool resets)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+    m_resetsOnClose = resets;
+}
+
+bool TcpChannel::resetsOnClose() const
+{
+    return m_resetsOnClose;
+}
+
 void TcpChannel::closePeerLost()
 {
     m_peerLost = true;
--- a/src/adapters/http/tcpchannel.h
+++ b/src/adapters/http/tcpchannel.h
@@ -29,6 +29,7 @@
 {
 public:
     TcpChannel(Tcp::socket socket, ByteCounts &bytes);
+    ~TcpChannel();
 
     TcpChannel(const TcpChannel &) = delete;
     TcpChannel &operator=(const TcpChannel &) = delete;
@@ -58,12 +59,16 @@
     // Ends the pending operations with an error.
     void abort();
 
-    // Shuts down and closes the connection immediately.
+    // Closes the connection immediately, in order unless it resets on close.
     void close();
 
     // Closes the connection so that the peer sees an error rather than an end.
     void reset();
 
+    // Whether the connection is reset however it is closed, also by the end of the process.
+    void setResetOnClose(bool resets);
+    bool resetsOnClose() const;
+
     // Closes the connection because its peer is lost; its operations fail with `timed_out`.
     void closePeerLost();
 
@@ -130,6 +135,7 @@
     ByteCounts &m_bytes;
     bool m_usesLink = false;
     bool m_peerLost = false;
+    bool m_resetsOnClose = false;
     ErrorCode m_failure;
 };
 
