calls: Tell a quarantined request's caller so during a stop as well

The rejection for a call that would outlast the stop advises to send it to another node, which is wrong for a request under which targets have ended. Quarantine goes first.

--- a/autotests/processes/oddentriestest.cpp
+++ b/autotests/processes/oddentriestest.cpp
@@ -121,7 +121,8 @@
         HttpRequest request(http::verb::post, fmt::format("/admin/raw?kind={}&name=!{}", kind, entry.name), 11);
         request.set(http::field::host, "store");
         request.body() = entry.text();
-        BOOST_REQUIRE(blockingExchange(fleet.store(), std::move(request), CallTimeout).has_value());
+        const auto response = blockingExchange(fleet.store(), std::move(request), CallTimeout);
+        BOOST_REQUIRE(response.has_value());
     }
 
     std::size_t runningNodes()
--- a/autotests/processes/plannedstoptest.cpp
+++ b/autotests/processes/plannedstoptest.cpp
@@ -4,6 +4,7 @@
 #include "fleet.h"
 #include "httptest.h"
 #include "platformfleet.h"
+#include "readanswer.h"
 #include "sampledocument.h"
 
 #include <boost/test/unit_test.hpp>
@@ -24,6 +25,7 @@
 constexpr Milliseconds ServiceTime{2200};
 constexpr Milliseconds SignalAfter{500};
 constexpr Milliseconds GraceTime{6000};
+constexpr Milliseconds LateInAStop{3300};
 constexpr std::size_t ResponseBytes = 600000;
 constexpr std::size_t UploadPieces = 5;
 constexpr std::size_t PieceBytes = 20000;
@@ -32,15 +34,6 @@
 constexpr std::size_t FirstSidecar = 1;
 constexpr std::size_t Sidecars = 2;
 
-struct Answer
-{
-    std::string id;
-    // Zero if the connection ended first.
-    int status = 0;
-    bool complete = false;
-    bool notRun = false;
-};
-
 std::string argument(int index)
 {
     const auto &suite = boost::unit_test::framework::master_test_suite();
@@ -53,21 +46,6 @@
     return fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nGalenahill-Request-Id: {}\r\nContent-Length: {}\r\n\r\n", method, target, Host, id, bodyBytes);
 }
 
-Answer readAnswer(RawClient &caller, const std::string &id)
-{
-    Answer answer{.id = id};
-    const auto header = caller.readTo("\r\n\r\n");
-    const std::string lengthField = "Content-Length: ";
-    const auto length = header.find(lengthField);
-    if (length == std::string::npos) {
-        return answer;
-    }
-    answer.status = std::stoi(header.substr(header.find(' ')));
-    answer.notRun = header.find("Galenahill-Outcome: not-run\r\n") != std::string::npos;
-    answer.complete = caller.skip(std::stoul(header.substr(length + lengthField.size())));
-    return answer;
-}
-
 // Two nodes with slow targets, and an ingress whose own target serves another service.
 struct Fixture
 {
@@ -204,6 +182,33 @@
         BOOST_TEST(logOf(node).find("\"stopped\"") != std::string::npos);
     }
 
+    void checkRejection(const Answer &answer) const
+    {
+        const auto executed = fleet.executedCalls();
+        BOOST_TEST((answer.notRun && isAnswered(answer, std::count(executed.begin(), executed.end(), answer.id), 503)));
+    }
+
+    // The answer to a call whose header arrives late in a stop of the ingress, which has learnt the route's service time before.
+    Answer answerLateInAStop(const std::string &method, const std::string &target)
+    {
+        constexpr int LearntCalls = 8;
+        for (int i = 0; i < LearntCalls; ++i) {
+            call(method, target, fmt::format("learnt-{}-{}", method, i));
+        }
+        BOOST_TEST(checkAnswers() == LearntCalls);
+        const auto id = "late-" + method;
+        const auto request = requestText(method, target, id);
+        RawClient caller(fleet.ingress(Ingress));
+        caller.send(request.substr(0, request.size() / 2));
+        std::this_thread::sleep_for(Milliseconds(100));
+        signal(Ingress);
+        std::this_thread::sleep_for(LateInAStop);
+        caller.send(request.substr(request.size() / 2));
+        const auto answer = readAnswer(caller, id);
+        checkEnd(Ingress);
+        return answer;
+    }
+
     std::string logOf(std::size_t node) const
     {
         std::ifstream file(fleet.nodeLog(node));
@@ -309,57 +314,20 @@
 // Guards against calls that are sent to targets so late in a stop that its end cuts them off.
 BOOST_FIXTURE_TEST_CASE(StopRejectsACallThatWouldOutlastIt, Fixture)
 {
-    constexpr Milliseconds LateAfter{3300};
-    constexpr int LearntCalls = 8;
-    for (const auto *method : {"POST /orden/1", "GET /espera/1"}) {
-        const std::string text(method);
-        for (int i = 0; i < LearntCalls; ++i) {
-            call(text.substr(0, text.find(' ')), text.substr(text.find(' ') + 1), fmt::format("learnt-{}-{}", text.substr(0, 3), i));
-        }
-        BOOST_TEST(checkAnswers() == LearntCalls);
-    }
-    const auto unsafe = requestText("POST", "/orden/1", "late-unsafe");
-    const auto safe = requestText("GET", "/espera/1", "late-safe");
-    // A part of the header keeps the connections open.
-    RawClient unsafeCaller(fleet.ingress(Ingress));
-    RawClient safeCaller(fleet.ingress(Ingress));
-    unsafeCaller.send(unsafe.substr(0, unsafe.size() / 2));
-    safeCaller.send(safe.substr(0, safe.size() / 2));
-    std::this_thread::sleep_for(Milliseconds(100));
-    signal(Ingress);
-    std::this_thread::sleep_for(LateAfter);
-    unsafeCaller.send(unsafe.substr(unsafe.size() / 2));
-    safeCaller.send(safe.substr(safe.size() / 2));
-    const std::vector<Answer> answers = {readAnswer(unsafeCaller, "late-unsafe"), readAnswer(safeCaller, "late-safe")};
-    checkEnd(Ingress);
-    const auto executed = fleet.executedCalls();
-    for (const auto &answer : answers) {
-        BOOST_TEST(answer.status == 503, answer.id);
-        BOOST_TEST(answer.notRun, answer.id);
-        BOOST_TEST(answer.complete, answer.id);
-        BOOST_TEST(std::count(executed.begin(), executed.end(), answer.id) == 0, answer.id);
-    }
+    checkRejection(answerLateInAStop("POST", "/orden/1"));
+}
+
+BOOST_FIXTURE_TEST_CASE(StopRejectsARepeatableCallThatWouldOutlastIt, Fixture)
+{
+    checkRejection(answerLateInAStop("GET", "/espera/1"));
 }
 
 // Guards against calls that are rejected in a stop although there is time left for them.
 BOOST_FIXTURE_TEST_CASE(StopServesACallThatEndsBeforeIt, Fixture)
 {
     setServiceTime(Milliseconds(100));
-    for (int i = 0; i < 8; ++i) {
-        call("POST", "/orden/1", fmt::format("learnt-{}", i));
-    }
-    BOOST_TEST(checkAnswers() == 8);
-    const auto request = requestText("POST", "/orden/1", "short");
-    RawClient caller(fleet.ingress(Ingress));
-    caller.send(request.substr(0, request.size() / 2));
-    std::this_thread::sleep_for(Milliseconds(100));
-    signal(Ingress);
-    std::this_thread::sleep_for(Milliseconds(3300));
-    caller.send(request.substr(request.size() / 2));
-    const auto answer = readAnswer(caller, "short");
-    BOOST_TEST(answer.status == 200);
-    BOOST_TEST(answer.complete);
-    checkEnd(Ingress);
+    const auto answer = answerLateInAStop("POST", "/orden/1");
+    BOOST_TEST((answer.status == 200 && answer.complete));
 }
 
 // Guards against an upload that the end of the stop cuts, because its caller has paused.
--- a/autotests/unit/brokenresponsecalltest.cpp
+++ b/autotests/unit/brokenresponsecalltest.cpp
@@ -161,12 +161,12 @@
 // Guards against responses that no target sent, or that are not valid, passed on to callers.
 BOOST_AUTO_TEST_CASE(BrokenResponseIsAnUnknownOutcome)
 {
-    const std::string length = fmt::format("Content-Length: {}\r\n\r\n", ResponseInBody.size());
-    for (const auto &response : {"HTTP/1.1 000 Broken\r\n" + length + ResponseInBody,
-             "HTTP/1.1 999 Broken\r\n" + length + ResponseInBody,
-             "HTTP/1.1 200 OK\r\nX Name: v\r\n" + length + ResponseInBody,
-             "HTTP/1.1 200 OK\r\nX-\x01Name: v\r\n" + length + ResponseInBody,
-             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + length + ResponseInBody}) {
+    const auto rest = fmt::format("Content-Length: {}\r\n\r\n{}", ResponseInBody.size(), ResponseInBody);
+    for (const auto &response : {"HTTP/1.1 000 Broken\r\n" + rest,
+             "HTTP/1.1 999 Broken\r\n" + rest,
+             "HTTP/1.1 200 OK\r\nX Name: v\r\n" + rest,
+             "HTTP/1.1 200 OK\r\nX-\x01Name: v\r\n" + rest,
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + rest}) {
         const Fixture fixture({.bytes = response});
         const auto received = Fixture::call();
         BOOST_TEST(received.isOutcomeUnknown(), response);
--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -5,6 +5,7 @@
 #include "repeatedbody.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 using namespace Galenahill;
 using Galenahill::Test::BrokenResponse;
@@ -100,7 +101,7 @@
 void checkRejected(const std::vector<std::string> &responses, End end = End::None)
 {
     for (const auto &response : responses) {
-        BrokenResponseServer server(AnyPort, {.bytes = response, .end = end});
+        BrokenResponseServer server(AnyPort, BrokenResponse{.bytes = response, .end = end});
         const auto begin = Clock::now();
         const auto result = exchange(server.endpoint(), Upload::None, http::verb::get, LateDeadline);
         const auto line = response.substr(0, response.find("\r\n\r\n"));
@@ -181,9 +182,9 @@
 {
     std::vector<std::string> responses;
     for (const std::string status : {"000", "001", "099", "600", "999"}) {
-        responses.push_back("HTTP/1.1 " + status + " Broken\r\nContent-Length: " + std::to_string(ResponseInBody.size()) + "\r\n\r\n" + ResponseInBody);
-        responses.push_back("HTTP/1.1 " + status + " Broken\r\nContent-Length: 0\r\n\r\n");
-        responses.push_back("HTTP/1.1 " + status + "\r\n\r\n" + ResponseInBody);
+        responses.push_back(fmt::format("HTTP/1.1 {} Broken\r\nContent-Length: {}\r\n\r\n{}", status, ResponseInBody.size(), ResponseInBody));
+        responses.push_back(fmt::format("HTTP/1.1 {} Broken\r\nContent-Length: 0\r\n\r\n", status));
+        responses.push_back(fmt::format("HTTP/1.1 {}\r\n\r\n{}", status, ResponseInBody));
     }
     checkRejected(responses);
     checkRejected(responses, End::Close);
@@ -194,7 +195,8 @@
 {
     for (const unsigned status : {218U, 299U, 399U, 418U, 499U, 530U, 599U}) {
         BrokenResponseServer server(AnyPort,
-            {.bytes = "HTTP/1.1 " + std::to_string(status) + " Own\r\nContent-Length: " + std::to_string(ResponseInBody.size()) + "\r\n\r\n" + ResponseInBody});
+            BrokenResponse{.bytes
+                = "HTTP/1.1 " + std::to_string(status) + " Own\r\nContent-Length: " + std::to_string(ResponseInBody.size()) + "\r\n\r\n" + ResponseInBody});
         const auto result = exchange(server.endpoint());
         BOOST_REQUIRE_MESSAGE(result.has_value(), status);
         BOOST_TEST(result->result_int() == status);
@@ -206,7 +208,7 @@
 BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped)
 {
     for (const std::string status : {"100", "102", "103", "150", "199"}) {
-        BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 " + status + " Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"});
+        BrokenResponseServer server(AnyPort, BrokenResponse{.bytes = "HTTP/1.1 " + status + " Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"});
         const auto result = exchange(server.endpoint());
         BOOST_REQUIRE_MESSAGE(result.has_value(), status);
         BOOST_TEST(result->body() == "good");
@@ -225,9 +227,9 @@
     const std::string chunks = "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n";
     std::vector<std::string> responses;
     for (const std::string coding : {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", "identity", "chunked;q=1", "chunked, chunked", ""}) {
-        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + chunks);
-        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\nContent-Length: 5" + chunks);
-        responses.push_back("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: " + coding + chunks);
+        responses.push_back(fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: {}{}", coding, chunks));
+        responses.push_back(fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: {}\r\nContent-Length: 5{}", coding, chunks));
+        responses.push_back(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: {}{}", coding, chunks));
     }
     responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked" + chunks);
     responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked" + chunks);
@@ -243,7 +245,7 @@
     for (const std::string lengths : {"Content-Length: 5\r\nContent-Length: 5", "Content-Length: 5, 5", "Content-Length: 5\r\nContent-Length: 5, 5"}) {
         for (const auto method : {http::verb::get, http::verb::head}) {
             const std::string body = method == http::verb::head ? "" : "whole";
-            BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 200 OK\r\n" + lengths + "\r\n\r\n" + body});
+            BrokenResponseServer server(AnyPort, BrokenResponse{.bytes = fmt::format("HTTP/1.1 200 OK\r\n{}\r\n\r\n{}", lengths, body)});
             const auto result = exchange(server.endpoint(), Upload::None, method);
             BOOST_REQUIRE_MESSAGE(result.has_value(), lengths);
             BOOST_TEST(result->body() == body);
@@ -303,7 +305,7 @@
 // RFC 9112, 5.2: a folded line is read as one line, and is not passed on as it is.
 BOOST_AUTO_TEST_CASE(FoldedLineIsOneLine)
 {
-    BrokenResponseServer server(AnyPort, {.bytes = "HTTP/1.1 200 OK\r\nX-Long: one\r\n two\r\n\tthree\r\nContent-Length: 5\r\n\r\nwhole"});
+    BrokenResponseServer server(AnyPort, BrokenResponse{.bytes = "HTTP/1.1 200 OK\r\nX-Long: one\r\n two\r\n\tthree\r\nContent-Length: 5\r\n\r\nwhole"});
     const auto result = exchange(server.endpoint());
     BOOST_REQUIRE(result.has_value());
     BOOST_TEST((*result)["X-Long"] == "one two three");
--- a/src/daemon/calls/ingressresponse.cpp
+++ b/src/daemon/calls/ingressresponse.cpp
@@ -113,7 +113,7 @@
     if (last.result == AttemptResult::KeyRevoked) {
         return unauthorizedResponse(CallerIdentity::Status::UnknownKey);
     }
-    if (call.rejectedForStop) {
+    if (call.rejectedForStop && !router.isQuarantined(call)) {
         call.reason = "the call would outlast the stop of this node";
         return notRunResponse(http::status::service_unavailable,
             "stopping",
