--- a/autotests/support/brokenresponseserver.h
+++ b/autotests/support/brokenresponseserver.h
@@ -23,7 +23,7 @@
         CloseThenReset,
     };
 
-    // Sent once, and then, unless it is empty, over and over until the connection breaks.
+    // `bytes` is sent once; `repeated`, unless empty, follows until the connection breaks.
     std::string bytes;
     std::string repeated = {};
     End end = End::None;
--- a/autotests/unit/brokenresponsetest.cpp
+++ b/autotests/unit/brokenresponsetest.cpp
@@ -177,7 +177,7 @@
     }
 }
 
-// Guards against status codes outside 100 to 599 that reach callers, and against their bodies taken for responses.
+// Guards against status codes outside 100 to 599 that reach callers, and against bodies of such responses parsed as responses.
 BOOST_AUTO_TEST_CASE(ResponseWithAnInvalidStatusIsRejected)
 {
     std::vector<std::string> responses;
@@ -190,7 +190,7 @@
     checkRejected(responses, End::Close);
 }
 
-// Guards against the loss of responses whose status code no registry lists, and against their bodies taken for responses.
+// Guards against the loss of responses whose status code no registry lists, and against their bodies parsed as responses.
 BOOST_AUTO_TEST_CASE(ResponseWithAnUnlistedStatusArrives)
 {
     for (const unsigned status : {218U, 299U, 399U, 418U, 499U, 530U, 599U}) {
--- a/autotests/unit/brokenstoretest.cpp
+++ b/autotests/unit/brokenstoretest.cpp
@@ -49,7 +49,7 @@
 
 }
 
-// Guards against a broken response that is taken for the state of the store, or for the proof of a write.
+// Guards against a broken response that is accepted as the state of the store, or as the result of a write.
 BOOST_AUTO_TEST_CASE(BrokenResponsesAreErrors)
 {
     const auto sound = page(10, false);
--- a/autotests/unit/jsonpartstest.cpp
+++ b/autotests/unit/jsonpartstest.cpp
@@ -91,7 +91,7 @@
         BOOST_CHECK_THROW((void)parseJson(nested(depth)), std::exception);
         BOOST_TEST(parseJsonOrNull(nested(depth)).is_null());
     }
-    for (const std::string text : {"", "{", R"({"a":{)", R"({"a":{}}})", "{\"a\":{\"b\":\"\xff\"}}", R"({"a":{"b":1,}})", "1e999"}) {
+    for (const std::string text : {"", "{", R"({"a":{)", R"({"a":{}}})", "{\"a\":{\"b\":\"\xff\"}}", "{\"a\":{\"b\":\xff}}", R"({"a":{"b":1,}})", "1e999"}) {
         BOOST_CHECK_THROW((void)parseJson(text), std::exception);
         BOOST_TEST(parseJsonOrNull(text).is_null());
     }
--- a/autotests/unit/memberdirectorytest.cpp
+++ b/autotests/unit/memberdirectorytest.cpp
@@ -143,7 +143,7 @@
     BOOST_TEST(store.calledWith == std::vector<std::string>({"list contacts", "put contacts b"}), boost::test_tools::per_element());
 }
 
-// Guards against an address that is taken for a right one, since a number was cut to the size of a port.
+// Guards against a port out of range that is truncated to a valid one.
 BOOST_AUTO_TEST_CASE(ContactsWithInvalidNumbersAreRefused)
 {
     const auto sound = contactDocument(record("a"));
